--- /dev/null
+++ b/lib/httpc/httpc.c
@@ -0,0 +1,283 @@
+#include "httpc.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#define HTTPC_CONNECT_TIMEOUT_MS 1000
+#define HTTPC_ANSWER_MAX (16 * 1024 * 1024)
+#define HTTPC_IDLE_HANDLES_MAX 256
+
+struct httpc {
+	struct tevent_context *ev;
+	CURLM *multi;
+	struct tevent_timer *timer;
+	unsigned int in_flight;
+	GPtrArray *idle; /* easy handles kept for reuse */
+};
+
+struct httpc_call {
+	struct httpc *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	size_t body_len;
+	size_t body_sent;
+	bool is_read;
+	char *answer;
+	size_t answer_len;
+	size_t answer_cap;
+	httpc_done *done;
+	void *data;
+};
+
+struct watch {
+	struct httpc *client;
+	curl_socket_t fd;
+	struct tevent_fd *fde;
+};
+
+/* also asked at the end of a body already sent; a restart from 0 is refused */
+static size_t on_body_read(char *buf, size_t size, size_t n, void *data)
+{
+	struct httpc_call *call = data;
+	size_t left = call->body_len - call->body_sent;
+	size_t len = MIN(size * n, left);
+
+	call->is_read = true;
+	memcpy(buf, call->body + call->body_sent, len);
+	call->body_sent += len;
+	return len;
+}
+
+static int on_body_seek(void *data, curl_off_t offset, int origin)
+{
+	struct httpc_call *call = data;
+
+	if (!call->is_read && offset == 0 && origin == SEEK_SET)
+		return CURL_SEEKFUNC_OK;
+	return CURL_SEEKFUNC_FAIL;
+}
+
+static size_t on_answer(char *buf, size_t size, size_t n, void *data)
+{
+	struct httpc_call *call = data;
+	size_t len = size * n;
+
+	if (call->answer_len + len > HTTPC_ANSWER_MAX)
+		return 0;
+	if (call->answer_len + len + 1 > call->answer_cap) {
+		call->answer_cap = (call->answer_len + len + 1) * 2;
+		call->answer = talloc_realloc(call, call->answer, char, call->answer_cap);
+	}
+	memcpy(call->answer + call->answer_len, buf, len);
+	call->answer_len += len;
+	call->answer[call->answer_len] = 0;
+	return len;
+}
+
+static void call_complete(struct httpc_call *call, CURLcode code)
+{
+	struct httpc *client = call->client;
+	struct httpc_answer answer = {.result = HTTPC_LOST};
+	long status = 0;
+
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+		answer.result = HTTPC_ANSWERED;
+		answer.status = (unsigned int)status;
+		answer.body.ptr = call->answer ? call->answer : "";
+		answer.body.len = call->answer_len;
+	} else if (call->body_len && !call->is_read) {
+		answer.result = HTTPC_NOT_SENT;
+	} else if (!call->body_len) {
+		long sent = 0;
+
+		curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent);
+		if (!sent)
+			answer.result = HTTPC_NOT_SENT;
+	}
+	curl_multi_remove_handle(client->multi, call->easy);
+	client->in_flight--;
+	call->done(&answer, call->data);
+	curl_slist_free_all(call->headers);
+	if (client->idle->len < HTTPC_IDLE_HANDLES_MAX) {
+		curl_easy_reset(call->easy);
+		g_ptr_array_add(client->idle, call->easy);
+	} else {
+		curl_easy_cleanup(call->easy);
+	}
+	talloc_free(call);
+}
+
+static void httpc_reap(struct httpc *client)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(client->multi, &left))) {
+		struct httpc_call *call = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		call_complete(call, msg->data.result);
+	}
+}
+
+static void on_socket_event(struct tevent_context *ev G_GNUC_UNUSED,
+			    struct tevent_fd *fde G_GNUC_UNUSED, uint16_t flags, void *data)
+{
+	struct watch *watch = data;
+	struct httpc *client = watch->client;
+	int running;
+	int mask = (flags & TEVENT_FD_READ ? CURL_CSELECT_IN : 0) |
+		   (flags & TEVENT_FD_WRITE ? CURL_CSELECT_OUT : 0);
+
+	curl_multi_socket_action(client->multi, watch->fd, mask, &running);
+	httpc_reap(client);
+}
+
+static int on_socket(CURL *easy G_GNUC_UNUSED, curl_socket_t fd, int what, void *data, void *slot)
+{
+	struct httpc *client = data;
+	struct watch *watch = slot;
+	uint16_t flags = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		curl_multi_assign(client->multi, fd, NULL);
+		talloc_free(watch);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (!watch) {
+		watch = talloc_zero(client, struct watch);
+		watch->client = client;
+		watch->fd = fd;
+		watch->fde = tevent_add_fd(client->ev, watch, fd, flags, on_socket_event, watch);
+		curl_multi_assign(client->multi, fd, watch);
+	} else {
+		tevent_fd_set_flags(watch->fde, flags);
+	}
+	return 0;
+}
+
+static void on_timer(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_timer *te G_GNUC_UNUSED,
+		     struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct httpc *client = data;
+	int running;
+
+	client->timer = NULL;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	httpc_reap(client);
+}
+
+static int on_timeout_change(CURLM *multi G_GNUC_UNUSED, long timeout_ms, void *data)
+{
+	struct httpc *client = data;
+
+	TALLOC_FREE(client->timer);
+	if (timeout_ms >= 0)
+		client->timer = tevent_add_timer(client->ev, client, base_timeval_in_ms(timeout_ms),
+						 on_timer, client);
+	return 0;
+}
+
+static int httpc_destructor(struct httpc *client)
+{
+	for (guint i = 0; i < client->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(client->idle, i));
+	g_ptr_array_free(client->idle, TRUE);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, NULL);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, NULL);
+	curl_multi_cleanup(client->multi);
+	return 0;
+}
+
+struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev, unsigned int per_host_max)
+{
+	struct httpc *client = talloc_zero(ctx, struct httpc);
+
+	client->ev = ev;
+	client->idle = g_ptr_array_new();
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout_change);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	if (per_host_max)
+		curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)per_host_max);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 512L);
+	talloc_set_destructor(client, httpc_destructor);
+	return client;
+}
+
+static void call_set_body(struct httpc_call *call, const struct httpc_options *opt)
+{
+	CURL *easy = call->easy;
+
+	if (!strcmp(opt->method, "GET")) {
+		curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+		return;
+	}
+	if (!opt->body.len) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, opt->method);
+		return;
+	}
+	call->body = str_dup(call, opt->body);
+	call->body_len = opt->body.len;
+	curl_easy_setopt(easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, opt->method);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)opt->body.len);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, on_body_read);
+	curl_easy_setopt(easy, CURLOPT_READDATA, call);
+	curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, on_body_seek);
+	curl_easy_setopt(easy, CURLOPT_SEEKDATA, call);
+}
+
+struct httpc_call *httpc_start(struct httpc *client, const struct httpc_options *opt,
+			       httpc_done *done, void *data)
+{
+	struct httpc_call *call = talloc_zero(client, struct httpc_call);
+	int64_t left_ms = MAX(base_remaining_ms(opt->deadline), 1);
+
+	call->client = client;
+	call->done = done;
+	call->data = data;
+	if (client->idle->len)
+		call->easy = g_ptr_array_remove_index_fast(client->idle, client->idle->len - 1);
+	else
+		call->easy = curl_easy_init();
+	curl_easy_setopt(call->easy, CURLOPT_URL, opt->url);
+	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_answer);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
+	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)MIN(left_ms, HTTPC_CONNECT_TIMEOUT_MS));
+	curl_easy_setopt(call->easy, CURLOPT_PROTOCOLS_STR, "http");
+	if (opt->fresh)
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	for (unsigned int i = 0; i < G_N_ELEMENTS(opt->header) && opt->header[i]; i++)
+		call->headers = curl_slist_append(call->headers, opt->header[i]);
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	call_set_body(call, opt);
+	client->in_flight++;
+	curl_multi_add_handle(client->multi, call->easy);
+	return call;
+}
+
+unsigned int httpc_in_flight(const struct httpc *client)
+{
+	return client->in_flight;
+}
--- /dev/null
+++ b/lib/onc/onc.c
@@ -0,0 +1,598 @@
+#include "onc.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ONC_LAST_FRAGMENT 0x80000000U
+#define ONC_HEADER_ROOM 512 /* bytes of call or reply header, at most */
+#define ONC_CONNECTIONS_MAX 512
+#define ONC_IDLE_MS 120000 /* a peer's connection that says nothing is closed after this */
+#define ONC_OUT_QUEUE_MAX (32U * 1024 * 1024)
+
+/* a non-blocking socket that carries records */
+struct wire {
+	struct tevent_context *ev;
+	int fd;
+	struct tevent_fd *fde;
+	GByteArray *in;
+	GByteArray *out;
+	size_t out_sent;
+	void (*on_record)(struct wire *wire, struct str record);
+	void (*on_closed)(struct wire *wire);
+	void *owner;
+	bool is_connecting;
+};
+
+static int wire_destructor(struct wire *wire)
+{
+	TALLOC_FREE(wire->fde);
+	if (wire->fd >= 0)
+		close(wire->fd);
+	g_byte_array_free(wire->in, TRUE);
+	g_byte_array_free(wire->out, TRUE);
+	return 0;
+}
+
+/* takes every whole record out of the input; false when the peer broke the framing */
+static bool wire_parse(struct wire *wire)
+{
+	size_t at = 0;
+
+	while (wire->in->len - at >= 4) {
+		uint32_t mark;
+		uint32_t len;
+		struct str record;
+
+		memcpy(&mark, wire->in->data + at, 4);
+		mark = ntohl(mark);
+		len = mark & ~ONC_LAST_FRAGMENT;
+		/* our own peers send one fragment a record */
+		if (!(mark & ONC_LAST_FRAGMENT) || len > ONC_RECORD_MAX)
+			return false;
+		if (wire->in->len - at - 4 < len)
+			break;
+		record.ptr = (const char *)wire->in->data + at + 4;
+		record.len = len;
+		wire->on_record(wire, record);
+		at += 4 + len;
+	}
+	if (at)
+		g_byte_array_remove_range(wire->in, 0, at);
+	return true;
+}
+
+static bool wire_read(struct wire *wire)
+{
+	uint8_t buf[65536];
+
+	for (;;) {
+		ssize_t n = recv(wire->fd, buf, sizeof(buf), 0);
+
+		if (n == 0)
+			return false;
+		if (n < 0)
+			return errno == EAGAIN || errno == EINTR;
+		g_byte_array_append(wire->in, buf, (guint)n);
+		if (!wire_parse(wire))
+			return false;
+		if ((size_t)n < sizeof(buf))
+			return true;
+	}
+}
+
+static bool wire_write(struct wire *wire)
+{
+	while (wire->out_sent < wire->out->len) {
+		ssize_t n = send(wire->fd, wire->out->data + wire->out_sent,
+				 wire->out->len - wire->out_sent, MSG_NOSIGNAL);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			break;
+		if (n < 0)
+			return false;
+		wire->out_sent += (size_t)n;
+	}
+	if (wire->out_sent == wire->out->len) {
+		g_byte_array_set_size(wire->out, 0);
+		wire->out_sent = 0;
+		TEVENT_FD_NOT_WRITEABLE(wire->fde);
+	} else {
+		TEVENT_FD_WRITEABLE(wire->fde);
+	}
+	return true;
+}
+
+static void on_wire_event(struct tevent_context *ev G_GNUC_UNUSED,
+			  struct tevent_fd *fde G_GNUC_UNUSED, uint16_t flags, void *data)
+{
+	struct wire *wire = data;
+	bool is_open = true;
+
+	if (flags & TEVENT_FD_WRITE) {
+		wire->is_connecting = false;
+		is_open = wire_write(wire);
+	}
+	if (is_open && (flags & TEVENT_FD_READ))
+		is_open = wire_read(wire);
+	if (!is_open)
+		wire->on_closed(wire);
+}
+
+static struct wire *wire_new(TALLOC_CTX *ctx, struct tevent_context *ev, int fd, bool is_connecting,
+			     void *owner)
+{
+	struct wire *wire = talloc_zero(ctx, struct wire);
+	int on = 1;
+
+	wire->ev = ev;
+	wire->fd = fd;
+	wire->in = g_byte_array_new();
+	wire->out = g_byte_array_new();
+	wire->owner = owner;
+	wire->is_connecting = is_connecting;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	wire->fde = tevent_add_fd(ev, wire, fd,
+				  TEVENT_FD_READ | (is_connecting ? TEVENT_FD_WRITE : 0),
+				  on_wire_event, wire);
+	talloc_set_destructor(wire, wire_destructor);
+	return wire;
+}
+
+/* false when the peer does not take what it asked for */
+static bool wire_send(struct wire *wire, const char *data, size_t len)
+{
+	uint32_t mark = htonl((uint32_t)len | ONC_LAST_FRAGMENT);
+
+	if (wire->out->len + len > ONC_OUT_QUEUE_MAX)
+		return false;
+	g_byte_array_append(wire->out, (const guint8 *)&mark, 4);
+	g_byte_array_append(wire->out, (const guint8 *)data, (guint)len);
+	if (wire->is_connecting)
+		return true;
+	return wire_write(wire);
+}
+
+/* ---- server ---- */
+
+struct onc_server {
+	struct tevent_context *ev;
+	int fd;
+	struct tevent_fd *fde;
+	struct onc_server_options opt;
+	onc_handler *handler;
+	void *data;
+	unsigned int connections;
+};
+
+struct onc_conn {
+	struct onc_server *server;
+	struct wire *wire;
+	struct call *calls;
+	struct tevent_timer *idle;
+};
+
+/* the request and the connection it came by; conn is NULL once that is closed */
+struct call {
+	struct onc_request req; /* first: handlers hold this address */
+	struct onc_conn *conn;
+	uint32_t xid;
+	struct call *next;
+	struct call *prev;
+};
+
+static void call_unlink(struct call *call)
+{
+	if (!call->conn)
+		return;
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		call->conn->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	call->conn = NULL;
+}
+
+static int call_destructor(struct call *call)
+{
+	call_unlink(call);
+	xdr_free(call->req.proc->args_xdr, call->req.args);
+	return 0;
+}
+
+static int conn_destructor(struct onc_conn *conn)
+{
+	conn->server->connections--;
+	while (conn->calls)
+		call_unlink(conn->calls);
+	return 0;
+}
+
+static void on_conn_closed(struct wire *wire)
+{
+	talloc_free(wire->owner);
+}
+
+static void on_conn_idle(struct tevent_context *ev G_GNUC_UNUSED,
+			 struct tevent_timer *te G_GNUC_UNUSED, struct timeval now G_GNUC_UNUSED,
+			 void *data)
+{
+	talloc_free(data);
+}
+
+static void conn_touch(struct onc_conn *conn)
+{
+	TALLOC_FREE(conn->idle);
+	conn->idle = tevent_add_timer(conn->server->ev, conn, base_timeval_in_ms(ONC_IDLE_MS),
+				      on_conn_idle, conn);
+}
+
+static bool_t encode_nothing(XDR *xdr G_GNUC_UNUSED, ...)
+{
+	return TRUE;
+}
+
+static void send_reply(struct onc_conn *conn, uint32_t xid, enum accept_stat stat,
+		       xdrproc_t res_xdr, void *res)
+{
+	size_t room = ONC_HEADER_ROOM + (res ? xdr_sizeof(res_xdr, res) : 0);
+	char *buf = talloc_size(NULL, room);
+	struct rpc_msg msg = {.rm_xid = xid, .rm_direction = REPLY};
+	XDR xdr;
+
+	msg.rm_reply.rp_stat = MSG_ACCEPTED;
+	msg.acpted_rply.ar_verf = _null_auth;
+	msg.acpted_rply.ar_stat = stat;
+	msg.acpted_rply.ar_results.where = (caddr_t)res;
+	msg.acpted_rply.ar_results.proc = res ? res_xdr : encode_nothing;
+	xdrmem_create(&xdr, buf, (u_int)room, XDR_ENCODE);
+	if (xdr_replymsg(&xdr, &msg))
+		wire_send(conn->wire, buf, xdr_getpos(&xdr));
+	talloc_free(buf);
+}
+
+static const struct onc_proc *find_proc(struct onc_server *server, const struct call_body *cb)
+{
+	for (unsigned int i = 0; i < server->opt.proc_count; i++) {
+		const struct onc_proc *p = &server->opt.procs[i];
+
+		if (p->prog == cb->cb_prog && p->vers == cb->cb_vers && p->proc == cb->cb_proc)
+			return p;
+	}
+	return NULL;
+}
+
+static void on_server_record(struct wire *wire, struct str record)
+{
+	struct onc_conn *conn = wire->owner;
+	struct onc_server *server = conn->server;
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+	const struct onc_proc *proc;
+	struct call *call;
+	XDR xdr;
+
+	conn_touch(conn);
+	msg.rm_call.cb_cred.oa_base = cred;
+	msg.rm_call.cb_verf.oa_base = verf;
+	xdrmem_create(&xdr, (char *)record.ptr, (u_int)record.len, XDR_DECODE);
+	if (!xdr_callmsg(&xdr, &msg))
+		return;
+	proc = find_proc(server, &msg.rm_call);
+	if (!proc) {
+		send_reply(conn, msg.rm_xid, PROC_UNAVAIL, NULL, NULL);
+		return;
+	}
+	call = talloc_zero(server, struct call);
+	call->req.proc = proc;
+	call->req.args = talloc_zero_size(call, proc->args_size);
+	call->req.server_data = server->data;
+	call->xid = msg.rm_xid;
+	talloc_set_destructor(call, call_destructor);
+	if (!proc->args_xdr(&xdr, call->req.args)) {
+		talloc_free(call);
+		send_reply(conn, msg.rm_xid, GARBAGE_ARGS, NULL, NULL);
+		return;
+	}
+	call->conn = conn;
+	call->next = conn->calls;
+	if (conn->calls)
+		conn->calls->prev = call;
+	conn->calls = call;
+	server->handler(&call->req);
+}
+
+void onc_reply(struct onc_request *req, void *res)
+{
+	struct call *call = (struct call *)req;
+
+	if (call->conn)
+		send_reply(call->conn, call->xid, SUCCESS, req->proc->res_xdr, res);
+	talloc_free(call);
+}
+
+static bool net_contains(const char *net, struct in_addr addr)
+{
+	char ip[32];
+	const char *slash = strchr(net, '/');
+	unsigned int bits = slash ? (unsigned int)atoi(slash + 1) : 32;
+	struct in_addr base;
+	uint32_t mask = bits ? htonl(~0U << (32 - MIN(bits, 32U))) : 0;
+
+	g_strlcpy(ip, net, slash ? MIN((size_t)(slash - net) + 1, sizeof(ip)) : sizeof(ip));
+	if (inet_pton(AF_INET, ip, &base) != 1)
+		return false;
+	return (addr.s_addr & mask) == (base.s_addr & mask);
+}
+
+static bool is_allowed(const struct onc_server *server, struct in_addr addr)
+{
+	for (unsigned int i = 0; i < server->opt.allow_count; i++)
+		if (net_contains(server->opt.allow[i], addr))
+			return true;
+	return false;
+}
+
+static void on_accept(struct tevent_context *ev, struct tevent_fd *fde G_GNUC_UNUSED,
+		      uint16_t flags G_GNUC_UNUSED, void *data)
+{
+	struct onc_server *server = data;
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+	struct onc_conn *conn;
+	int fd = accept4(server->fd, (struct sockaddr *)&sa, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0)
+		return;
+	if (server->connections >= ONC_CONNECTIONS_MAX || !is_allowed(server, sa.sin_addr)) {
+		close(fd);
+		return;
+	}
+	conn = talloc_zero(server, struct onc_conn);
+	conn->server = server;
+	conn->wire = wire_new(conn, ev, fd, false, conn);
+	conn->wire->on_record = on_server_record;
+	conn->wire->on_closed = on_conn_closed;
+	server->connections++;
+	talloc_set_destructor(conn, conn_destructor);
+	conn_touch(conn);
+}
+
+static int server_destructor(struct onc_server *server)
+{
+	TALLOC_FREE(server->fde);
+	close(server->fd);
+	return 0;
+}
+
+struct onc_server *onc_server_new(TALLOC_CTX *ctx, struct tevent_context *ev,
+				  const struct onc_server_options *opt, onc_handler *handler,
+				  void *data)
+{
+	struct onc_server *server = talloc_zero(ctx, struct onc_server);
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(opt->port)};
+	int on = 1;
+
+	server->ev = ev;
+	server->opt = *opt;
+	server->handler = handler;
+	server->data = data;
+	server->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (server->fd < 0 || inet_pton(AF_INET, opt->ip, &sa.sin_addr) != 1)
+		goto fail;
+	setsockopt(server->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(server->fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(server->fd, 256))
+		goto fail;
+	server->fde = tevent_add_fd(ev, server, server->fd, TEVENT_FD_READ, on_accept, server);
+	talloc_set_destructor(server, server_destructor);
+	return server;
+fail:
+	if (server->fd >= 0)
+		close(server->fd);
+	talloc_free(server);
+	return NULL;
+}
+
+/* ---- client ---- */
+
+struct pending {
+	struct onc_client *client;
+	const struct onc_proc *proc;
+	uint32_t xid;
+	size_t res_size;
+	onc_done *done;
+	void *data;
+	struct tevent_timer *timer;
+	struct tevent_immediate *im;
+	struct pending *next;
+	struct pending *prev;
+};
+
+struct onc_client {
+	struct tevent_context *ev;
+	struct sockaddr_in sa;
+	struct wire *wire;
+	struct pending *pending;
+	uint32_t next_xid;
+};
+
+static void pending_unlink(struct pending *p)
+{
+	if (p->prev)
+		p->prev->next = p->next;
+	else
+		p->client->pending = p->next;
+	if (p->next)
+		p->next->prev = p->prev;
+}
+
+static void pending_finish(struct pending *p, enum onc_result result, void *res)
+{
+	pending_unlink(p);
+	p->done(result, res, p->data);
+	talloc_free(p);
+}
+
+static void on_pending_deadline(struct tevent_context *ev G_GNUC_UNUSED,
+				struct tevent_timer *te G_GNUC_UNUSED,
+				struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct pending *p = data;
+	struct onc_client *client = p->client;
+
+	/* the connection may have gone silent for good; the next call opens another */
+	TALLOC_FREE(client->wire);
+	pending_finish(p, ONC_LOST, NULL);
+}
+
+static void on_not_sent(struct tevent_context *ev G_GNUC_UNUSED,
+			struct tevent_immediate *im G_GNUC_UNUSED, void *data)
+{
+	pending_finish(data, ONC_NOT_SENT, NULL);
+}
+
+static void on_client_closed(struct wire *wire)
+{
+	struct onc_client *client = wire->owner;
+	enum onc_result result = wire->is_connecting ? ONC_NOT_SENT : ONC_LOST;
+	struct pending *list = client->pending;
+
+	client->pending = NULL;
+	client->wire = NULL;
+	talloc_free(wire);
+	while (list) {
+		struct pending *p = list;
+
+		list = p->next;
+		p->done(result, NULL, p->data);
+		talloc_free(p);
+	}
+}
+
+static void on_client_record(struct wire *wire, struct str record)
+{
+	struct onc_client *client = wire->owner;
+	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg msg = {0};
+	struct pending *p = client->pending;
+	uint32_t xid;
+	void *res;
+	XDR xdr;
+
+	if (record.len < 4)
+		return;
+	memcpy(&xid, record.ptr, 4);
+	xid = ntohl(xid);
+	while (p && p->xid != xid)
+		p = p->next;
+	if (!p)
+		return; /* late answer to a call given up */
+	res = talloc_zero_size(p, MAX(p->res_size, 1));
+	msg.acpted_rply.ar_verf.oa_base = verf;
+	msg.acpted_rply.ar_results.where = res;
+	msg.acpted_rply.ar_results.proc = p->proc->res_xdr;
+	xdrmem_create(&xdr, (char *)record.ptr, (u_int)record.len, XDR_DECODE);
+	if (!xdr_replymsg(&xdr, &msg) || msg.rm_reply.rp_stat != MSG_ACCEPTED ||
+	    msg.acpted_rply.ar_stat != SUCCESS) {
+		xdr_free(p->proc->res_xdr, res);
+		pending_finish(p, ONC_REJECTED, NULL);
+		return;
+	}
+	pending_unlink(p);
+	p->done(ONC_OK, res, p->data);
+	xdr_free(p->proc->res_xdr, res);
+	talloc_free(p);
+}
+
+static int client_destructor(struct onc_client *client)
+{
+	while (client->pending)
+		pending_finish(client->pending, ONC_LOST, NULL);
+	TALLOC_FREE(client->wire);
+	return 0;
+}
+
+struct onc_client *onc_client_new(TALLOC_CTX *ctx, struct tevent_context *ev, const char *ip,
+				  uint16_t port)
+{
+	struct onc_client *client = talloc_zero(ctx, struct onc_client);
+
+	client->ev = ev;
+	client->sa.sin_family = AF_INET;
+	client->sa.sin_port = htons(port);
+	client->next_xid = (uint32_t)base_random64();
+	inet_pton(AF_INET, ip, &client->sa.sin_addr);
+	talloc_set_destructor(client, client_destructor);
+	return client;
+}
+
+static bool client_connect(struct onc_client *client)
+{
+	int fd;
+
+	if (client->wire)
+		return true;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return false;
+	if (connect(fd, (struct sockaddr *)&client->sa, sizeof(client->sa)) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return false;
+	}
+	client->wire = wire_new(client, client->ev, fd, true, client);
+	client->wire->on_record = on_client_record;
+	client->wire->on_closed = on_client_closed;
+	return true;
+}
+
+static bool client_send(struct onc_client *client, struct pending *p, void *args)
+{
+	size_t room = ONC_HEADER_ROOM + xdr_sizeof(p->proc->args_xdr, args);
+	char *buf = talloc_size(p, room);
+	struct rpc_msg msg = {.rm_xid = p->xid, .rm_direction = CALL};
+	bool is_sent = false;
+	XDR xdr;
+
+	msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	msg.rm_call.cb_prog = p->proc->prog;
+	msg.rm_call.cb_vers = p->proc->vers;
+	msg.rm_call.cb_proc = p->proc->proc;
+	msg.rm_call.cb_cred = _null_auth;
+	msg.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdr, buf, (u_int)room, XDR_ENCODE);
+	if (xdr_callmsg(&xdr, &msg) && p->proc->args_xdr(&xdr, args) && client_connect(client))
+		is_sent = wire_send(client->wire, buf, xdr_getpos(&xdr));
+	talloc_free(buf);
+	return is_sent;
+}
+
+void onc_call(struct onc_client *client, const struct onc_proc *proc, void *args, size_t res_size,
+	      int64_t deadline, onc_done *done, void *data)
+{
+	struct pending *p = talloc_zero(client, struct pending);
+
+	p->client = client;
+	p->proc = proc;
+	p->xid = client->next_xid++;
+	p->res_size = res_size;
+	p->done = done;
+	p->data = data;
+	p->next = client->pending;
+	if (client->pending)
+		client->pending->prev = p;
+	client->pending = p;
+	if (!client_send(client, p, args)) {
+		p->im = tevent_create_immediate(p);
+		tevent_schedule_immediate(p->im, client->ev, on_not_sent, p);
+		return;
+	}
+	p->timer = tevent_add_timer(client->ev, p, base_timeval_in_ms(base_remaining_ms(deadline)),
+				    on_pending_deadline, p);
+}
--- /dev/null
+++ b/lib/proto/currantlane.x
@@ -0,0 +1,92 @@
+/* Messages between currantlane's own processes (ONC RPC, RFC 5531). */
+
+const CL_ID_MAX = 160;
+const CL_TEXT_MAX = 65536;
+const CL_BLOB_MAX = 4194304;
+const CL_NOTES_MAX = 4096;
+
+/* a fact about one backend server that travels faster than the VM list */
+struct cl_note {
+	string server<CL_ID_MAX>;
+	int state;
+	hyper remaining_ms;
+};
+
+/* exchanged both ways; carries what the sender knows */
+struct cl_gossip {
+	string vm<CL_ID_MAX>;
+	string failure_domain<CL_ID_MAX>;
+	hyper incarnation;
+	bool draining;
+	hyper catalogue_version;
+	hyper vm_list_version;
+	cl_note notes<CL_NOTES_MAX>;
+};
+
+/* pull of what the asker lacks: catalogue deltas and the VM list as JSON */
+struct cl_pull_args {
+	hyper catalogue_version;
+	hyper vm_list_version;
+};
+
+struct cl_pull_res {
+	hyper catalogue_version;
+	string catalogue<CL_BLOB_MAX>;
+	hyper vm_list_version;
+	string vm_list<CL_BLOB_MAX>;
+};
+
+/* a short request passed to the entry VM that owns its id */
+struct cl_forward_args {
+	string id<CL_ID_MAX>;
+	string workspace<CL_ID_MAX>;
+	string kind<CL_ID_MAX>;
+	hyper remaining_ms;
+	string traceparent<CL_ID_MAX>;
+	string body<CL_TEXT_MAX>;
+};
+
+struct cl_outcome_res {
+	bool known;
+	int outcome;
+	string reason<CL_ID_MAX>;
+	string body<CL_TEXT_MAX>;
+};
+
+/* a job for the scheduler of a failure domain; the spec is the caller's JSON, checked */
+struct cl_job_args {
+	string id<CL_ID_MAX>;
+	string spec<CL_TEXT_MAX>;
+	string traceparent<CL_ID_MAX>;
+	hyper remaining_ms;
+};
+
+enum cl_sched_status {
+	CL_SCHED_OK = 0,
+	CL_SCHED_NOT_ACTIVE = 1,
+	CL_SCHED_NOT_FOUND = 2,
+	CL_SCHED_REFUSED = 3,
+	CL_SCHED_UNSURE = 4
+};
+
+struct cl_job_res {
+	cl_sched_status status;
+	string state<CL_TEXT_MAX>;
+};
+
+program CL_PEER {
+	version CL_PEER_V1 {
+		cl_gossip PEER_GOSSIP(cl_gossip) = 1;
+		cl_pull_res PEER_PULL(cl_pull_args) = 2;
+		cl_outcome_res PEER_FORWARD(cl_forward_args) = 3;
+	} = 1;
+} = 0x20004c01;
+
+program CL_SCHED {
+	version CL_SCHED_V1 {
+		cl_job_res SCHED_SUBMIT(cl_job_args) = 1;
+		cl_job_res SCHED_STATE(cl_job_args) = 2;
+		cl_job_res SCHED_CANCEL(cl_job_args) = 3;
+		cl_job_res SCHED_STATUS(cl_job_args) = 4;
+	} = 1;
+} = 0x20004c02;
--- /dev/null
+++ b/src/entryd_renew.c
@@ -0,0 +1,166 @@
+/**
+ * DOC: entryd_renew - renews the leases of running tasks
+ *
+ * Each live entry VM of the failure domain renews its share of the backend
+ * servers by rendezvous hashing, so a dead scheduler stops no running gang. A
+ * task whose gang has lost a server is not renewed, so that the rest of the
+ * gang does not run on without it even when no scheduler is there to stop it.
+ */
+#include "entryd.h"
+
+#include <string.h>
+
+#define RENEWALS_PER_LEASE 3
+#define LOST_AFTER_FAILURES 3
+
+/* renewal of one backend server */
+struct renewal {
+	struct entryd *entryd;
+	char *server;
+	unsigned int failures;
+	bool is_calling;
+	json_t *except; /* jobs whose gangs are not whole */
+};
+
+struct renewer {
+	struct entryd *entryd;
+	GHashTable *renewals; /* server id to struct renewal */
+};
+
+static bool is_gang_whole(struct entryd *e, const json_t *servers)
+{
+	size_t i;
+	json_t *id;
+
+	json_array_foreach(servers, i, id) {
+		if (cluster_note_of(e->cluster, json_string_value(id)) == NOTE_LOST)
+			return false;
+	}
+	return true;
+}
+
+static void take_tasks(struct renewal *r, const json_t *tasks)
+{
+	size_t i;
+	json_t *t;
+
+	json_decref(r->except);
+	r->except = json_array();
+	json_array_foreach(tasks, i, t) {
+		if (is_gang_whole(r->entryd, json_object_get(t, "servers")))
+			continue;
+		json_array_append(r->except, json_object_get(t, "job"));
+		counter_add(&r->entryd->counters, 0, COUNT_TASKS_NOT_RENEWED, 1);
+	}
+}
+
+static void on_renewed(const struct backend_reply *reply, void *data)
+{
+	struct renewal *r = data;
+	struct entryd *e = r->entryd;
+
+	r->is_calling = false;
+	if (reply->type != BACKEND_STATE) {
+		counter_add(&e->counters, 0, COUNT_RENEWALS_FAILED, 1);
+		if (++r->failures >= LOST_AFTER_FAILURES)
+			cluster_note(e->cluster, r->server, NOTE_LOST);
+		return;
+	}
+	r->failures = 0;
+	counter_add(&e->counters, 0, COUNT_RENEWALS, 1);
+	cluster_note(e->cluster, r->server, reply->is_leaving ? NOTE_LEAVING : NOTE_LIVE);
+	take_tasks(r, json_object_get(reply->doc, "tasks"));
+}
+
+static struct renewal *renewal_get(struct renewer *rn, const char *server)
+{
+	struct renewal *r = g_hash_table_lookup(rn->renewals, server);
+
+	if (r)
+		return r;
+	r = talloc_zero(rn, struct renewal);
+	r->entryd = rn->entryd;
+	r->server = talloc_strdup(r, server);
+	r->except = json_array();
+	g_hash_table_insert(rn->renewals, r->server, r);
+	return r;
+}
+
+static bool is_mine(struct entryd *e, const char *server)
+{
+	uint64_t own = base_rendezvous(e->settings->vm, server);
+	struct cluster_peer *peer;
+
+	for (unsigned int i = 0; (peer = cluster_peer_at(e->cluster, i)); i++)
+		if (!strcmp(peer->failure_domain, e->settings->failure_domain) &&
+		    cluster_is_live(e->cluster, peer) && base_rendezvous(peer->id, server) > own)
+			return false;
+	return true;
+}
+
+static void renew(struct renewer *rn, const json_t *vm)
+{
+	struct entryd *e = rn->entryd;
+	const char *id = base_json_str(vm, "id", "");
+	struct renewal *r = renewal_get(rn, id);
+	char base[64];
+	struct backend_target target = {e->http, base, e->settings->vm, NULL};
+	json_t *args;
+
+	/* a server the scheduler gave up must not be kept running by anybody */
+	if (r->is_calling || (cluster_note_of(e->cluster, id) == NOTE_LOST && !r->failures))
+		return;
+	g_snprintf(base, sizeof(base), "http://%s", base_json_str(vm, "address", ""));
+	args = json_pack("{sI sb sO}", "lease_ms", (json_int_t)e->settings->lease_ms, "brief", 1,
+			 "except", r->except);
+	r->is_calling = true;
+	backend_task(&target, BACKEND_TASK_RENEW, args, r->failures > 0,
+		     base_deadline_in(e->settings->lease_ms / RENEWALS_PER_LEASE), on_renewed, r);
+}
+
+static bool has_other_peers(struct entryd *e)
+{
+	struct cluster_peer *peer;
+
+	for (unsigned int i = 0; (peer = cluster_peer_at(e->cluster, i)); i++)
+		if (peer->client && !strcmp(peer->failure_domain, e->settings->failure_domain))
+			return true;
+	return false;
+}
+
+/* a VM that hears nobody may be cut off; others have taken over its share */
+static bool may_renew(struct entryd *e)
+{
+	return !has_other_peers(e) || cluster_has_contact(e->cluster, e->settings->lease_ms);
+}
+
+static void on_renew_timer(struct tevent_context *ev, struct tevent_timer *te G_GNUC_UNUSED,
+			   struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct renewer *rn = data;
+	struct entryd *e = rn->entryd;
+	int64_t pause_ms = e->settings->lease_ms / RENEWALS_PER_LEASE;
+	size_t i;
+	json_t *vm;
+
+	json_array_foreach(cluster_vms(e->cluster), i, vm) {
+		if (!may_renew(e))
+			break;
+		if (!strcmp(base_json_str(vm, "role", ""), "backend") &&
+		    !strcmp(base_json_str(vm, "failure_domain", ""), e->settings->failure_domain) &&
+		    is_mine(e, base_json_str(vm, "id", "")))
+			renew(rn, vm);
+	}
+	tevent_add_timer(ev, rn, base_timeval_in_ms(pause_ms), on_renew_timer, rn);
+}
+
+struct renewer *renewer_new(struct entryd *e)
+{
+	struct renewer *rn = talloc_zero(e, struct renewer);
+
+	rn->entryd = e;
+	rn->renewals = g_hash_table_new(g_str_hash, g_str_equal);
+	tevent_add_timer(e->ev, rn, base_timeval_in_ms(e->settings->lease_ms / RENEWALS_PER_LEASE),
+			 on_renew_timer, rn);
+	return rn;
+}
