--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -206,6 +206,11 @@
 	struct httpd *server = talloc_zero(ctx, struct httpd);
 	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(opt->port)};
 	const union MHD_DaemonInfo *info;
+	/* the option with value 0 would also forbid addresses in TIME_WAIT */
+	struct MHD_OptionItem reuse[] = {
+		{opt->reuse_port ? MHD_OPTION_LISTENING_ADDRESS_REUSE : MHD_OPTION_END, 1, NULL},
+		{MHD_OPTION_END, 0, NULL},
+	};
 
 	if (inet_pton(AF_INET, opt->ip, &sa.sin_addr) != 1)
 		goto fail;
@@ -217,7 +222,7 @@
 	server->mhd = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, opt->port, NULL,
 		NULL, on_access, server, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, opt->reuse_port ? 1U : 0U,
+		MHD_OPTION_ARRAY, reuse,
 		MHD_OPTION_CONNECTION_LIMIT, opt->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
 		opt->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTPD_CONNECTION_MEMORY,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
--- /dev/null
+++ b/src/schedd_lead.c
@@ -0,0 +1,182 @@
+/**
+ * DOC: schedd_lead - which scheduler of the failure domain is active
+ *
+ * The holder rewrites its row every second. Others watch the row's version on
+ * their own clocks and take over, with a higher epoch, when it has not changed
+ * for LAPSE_MS. While the table is away nobody can take over, so the holder
+ * stays active; a holder that was paused finds out at its next write, and its
+ * commands are refused by their epoch in the meantime.
+ */
+#include "schedd.h"
+
+#include <string.h>
+
+#define RENEW_MS 1000
+#define LAPSE_MS 4000
+#define CALL_MS 900
+
+static void lead_tick(struct schedd *s);
+
+static json_t *row_value(const struct schedd *s, const char *holder)
+{
+	return json_pack("{ss sI sI}", "holder", holder, "incarnation", (json_int_t)s->incarnation,
+			 "epoch", (json_int_t)s->epoch);
+}
+
+/* ---- renewal by the holder ---- */
+
+static void on_renewed(enum platform_result result, const int64_t *versions, void *data)
+{
+	struct schedd *s = data;
+
+	s->is_lead_calling = false;
+	if (result == PLATFORM_OK) {
+		s->sched_row_version = versions[0];
+		s->renewed_at = base_now();
+	} else if (result == PLATFORM_CONFLICT) {
+		lead_step_down(s, "another scheduler took over");
+	}
+}
+
+static void renew(struct schedd *s)
+{
+	struct platform_write write = {TABLE_SCHED, s->settings->failure_domain,
+				       s->sched_row_version, row_value(s, s->settings->vm), false};
+
+	s->is_lead_calling = true;
+	platform_tx(s->platform, &write, 1, base_deadline_in(CALL_MS), on_renewed, s);
+	json_decref(write.value);
+}
+
+/* ---- takeover ---- */
+
+static void on_taken(enum platform_result result, const int64_t *versions, void *data)
+{
+	struct schedd *s = data;
+
+	s->is_lead_calling = false;
+	if (s->role != ROLE_TAKING_OVER)
+		return;
+	if (result != PLATFORM_OK) {
+		s->role = ROLE_STANDBY;
+		s->seen_row_version = 0;
+		return;
+	}
+	s->sched_row_version = versions[0];
+	s->epoch_row_version = 0; /* read back by the rebuild */
+	s->renewed_at = base_now();
+	sched_count(s, SCHED_TAKEOVERS);
+	log_info("takeover", "active with epoch %" PRId64, s->epoch);
+	rebuild_start(s);
+}
+
+static void take_over(struct schedd *s, int64_t row_version, int64_t old_epoch)
+{
+	json_t *epoch;
+	struct platform_write writes[2] = {
+		{TABLE_SCHED, s->settings->failure_domain, row_version, NULL, false},
+		{TABLE_EPOCH, s->settings->failure_domain, PLATFORM_EXPECT_ANY, NULL, false},
+	};
+
+	s->role = ROLE_TAKING_OVER;
+	s->epoch = old_epoch + 1;
+	epoch = json_pack("{sI}", "epoch", (json_int_t)s->epoch);
+	writes[0].value = row_value(s, s->settings->vm);
+	writes[1].value = epoch;
+	s->is_lead_calling = true;
+	platform_tx(s->platform, writes, 2, base_deadline_in(CALL_MS * 2), on_taken, s);
+	json_decref(writes[0].value);
+	json_decref(epoch);
+}
+
+static void on_row(enum platform_result result, int64_t version, json_t *value, void *data)
+{
+	struct schedd *s = data;
+	const char *holder = base_json_str(value, "holder", "");
+
+	s->is_lead_calling = false;
+	if (result != PLATFORM_OK || s->role != ROLE_STANDBY || s->is_stopping)
+		return;
+	if (version != s->seen_row_version) {
+		s->seen_row_version = version;
+		s->seen_at = base_now();
+	}
+	/* an own row of an earlier incarnation needs no waiting: that process is gone */
+	if (!*holder || !strcmp(holder, s->settings->vm) ||
+	    base_now() - s->seen_at > LAPSE_MS * BASE_NS_PER_MS)
+		take_over(s, version, base_json_int(value, "epoch", 0));
+}
+
+/* ---- giving up ---- */
+
+void lead_step_down(struct schedd *s, const char *why)
+{
+	if (s->role == ROLE_STANDBY)
+		return;
+	log_warn("step-down", "%s", why);
+	sched_count(s, SCHED_STEP_DOWNS);
+	s->role = ROLE_STANDBY;
+	s->seen_row_version = 0;
+	s->seen_at = base_now();
+	jobs_drop_all(s);
+	servers_forget_epoch(s);
+}
+
+static void on_released(enum platform_result result G_GNUC_UNUSED,
+			const int64_t *versions G_GNUC_UNUSED, void *data)
+{
+	((struct schedd *)data)->is_stopped = true;
+}
+
+/* a planned stop empties the row, so that another takes over at once */
+void lead_release(struct schedd *s)
+{
+	struct platform_write write = {TABLE_SCHED, s->settings->failure_domain,
+				       s->sched_row_version, NULL, false};
+
+	if (s->role != ROLE_ACTIVE && s->role != ROLE_REBUILDING) {
+		s->is_stopped = true;
+		return;
+	}
+	s->role = ROLE_RELEASED;
+	write.value = row_value(s, "");
+	platform_tx(s->platform, &write, 1, base_deadline_in(CALL_MS * 2), on_released, s);
+	json_decref(write.value);
+}
+
+static void lead_tick(struct schedd *s)
+{
+	if (s->is_lead_calling)
+		return;
+	switch (s->role) {
+	case ROLE_STANDBY:
+		if (!cluster_is_ready(s->cluster) || s->is_stopping)
+			return;
+		s->is_lead_calling = true;
+		platform_read(s->platform, TABLE_SCHED, s->settings->failure_domain,
+			      base_deadline_in(CALL_MS), on_row, s);
+		break;
+	case ROLE_REBUILDING:
+	case ROLE_ACTIVE:
+		renew(s);
+		break;
+	case ROLE_TAKING_OVER:
+	case ROLE_RELEASED:
+		break;
+	}
+}
+
+static void on_lead_timer(struct tevent_context *ev, struct tevent_timer *te G_GNUC_UNUSED,
+			  struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct schedd *s = data;
+
+	lead_tick(s);
+	tevent_add_timer(ev, s, base_timeval_in_ms(RENEW_MS), on_lead_timer, s);
+}
+
+void lead_start(struct schedd *s)
+{
+	s->seen_at = base_now();
+	tevent_add_timer(s->ev, s, base_timeval_in_ms(100), on_lead_timer, s);
+}
--- a/src/standin_backend.c
+++ b/src/standin_backend.c
@@ -312,10 +312,11 @@
 
 static json_t *task_json(const struct task *t)
 {
-	return json_pack("{ss sI sI sI ss sI sO?}", "job", t->job, "attempt",
+	return json_pack("{ss sI sI sI ss sb sI sO?}", "job", t->job, "attempt",
 			 (json_int_t)t->attempt, "tasks", (json_int_t)t->members, "accelerators",
 			 (json_int_t)t->accelerators, "state", work_state_names[t->state],
-			 "progress_ms", (json_int_t)task_progress(t), "record", t->record);
+			 "was_started", t->started != 0, "progress_ms",
+			 (json_int_t)task_progress(t), "record", t->record);
 }
 
 static json_t *task_fields(const struct task *t)
