Reclaim capacity from work that is itself waiting to reclaim

Cause: a gang placed over an unused cell of another workspace, but not yet started, could not be asked to give way, and a reclaim looked for what to stop only once. Change: such gangs are unplaced, and a waiting reclaim looks again at every change.

--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -87,6 +87,7 @@
 	unsigned int place_count;
 	GSequenceIter *queue_pos;
 	bool is_new;
+	int stage; /* enum stage of its placement */
 	void *user;
 };
 
@@ -886,13 +887,17 @@
 
 /* ---- stopping borrowed work ---- */
 
+static void enqueue(struct policy *p, struct policy_job *job);
+static bool drop_decisions(struct policy *p, const struct policy_job *job);
+
 static bool is_victim(const struct policy *p, const struct policy_job *victim, int index,
 		      const struct policy_job *job, enum stage stage)
 {
 	const struct server *s = server_at(p, index);
 	const struct holding *h = holding_find(s, victim->ws);
 
-	if (victim == job || !victim->spec.checkpointable || victim->state != POLICY_PLACED)
+	if (victim == job || !victim->spec.checkpointable ||
+	    (victim->state != POLICY_PLACED && victim->state != POLICY_RECLAIMING))
 		return false;
 	if (stage == STAGE_URGENT && victim->spec.cls <= job->spec.cls)
 		return false;
@@ -956,6 +961,12 @@
 		}
 		if (!best)
 			return;
+		if (drop_decisions(p, best) || best->state == POLICY_RECLAIMING) {
+			/* it has not started, so it only has to wait again */
+			job_release(p, best);
+			enqueue(p, best);
+			continue;
+		}
 		best->state = POLICY_STOPPING;
 		push_decision(p, POLICY_STOP, best);
 	}
@@ -1110,6 +1121,7 @@
 		return;
 	}
 	job->state = POLICY_RECLAIMING;
+	job->stage = (int)q->stage;
 	job->wait = POLICY_WAIT_RECLAIM;
 	g_ptr_array_add(p->reclaiming, job);
 	for (unsigned int i = 0; i < job->place_count; i++)
@@ -1148,10 +1160,17 @@
 static void start_ready(struct policy *p)
 {
 	for (guint i = p->reclaiming->len; i-- > 0;) {
-		struct policy_job *job = g_ptr_array_index(p->reclaiming, i);
-
-		if (!is_ready(p, job))
+		struct policy_job *job;
+
+		if (i >= p->reclaiming->len)
+			continue; /* stop_victims() took some out */
+		job = g_ptr_array_index(p->reclaiming, i);
+		if (!is_ready(p, job)) {
+			/* others may have been placed on its servers since it was */
+			for (unsigned int k = 0; k < job->place_count; k++)
+				stop_victims(p, job, job->place_servers[k], (enum stage)job->stage);
 			continue;
+		}
 		g_ptr_array_remove_index_fast(p->reclaiming, i);
 		job->state = POLICY_PLACED;
 		job->wait = POLICY_WAIT_NONE;
@@ -1268,8 +1287,11 @@
 	g_array_free(tasks, TRUE);
 }
 
-static void drop_decisions(struct policy *p, const struct policy_job *job)
+/* true when a decision about the job had not been taken yet */
+static bool drop_decisions(struct policy *p, const struct policy_job *job)
 {
+	bool found = false;
+
 	for (GList *l = p->decisions.head; l;) {
 		GList *next = l->next;
 		struct policy_decision *d = l->data;
@@ -1277,9 +1299,11 @@
 		if (d->job == job) {
 			g_queue_delete_link(&p->decisions, l);
 			talloc_free(d);
+			found = true;
 		}
 		l = next;
 	}
+	return found;
 }
 
 void policy_job_requeue(struct policy *p, struct policy_job *job, int64_t now G_GNUC_UNUSED)
--- a/src/entryd_jobs.c
+++ b/src/entryd_jobs.c
@@ -82,9 +82,15 @@
 	tevent_add_timer(c->worker->ev, c, base_timeval_in_ms(ms), on_pause_over, c);
 }
 
+/* a job under a caller's key may have been admitted by an earlier try */
+static bool is_keyed(const struct job_call *c)
+{
+	return strstr(c->id, ".k.") != NULL;
+}
+
 static void call_give_up(struct job_call *c)
 {
-	if (c->op == JOB_SUBMIT && !c->may_be_admitted)
+	if (c->op == JOB_SUBMIT && !c->may_be_admitted && !is_keyed(c))
 		call_finish(c, 503,
 			    json_pack("{ssssss}", "id", c->id, "outcome", "not_run", "reason",
 				      "no scheduler took the job"));
@@ -156,6 +162,8 @@
 	switch (res->status) {
 	case CL_SCHED_REFUSED:
 		count(c->worker, COUNT_BAD_INPUT);
+		if (is_keyed(c) && base_json_int(state, "status", 422) == 503)
+			json_object_set_new(state, "outcome", json_string("unknown"));
 		call_finish(c, (unsigned int)base_json_int(state, "status", 422), state);
 		break;
 	case CL_SCHED_NOT_FOUND:
--- a/src/entryd_requests.c
+++ b/src/entryd_requests.c
@@ -56,7 +56,8 @@
 	enum service_class cls;
 	bool is_idempotent;
 	bool is_kept;
-	bool had_failure;
+	bool had_failure;  /* some attempt failed */
+	bool may_have_run; /* some attempt was given up without word of it */
 	char *payload;
 	int64_t deadline;
 	int64_t settle_deadline;
@@ -244,6 +245,12 @@
 
 	if (r->state == REQUEST_ENDED)
 		return;
+	/* the last attempt did not run, but an earlier one did or may have */
+	if (outcome == OUTCOME_NOT_RUN && r->had_failure)
+		outcome = OUTCOME_FAILED;
+	else if (outcome == OUTCOME_NOT_RUN && r->may_have_run)
+		outcome = OUTCOME_UNKNOWN;
+	msg.outcome = outcome;
 	r->state = REQUEST_ENDED;
 	r->outcome = outcome;
 	r->reason = reason;
@@ -363,6 +370,7 @@
 		/* what may run twice need not wait for word from a silent server */
 		if (r->is_idempotent && r->tried_count < TRIED_MAX && r->deadline > base_now()) {
 			release_slot(r->attempt);
+			r->may_have_run = true;
 			try_elsewhere(r, "no word from the backend servers tried");
 			requests_dispatch(r->worker);
 		}
--- a/src/entryd_worker.c
+++ b/src/entryd_worker.c
@@ -29,12 +29,21 @@
 
 /* ---- answers ---- */
 
+/* what has an id or a key may have run when it was sent before */
+static bool may_have_run_before(struct httpd_request *http)
+{
+	return strcmp(http->method, "POST") != 0 || httpd_header(http, "Idempotency-Key");
+}
+
 void reply_fault(struct worker *w, struct httpd_request *http, unsigned int status,
 		 const char *field, const char *reason)
 {
+	enum outcome o = may_have_run_before(http) ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+
 	count(w, COUNT_BAD_INPUT);
 	httpd_reply_json(http, status,
-			 json_pack("{ssssss}", "outcome", "not_run", "field", field, "reason", reason));
+			 json_pack("{ssssss}", "outcome", base_outcome_name(o), "field", field,
+				   "reason", reason));
 }
 
 /* text is copied into the answer as it is, because it is JSON already */
@@ -595,7 +604,7 @@
 	struct claim *c = data;
 
 	if (result != PLATFORM_OK || !value)
-		claim_fail(c, 503, "the key cannot be looked up now; the request did not run");
+		claim_fail(c, 503, "the key cannot be looked up now; this try was not dispatched");
 	else if (strcmp(base_json_str(value, "hash", ""), c->hash))
 		claim_fail(c, 422, "the key was used before with another body");
 	else
@@ -617,7 +626,7 @@
 	case PLATFORM_REFUSED:
 	case PLATFORM_AWAY:
 		/* nothing was dispatched; a row left behind names an unused id of ours */
-		claim_fail(c, 503, "the key cannot be claimed now; the request did not run");
+		claim_fail(c, 503, "the key cannot be claimed now; this try was not dispatched");
 		break;
 	}
 }
@@ -749,8 +758,7 @@
 	else if (!strcmp(path, "/metrics"))
 		handle_metrics(w, http);
 	else if (!is_view_ready(w))
-		httpd_reply_json(http, 503, json_pack("{ssss}", "outcome", "not_run", "reason",
-						      "this entry VM has no catalogue yet"));
+		reply_fault(w, http, 503, "vm", "this entry VM has no catalogue yet");
 	else if (!strcmp(path, "/v1/requests") && is_post)
 		handle_post(w, http);
 	else if (!strcmp(path, "/v1/tickets") && is_post)
--- a/src/load.c
+++ b/src/load.c
@@ -25,6 +25,7 @@
 #define TARGETS_MAX 64
 #define SIZES_MAX 8
 #define RETRIES_MAX 6
+#define MOVES_MAX 6
 #define RETRY_MS 300
 #define CALL_GRACE_MS 4000
 #define JOB_POLL_MS 5000
@@ -89,6 +90,7 @@
 	int64_t sent;
 	int64_t deadline;
 	int tries;
+	int moves; /* to another entry VM, because nothing could be sent */
 	bool is_cancelled;
 	bool is_job_admitted;
 	char answer_fault[64];
@@ -183,6 +185,10 @@
 	if (a->result == HTTPC_ANSWERED)
 		doc = json_loadb(a->body.ptr, a->body.len, 0, NULL);
 	outcome = base_json_str(doc, "outcome", NULL);
+	if (a->result == HTTPC_NOT_SENT && it->moves++ < MOVES_MAX) {
+		item_send(it); /* a balancer would have chosen another entry VM */
+		return;
+	}
 	if (!it->id && base_json_str(doc, "id", NULL))
 		it->id = talloc_strdup(it, base_json_str(doc, "id", ""));
 	if (a->result == HTTPC_ANSWERED && a->status == 201) {
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,490 @@
+/**
+ * DOC: test_policy - decisions, driven through seeded random interleavings
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/policy.h"
+
+#define JOBS_MAX 200
+#define STEPS 4000
+
+/* a small fleet: 4 racks of 4 servers with 8 accelerators */
+static void add_servers(struct policy *p, int racks, int each, bool usable)
+{
+	for (int r = 0; r < racks; r++) {
+		for (int i = 0; i < each; i++) {
+			char id[32];
+			char rack[32];
+
+			g_snprintf(id, sizeof(id), "r%d-s%d", r, i);
+			g_snprintf(rack, sizeof(rack), "r%d", r);
+			policy_server_set(p, id, rack, 8, usable);
+		}
+	}
+}
+
+static struct policy *new_policy(int racks, int each)
+{
+	struct policy_options opt = {.weight_percent = 50, .reserve_after_ms = 1000};
+	struct policy *p = policy_new(NULL, &opt);
+
+	add_servers(p, racks, each, true);
+	return p;
+}
+
+static struct policy_spec spec(const char *id, const char *ws, enum service_class cls, int64_t tasks,
+			       int64_t acc, bool soft)
+{
+	struct policy_spec s = {.id = id, .workspace = ws, .kind = ws, .cls = cls, .tasks = tasks,
+				.accelerators = acc, .checkpointable = soft, .run_ms = 1000};
+
+	return s;
+}
+
+static struct policy_job *add(struct policy *p, struct policy_spec s, int64_t now)
+{
+	return policy_job_add(p, &s, now, NULL);
+}
+
+static void check_policy(struct policy *p)
+{
+	char *wrong = policy_check(p, p);
+
+	ck_assert_msg(!wrong, "%s", wrong);
+}
+
+static void guarantee(struct policy *p, const char *name, int64_t accelerators, bool in_server,
+		      int64_t count)
+{
+	struct policy_cell cell = {accelerators, in_server, count};
+	struct policy_workspace ws = {.name = name, .cells = &cell, .cell_count = 1};
+
+	policy_workspaces_set(p, &ws, 1);
+}
+
+/* runs decisions; a stopped job is requeued at once; counts stops and starts */
+static void settle(struct policy *p, int64_t now, int *starts, int *stops)
+{
+	struct policy_decision d;
+
+	while (policy_next(p, now, &d)) {
+		if (d.type == POLICY_STOP) {
+			(*stops)++;
+			policy_job_requeue(p, d.job, now);
+		} else {
+			(*starts)++;
+		}
+	}
+}
+
+START_TEST(gang_goes_into_one_rack)
+{
+	struct policy *p = new_policy(4, 4);
+	struct policy_job *job = add(p, spec("a", "w", CLASS_NORMAL, 4, 8, true), 0);
+	const struct policy_place *places;
+	unsigned int n;
+	int starts = 0;
+	int stops = 0;
+
+	settle(p, 0, &starts, &stops);
+	places = policy_job_places(job, &n);
+	ck_assert_int_eq(starts, 1);
+	ck_assert_uint_eq(n, 4);
+	for (unsigned int i = 1; i < n; i++)
+		ck_assert_int_eq(strncmp(places[0].server, places[i].server, 2), 0);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(small_tasks_fill_holes_first)
+{
+	struct policy *p = new_policy(1, 2);
+	struct policy_job *job;
+	const struct policy_place *places;
+	unsigned int n;
+	int starts = 0;
+	int stops = 0;
+	const char *hole;
+
+	job = add(p, spec("a", "w", CLASS_NORMAL, 1, 6, true), 0);
+	settle(p, 0, &starts, &stops);
+	hole = policy_job_places(job, &n)[0].server;
+	job = add(p, spec("b", "w", CLASS_NORMAL, 1, 2, true), 0);
+	settle(p, 0, &starts, &stops);
+	places = policy_job_places(job, &n);
+	ck_assert_str_eq(places[0].server, hole);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(firm_work_stays_out_of_other_guarantees)
+{
+	struct policy *p = new_policy(1, 2);
+	struct policy_job *job;
+	int starts = 0;
+	int stops = 0;
+
+	guarantee(p, "owner", 8, true, 1);
+	job = add(p, spec("a", "other", CLASS_URGENT, 2, 8, false), 0);
+	settle(p, 0, &starts, &stops);
+	ck_assert_int_eq(starts, 0);
+	ck_assert_int_eq(policy_job_state(job), POLICY_QUEUED);
+	policy_job_remove(p, job, 0);
+	add(p, spec("b", "other", CLASS_NORMAL, 2, 8, true), 0);
+	settle(p, 0, &starts, &stops);
+	ck_assert_int_eq(starts, 1);
+	check_policy(p);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(guarantee_is_reclaimed_from_borrowers)
+{
+	struct policy *p = new_policy(2, 4);
+	struct policy_decision d;
+	struct policy_job *owner;
+	int starts = 0;
+	int stops = 0;
+
+	guarantee(p, "owner", 32, false, 1);
+	for (int i = 0; i < 16; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "b%d", i);
+		add(p, spec(id, "other", CLASS_NORMAL, 1, 4, true), 0);
+	}
+	settle(p, 0, &starts, &stops);
+	ck_assert_int_eq(starts, 16);
+	owner = add(p, spec("own", "owner", CLASS_BATCH, 4, 8, false), 1);
+	while (policy_next(p, 1, &d)) {
+		if (d.type == POLICY_STOP) {
+			stops++;
+			ck_assert(d.job != owner);
+			policy_job_requeue(p, d.job, 1);
+		} else {
+			ck_assert_ptr_eq(d.job, owner);
+		}
+	}
+	ck_assert_int_eq(stops, 8);
+	ck_assert_int_eq(policy_job_state(owner), POLICY_PLACED);
+	check_policy(p);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(urgent_work_stops_less_urgent_work)
+{
+	struct policy *p = new_policy(1, 2);
+	struct policy_job *urgent;
+	int starts = 0;
+	int stops = 0;
+
+	add(p, spec("a", "w", CLASS_BATCH, 2, 8, true), 0);
+	settle(p, 0, &starts, &stops);
+	urgent = add(p, spec("u", "v", CLASS_URGENT, 1, 4, true), 1);
+	settle(p, 1, &starts, &stops);
+	ck_assert_int_eq(stops, 1);
+	ck_assert_int_eq(policy_job_state(urgent), POLICY_PLACED);
+	check_policy(p);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(job_that_never_fits_is_known)
+{
+	struct policy *p = new_policy(2, 4);
+	struct policy_spec s = spec("a", "w", CLASS_NORMAL, 9, 8, true);
+
+	ck_assert(!policy_fits_ever(p, &s));
+	s.tasks = 8;
+	ck_assert(policy_fits_ever(p, &s));
+	s.one_rack = true;
+	ck_assert(!policy_fits_ever(p, &s));
+	guarantee(p, "owner", 8, true, 3);
+	s.one_rack = false;
+	s.checkpointable = false;
+	ck_assert(!policy_fits_ever(p, &s));
+	talloc_free(p);
+}
+END_TEST
+
+/* a large gang waits while small jobs keep coming; racks are kept for it */
+START_TEST(large_gang_is_not_starved_by_small_jobs)
+{
+	struct policy *p = new_policy(2, 4);
+	struct policy_job *small[64] = {NULL};
+	int64_t ends[64] = {0};
+	struct policy_job *large = NULL;
+	GRand *rng = g_rand_new_with_seed(7);
+	struct policy_decision d;
+	int64_t now;
+	int sequence = 0;
+
+	for (now = 0; now < 60000; now += 50) {
+		for (int i = 0; i < 64; i++) {
+			char id[16];
+
+			if (small[i] && ends[i] && ends[i] <= now) {
+				policy_job_remove(p, small[i], now);
+				small[i] = NULL;
+				ends[i] = 0;
+			}
+			if (small[i])
+				continue;
+			g_snprintf(id, sizeof(id), "s%d", sequence++);
+			small[i] = add(p, spec(id, "w", CLASS_NORMAL, 1, 2, true), now);
+		}
+		if (now == 1000)
+			large = add(p, spec("large", "w", CLASS_NORMAL, 4, 8, true), now);
+		while (policy_next(p, now, &d)) {
+			for (int i = 0; i < 64; i++)
+				if (small[i] == d.job)
+					ends[i] = now + g_rand_int_range(rng, 500, 1500);
+		}
+		if (large && policy_job_state(large) == POLICY_PLACED)
+			break;
+	}
+	/* kept after 1 s of waiting, drained within the longest run of 1.5 s */
+	ck_assert_int_le(now, 1000 + 1000 + 1500 + 2000);
+	g_rand_free(rng);
+	talloc_free(p);
+}
+END_TEST
+
+/* ---- random interleavings ---- */
+
+struct world {
+	struct policy *p;
+	GRand *rng;
+	struct policy_job *job[JOBS_MAX];
+	bool is_running[JOBS_MAX];
+	bool is_stopping[JOBS_MAX];
+	int64_t now;
+	int sequence;
+};
+
+static void random_workspaces(struct world *w)
+{
+	struct policy_cell cells[3] = {
+		{8, true, g_rand_int_range(w->rng, 0, 3)},
+		{16, false, g_rand_int_range(w->rng, 0, 2)},
+		{2, true, g_rand_int_range(w->rng, 0, 4)},
+	};
+	struct policy_workspace list[3] = {
+		{.name = "w0", .precedence = 1, .cells = &cells[0], .cell_count = 1},
+		{.name = "w1", .precedence = 2, .cells = &cells[1], .cell_count = 1},
+		{.name = "w2", .precedence = 3, .quota = 64, .cells = &cells[2], .cell_count = 1},
+	};
+
+	policy_workspaces_set(w->p, list, 3);
+}
+
+static void random_add(struct world *w, int i)
+{
+	static const char *const names[] = {"w0", "w1", "w2", "w3"};
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "j%d", w->sequence++);
+	w->job[i] = policy_job_add(
+		w->p,
+		&(struct policy_spec){.id = id,
+				      .workspace = names[g_rand_int_range(w->rng, 0, 4)],
+				      .kind = "k",
+				      .cls = (enum service_class)g_rand_int_range(w->rng, 0, 3),
+				      .tasks = g_rand_int_range(w->rng, 1, 9),
+				      .accelerators = g_rand_int_range(w->rng, 1, 9),
+				      .one_rack = g_rand_int_range(w->rng, 0, 4) == 0,
+				      .checkpointable = g_rand_boolean(w->rng),
+				      .run_ms = g_rand_int_range(w->rng, 1, 5000)},
+		w->now, GINT_TO_POINTER(i));
+}
+
+static void random_step(struct world *w)
+{
+	int i = g_rand_int_range(w->rng, 0, JOBS_MAX);
+	char id[16];
+	char rack[16];
+	int r = g_rand_int_range(w->rng, 0, 4);
+
+	w->now += g_rand_int_range(w->rng, 0, 200);
+	if (!w->job[i]) {
+		random_add(w, i);
+	} else if (w->is_stopping[i]) {
+		w->is_stopping[i] = w->is_running[i] = false;
+		policy_job_requeue(w->p, w->job[i], w->now);
+	} else if (g_rand_int_range(w->rng, 0, 3) == 0) {
+		policy_job_remove(w->p, w->job[i], w->now);
+		w->job[i] = NULL;
+		w->is_running[i] = false;
+	}
+	switch (g_rand_int_range(w->rng, 0, 40)) {
+	case 0:
+		random_workspaces(w);
+		break;
+	case 1:
+	case 2:
+		g_snprintf(rack, sizeof(rack), "r%d", r);
+		g_snprintf(id, sizeof(id), "r%d-s%d", r, g_rand_int_range(w->rng, 0, 4));
+		policy_server_set(w->p, id, rack, 8, g_rand_int_range(w->rng, 0, 3) > 0);
+		break;
+	default:
+		break;
+	}
+}
+
+static void take_decisions(struct world *w)
+{
+	struct policy_decision d;
+
+	while (policy_next(w->p, w->now, &d)) {
+		int i = GPOINTER_TO_INT(d.user);
+
+		ck_assert_ptr_eq(w->job[i], d.job);
+		if (d.type == POLICY_START) {
+			unsigned int n;
+			const struct policy_place *places = policy_job_places(d.job, &n);
+			int64_t tasks = 0;
+
+			ck_assert(!w->is_running[i]);
+			for (unsigned int k = 0; k < n; k++)
+				tasks += places[k].tasks;
+			ck_assert_int_gt(tasks, 0);
+			w->is_running[i] = true;
+		} else {
+			ck_assert(w->is_running[i]);
+			w->is_stopping[i] = true;
+		}
+	}
+}
+
+/* every unused accelerator of a bound cell is free, borrowed or being given back */
+static void check_reclaimable(struct world *w)
+{
+	struct policy_usage u;
+	int64_t sum = policy_reclaimable(w->p, "w0") + policy_reclaimable(w->p, "w1") +
+		      policy_reclaimable(w->p, "w2");
+
+	policy_usage(w->p, &u);
+	ck_assert_int_le(sum, u.total);
+	check_policy(w->p);
+}
+
+START_TEST(random_interleavings_keep_the_invariants)
+{
+	struct world w = {.p = new_policy(4, 4), .rng = g_rand_new_with_seed((guint32)_i + 1)};
+
+	random_workspaces(&w);
+	for (int step = 0; step < STEPS; step++) {
+		random_step(&w);
+		check_reclaimable(&w);
+		take_decisions(&w);
+		check_reclaimable(&w);
+	}
+	g_rand_free(w.rng);
+	talloc_free(w.p);
+}
+END_TEST
+
+/* whatever else happened, an owner's job that fits its unused cells starts by stopping alone */
+START_TEST(unused_cells_can_always_be_reclaimed)
+{
+	struct world w = {.p = new_policy(4, 4), .rng = g_rand_new_with_seed((guint32)_i + 100)};
+	struct policy_cell cell = {16, false, 1};
+	struct policy_workspace ws = {.name = "owner", .cells = &cell, .cell_count = 1};
+	struct policy_job *owner;
+
+	policy_workspaces_set(w.p, &ws, 1);
+	for (int step = 0; step < 600; step++) {
+		int i = g_rand_int_range(w.rng, 0, JOBS_MAX);
+
+		w.now += g_rand_int_range(w.rng, 0, 200);
+		if (!w.job[i]) {
+			random_add(&w, i);
+		} else if (w.is_stopping[i]) {
+			w.is_stopping[i] = w.is_running[i] = false;
+			policy_job_requeue(w.p, w.job[i], w.now);
+		}
+		take_decisions(&w);
+	}
+	owner = add(w.p, spec("own", "owner", CLASS_BATCH, 2, 8, false), w.now);
+	w.job[0] = w.job[0] ? w.job[0] : owner;
+	for (int round = 0; round < 3 && policy_job_state(owner) != POLICY_PLACED; round++) {
+		struct policy_decision d;
+
+		while (policy_next(w.p, w.now, &d))
+			if (d.type == POLICY_STOP) {
+				ck_assert(d.job != owner);
+				policy_job_requeue(w.p, d.job, w.now);
+			}
+		for (int i = 0; i < JOBS_MAX; i++)
+			if (w.job[i] && w.is_stopping[i]) {
+				w.is_stopping[i] = false;
+				policy_job_requeue(w.p, w.job[i], w.now);
+			}
+	}
+	ck_assert_int_eq(policy_job_state(owner), POLICY_PLACED);
+	g_rand_free(w.rng);
+	talloc_free(w.p);
+}
+END_TEST
+
+START_TEST(cells_of_a_lost_server_are_bound_elsewhere)
+{
+	struct policy *p = new_policy(2, 2);
+	int starts = 0;
+	int stops = 0;
+
+	guarantee(p, "owner", 16, false, 1);
+	ck_assert_int_eq(policy_reclaimable(p, "owner"), 16);
+	policy_server_set(p, "r0-s0", "r0", 8, false);
+	policy_server_set(p, "r1-s0", "r1", 8, false);
+	settle(p, 0, &starts, &stops);
+	ck_assert_int_eq(policy_unbound_cells(p, "owner"), 16);
+	policy_server_set(p, "r1-s0", "r1", 8, true);
+	settle(p, 1, &starts, &stops);
+	ck_assert_int_eq(policy_unbound_cells(p, "owner"), 0);
+	check_policy(p);
+	talloc_free(p);
+}
+END_TEST
+
+START_TEST(run_times_are_corrected_by_kind)
+{
+	struct policy *p = new_policy(1, 1);
+
+	for (int i = 0; i < 50; i++)
+		policy_learn(p, "liar", 1000, 4000);
+	ck_assert_int_gt(policy_estimate_ms(p, "liar", 1000), 3500);
+	ck_assert_int_eq(policy_estimate_ms(p, "new", 1000), 1000);
+	talloc_free(p);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("policy");
+	TCase *t = tcase_create("policy");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, gang_goes_into_one_rack);
+	tcase_add_test(t, small_tasks_fill_holes_first);
+	tcase_add_test(t, firm_work_stays_out_of_other_guarantees);
+	tcase_add_test(t, guarantee_is_reclaimed_from_borrowers);
+	tcase_add_test(t, urgent_work_stops_less_urgent_work);
+	tcase_add_test(t, job_that_never_fits_is_known);
+	tcase_add_test(t, large_gang_is_not_starved_by_small_jobs);
+	tcase_add_loop_test(t, random_interleavings_keep_the_invariants, 0, 8);
+	tcase_add_loop_test(t, unused_cells_can_always_be_reclaimed, 0, 20);
+	tcase_add_test(t, cells_of_a_lost_server_are_bound_elsewhere);
+	tcase_add_test(t, run_times_are_corrected_by_kind);
+	suite_add_tcase(suite, t);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
