--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -30,7 +30,7 @@
 	X("deadline_ms", FIELD_INTEGER, false, 1, 3600000, NULL, "1 to 3600000 milliseconds")      \
 	X("max_gang", FIELD_INTEGER, false, 1, POLICY_GANG_MAX, NULL, "1 to 1024 tasks")           \
 	X("max_accelerators", FIELD_INTEGER, false, 1, POLICY_ACCELERATORS_MAX, NULL,              \
-	  "1 to 16 accelerators a task")                                                           \
+	  "1 to 32 accelerators a task")                                                           \
 	X("max_run_s", FIELD_INTEGER, false, 1, 2592000, NULL, "1 to 2592000 seconds")             \
 	X("share_percent", FIELD_INTEGER, false, 1, 100, NULL, "1 to 100")
 
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -14,6 +14,8 @@
 #define RATIO_MIN 0.05
 #define RATIO_MAX 20.0
 #define INDEXES 3
+#define PATIENCE_STEPS 20 /* weight 0 waits six times as long as weight 100 */
+#define KEPT_RACK_PENALTY 1000000 /* a kept rack is chosen last */
 
 /* what the units of a rack are counted over */
 enum unit_index { UNITS_FREE, UNITS_OPEN, UNITS_EVER };
@@ -61,6 +63,7 @@
 	int64_t quota;
 	int64_t precedence;
 	int64_t used;
+	int64_t reserved; /* accelerators of its bound cells */
 	bool exists;
 	GArray *cell_servers; /* of int: servers where it has a reservation */
 };
@@ -87,6 +90,7 @@
 	unsigned int place_count;
 	GSequenceIter *queue_pos;
 	bool is_new;
+	bool is_backfill; /* started in racks kept for another job, which may stop it */
 	int stage; /* enum stage of its placement */
 	void *user;
 };
@@ -110,13 +114,21 @@
 	GQueue decisions;
 	int64_t total;
 	int64_t placed;
+	int64_t now;
+	int64_t costly_used; /* by work that urgent jobs cannot or should not stop */
 	bool capacity_changed;
 	bool has_new;
 	bool bind_pending;
 };
 
 /* how far a placement may go */
-enum stage { STAGE_FREE, STAGE_RECLAIM, STAGE_URGENT };
+enum stage {
+	STAGE_FREE,	/* what nobody uses */
+	STAGE_RESERVED, /* also what backfilled jobs use in the racks kept for this job */
+	STAGE_RECLAIM,	/* also what others borrowed of the workspace's own cells */
+	STAGE_URGENT,	/* also what less urgent work uses outside guarantees */
+	STAGE_COUNT
+};
 
 /* a placement being worked out */
 struct search {
@@ -250,6 +262,44 @@
 	return sum;
 }
 
+/*
+ * Whether the job that racks are kept for may stop @other on @s: work that was
+ * backfilled there, and later also work that was queued after it. Only the
+ * older of two jobs can displace the other, so they never take turns.
+ */
+static bool may_displace(const struct policy *p, const struct policy_job *job,
+			 const struct policy_job *other, const struct server *s)
+{
+	int64_t patience_ms = p->opt.reserve_after_ms *
+			      (PATIENCE_STEPS + 100 - p->opt.weight_percent) / PATIENCE_STEPS;
+	const struct holding *h = holding_find(s, other->ws);
+
+	if (other == job || !other->spec.checkpointable || other->state == POLICY_STOPPING)
+		return false;
+	if (other->is_backfill)
+		return true;
+	return p->now - job->queued_at >= patience_ms && other->queued_at > job->queued_at &&
+	       other->spec.cls >= job->spec.cls && h->firm + h->soft > h->reserved;
+}
+
+/* what the job that racks are kept for may take there from others */
+static int64_t server_displaceable(const struct policy *p, const struct policy_job *job,
+				   const struct server *s)
+{
+	int64_t sum = 0;
+
+	for (guint k = 0; k < s->jobs->len; k++) {
+		const struct policy_job *other = g_ptr_array_index(s->jobs, k);
+
+		if (!may_displace(p, job, other, s))
+			continue;
+		for (unsigned int j = 0; j < other->place_count; j++)
+			if (server_at(p, other->place_servers[j]) == s)
+				sum += other->places[j].tasks * other->spec.accelerators;
+	}
+	return sum;
+}
+
 /* accelerators that @job may get on @s at this stage */
 static int64_t server_available(const struct search *q, const struct server *s)
 {
@@ -266,6 +316,8 @@
 		get = MAX(get, MIN(own_unused, get + server_borrowed(s, job->ws)));
 	else if (q->stage == STAGE_URGENT)
 		get += server_evictable(s, job);
+	else if (q->stage == STAGE_RESERVED && g_array_index(q->p->reserved_rack, char, s->rack))
+		get = MIN(get + server_displaceable(q->p, job, s), s->cap);
 	if (!job->spec.checkpointable)
 		get = MIN(get, firm_limit);
 	return get;
@@ -375,6 +427,7 @@
 	bool had = h->reserved > 0;
 
 	h->reserved += delta;
+	workspace_at(p, ws)->reserved += delta;
 	server_reindex(p, s);
 	if (!had && h->reserved > 0)
 		g_array_append_val(list, index);
@@ -643,6 +696,12 @@
 
 /* ---- holding and releasing ---- */
 
+/* work that an urgent job cannot stop */
+static bool is_costly(const struct policy_spec *spec)
+{
+	return spec->cls != CLASS_URGENT && !spec->checkpointable;
+}
+
 static void hold(struct policy *p, struct policy_job *job, int index, int64_t tasks, int sign)
 {
 	struct server *s = server_at(p, index);
@@ -658,6 +717,8 @@
 	rack->used += n;
 	workspace_at(p, job->ws)->used += n;
 	job->kind->used += n;
+	if (is_costly(&job->spec))
+		p->costly_used += n;
 	if (sign > 0) {
 		g_ptr_array_add(s->jobs, job);
 		rack->busy_until = MAX(rack->busy_until, job->expected_end);
@@ -700,22 +761,37 @@
 
 /* ---- search for a placement ---- */
 
-/* servers of the workspace's own cells offer more than the rack index says */
+static void add_extra(const struct search *q, const struct server *s, int sign)
+{
+	int64_t a = q->job->spec.accelerators;
+	int64_t more = server_available(q, s) / a - s->indexed[job_index(q->job)] / a;
+
+	g_array_index(q->p->extra, int64_t, s->rack) += sign * MAX(more, 0);
+}
+
+/* servers that offer this job more than the rack index says: own cells, kept racks */
 static void search_add_own(const struct search *q, int sign)
 {
-	const struct policy_job *job = q->job;
-	const GArray *list = workspace_at(q->p, job->ws)->cell_servers;
-	int64_t a = job->spec.accelerators;
+	const GArray *list = workspace_at(q->p, q->job->ws)->cell_servers;
 
-	for (guint i = 0; i < list->len; i++) {
-		const struct server *s = server_at(q->p, g_array_index(list, int, i));
-		int64_t more = server_available(q, s) / a - s->indexed[job_index(job)] / a;
+	for (guint i = 0; i < list->len; i++)
+		if (q->stage != STAGE_RESERVED)
+			add_extra(q, server_at(q->p, g_array_index(list, int, i)), sign);
+	for (guint r = 0; q->stage == STAGE_RESERVED && r < q->p->racks->len; r++) {
+		const GArray *servers = rack_at(q->p, (int)r)->servers;
 
-		g_array_index(q->p->extra, int64_t, s->rack) += sign * MAX(more, 0);
+		for (guint i = 0; g_array_index(q->p->reserved_rack, char, r) && i < servers->len; i++)
+			add_extra(q, server_at(q->p, g_array_index(servers, int, i)), sign);
 	}
 }
 
-/* a rack kept for another job takes only what ends before that job can start */
+/* work that is believed to end before the reserved job can start */
+static bool ends_in_time(const struct policy *p, const struct policy_job *job, int64_t now)
+{
+	return now + estimate(job->kind, job->spec.run_ms, 2.0) <= p->reservation_start;
+}
+
+/* a rack kept for another job takes what ends before that job can start, or can be stopped */
 static bool is_rack_allowed(const struct search *q, int rack, int64_t now)
 {
 	const struct policy *p = q->p;
@@ -725,7 +801,7 @@
 		return true;
 	if (q->stage != STAGE_FREE || job->spec.cls == CLASS_URGENT)
 		return true;
-	return now + estimate(job->kind, job->spec.run_ms, 2.0) <= p->reservation_start;
+	return job->spec.checkpointable || ends_in_time(p, job, now);
 }
 
 static int64_t rack_units(const struct search *q, int rack)
@@ -749,6 +825,8 @@
 		if (units < tasks || !is_rack_allowed(q, (int)r, now))
 			continue;
 		score = units - tasks - 2 * MIN(g_array_index(q->p->extra, int64_t, r), tasks);
+		if (g_array_index(q->p->reserved_rack, char, r) && q->p->reservation != q->job)
+			score += KEPT_RACK_PENALTY;
 		if (score < best_score) {
 			best = (int)r;
 			best_score = score;
@@ -760,7 +838,8 @@
 struct candidate {
 	int server;
 	int64_t available;
-	int64_t own;
+	bool is_own;	  /* has unused accelerators of the workspace's cells */
+	int64_t borrowed; /* reserved there for others */
 };
 
 static int compare_candidates(const void *a, const void *b)
@@ -768,8 +847,10 @@
 	const struct candidate *x = a;
 	const struct candidate *y = b;
 
-	if (x->own != y->own)
-		return x->own > y->own ? -1 : 1;
+	if (x->is_own != y->is_own)
+		return x->is_own ? -1 : 1;
+	if (x->borrowed != y->borrowed)
+		return x->borrowed < y->borrowed ? -1 : 1;
 	if (x->available != y->available)
 		return x->available < y->available ? -1 : 1;
 	return x->server - y->server;
@@ -794,7 +875,8 @@
 			continue;
 		found[n].server = index;
 		found[n].available = available;
-		found[n++].own = h && h->reserved > h->firm + h->soft;
+		found[n].is_own = h && h->reserved > h->firm + h->soft;
+		found[n++].borrowed = s->cap - MAX(server_unreserved(s), 0) - (h ? h->reserved : 0);
 	}
 	qsort(found, n, sizeof(*found), compare_candidates);
 	for (size_t i = 0; i < n && left > 0; i++) {
@@ -899,6 +981,8 @@
 	if (victim == job || !victim->spec.checkpointable ||
 	    (victim->state != POLICY_PLACED && victim->state != POLICY_RECLAIMING))
 		return false;
+	if (stage == STAGE_RESERVED)
+		return may_displace(p, job, victim, s);
 	if (stage == STAGE_URGENT && victim->spec.cls <= job->spec.cls)
 		return false;
 	if (victim->ws == job->ws)
@@ -1067,6 +1151,7 @@
 	struct search q = {.p = p, .job = job};
 	GArray *order = g_array_new(FALSE, FALSE, 2 * sizeof(int64_t));
 	int64_t left = job->spec.tasks;
+	int64_t fits = 0;
 	bool single = false;
 
 	for (guint r = 0; r < p->racks->len; r++) {
@@ -1081,6 +1166,13 @@
 		if (units > 0 && (!single || units >= job->spec.tasks))
 			g_array_append_vals(order, pair, 1);
 	}
+	for (guint i = 0; i < order->len; i++)
+		fits += rack_units_ever(&q, (int)((int64_t *)(void *)order->data)[2 * i + 1]);
+	/* servers may have died since it was admitted; racks kept for nothing starve all */
+	if (fits < left || (job->spec.one_rack && !single)) {
+		g_array_free(order, TRUE);
+		return;
+	}
 	g_array_sort(order, compare_rack_units);
 	p->reservation = job;
 	p->reservation_start = now;
@@ -1095,6 +1187,12 @@
 	g_array_free(order, TRUE);
 }
 
+/* part of the fleet is left to work that urgent jobs can stop cheaply */
+static int64_t costly_limit(const struct policy *p)
+{
+	return p->total * (100 - p->opt.urgent_percent) / 100;
+}
+
 static bool is_over_quota(const struct policy *p, const struct policy_job *job)
 {
 	const struct workspace *ws = workspace_at(p, job->ws);
@@ -1105,11 +1203,43 @@
 	return job->spec.kind_quota && job->kind->used + need > job->spec.kind_quota;
 }
 
+static void mark_backfill(const struct search *q, int64_t now)
+{
+	const struct policy *p = q->p;
+	struct policy_job *job = q->job;
+
+	job->is_backfill = false;
+	if (!p->reservation || p->reservation == job || !job->spec.checkpointable ||
+	    job->spec.cls == CLASS_URGENT || ends_in_time(p, job, now))
+		return;
+	for (guint i = 0; i < q->servers->len; i++) {
+		const struct server *s = server_at(p, g_array_index(q->servers, int, i));
+
+		if (g_array_index(p->reserved_rack, char, s->rack))
+			job->is_backfill = true;
+	}
+}
+
+/* the reserved job's share of the limit is kept for it like its racks */
+static bool is_over_costly_limit(const struct policy *p, const struct policy_job *job, int64_t now)
+{
+	const struct workspace *ws = workspace_at(p, job->ws);
+	const struct policy_job *first = p->reservation;
+	int64_t need = job->spec.tasks * job->spec.accelerators;
+
+	if (!is_costly(&job->spec) || ws->used + need <= ws->reserved)
+		return false;
+	if (first && first != job && is_costly(&first->spec) && !ends_in_time(p, job, now))
+		need += first->spec.tasks * first->spec.accelerators;
+	return p->costly_used + need > costly_limit(p);
+}
+
 static void job_place(struct policy *p, struct search *q, int64_t now)
 {
 	struct policy_job *job = q->job;
 
 	dequeue(job);
+	mark_backfill(q, now);
 	if (p->reservation == job)
 		clear_reservation(p);
 	job_hold(p, job, (const int *)(void *)q->servers->data,
@@ -1140,12 +1270,16 @@
 	}
 	q.servers = g_array_new(FALSE, FALSE, sizeof(int));
 	q.tasks = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	for (int stage = STAGE_FREE; stage <= STAGE_URGENT && !found; stage++) {
+	for (int stage = STAGE_FREE; stage < STAGE_COUNT && !found; stage++) {
 		q.stage = (enum stage)stage;
+		if (q.stage == STAGE_RESERVED && p->reservation != job)
+			continue;
 		if (q.stage == STAGE_RECLAIM && !workspace_at(p, job->ws)->cell_servers->len)
 			continue;
 		if (q.stage == STAGE_URGENT && job->spec.cls != CLASS_URGENT)
 			continue;
+		if (q.stage < STAGE_RECLAIM && is_over_costly_limit(p, job, now))
+			continue;
 		found = search_run(&q, now);
 	}
 	if (found)
@@ -1227,6 +1361,7 @@
 	struct policy_decision *d;
 	bool changed = p->capacity_changed;
 
+	p->now = now;
 	if (g_queue_is_empty(&p->decisions)) {
 		if (p->bind_pending && changed)
 			bind_cells(p);
@@ -1343,6 +1478,8 @@
 	if (spec->accelerators < 1 || spec->accelerators > POLICY_ACCELERATORS_MAX ||
 	    spec->tasks < 1 || spec->tasks > POLICY_GANG_MAX)
 		return false;
+	if (is_costly(spec) && need > MAX(costly_limit(p), ws->reserved))
+		return false;
 	if ((ws->quota && need > ws->quota) || (spec->kind_quota && need > spec->kind_quota))
 		return false;
 	for (guint r = 0; r < p->racks->len; r++) {
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -17,7 +17,7 @@
 
 #include "base/base.h"
 
-#define POLICY_ACCELERATORS_MAX 16 /* a server's accelerators, at most */
+#define POLICY_ACCELERATORS_MAX 32 /* a server's accelerators, at most */
 #define POLICY_GANG_MAX 1024
 
 struct policy;
@@ -27,10 +27,13 @@
  * struct policy_options - settings of the policy
  * @weight_percent: 0 favours completion time, 100 low fragmentation
  * @reserve_after_ms: a job that waited this long gets racks kept for it
+ * @urgent_percent: share of the accelerators left to work that urgent jobs can
+ *                  stop cheaply
  */
 struct policy_options {
 	int64_t weight_percent;
 	int64_t reserve_after_ms;
+	int64_t urgent_percent;
 };
 
 /**
--- a/lib/settings/settings.c
+++ b/lib/settings/settings.c
@@ -32,6 +32,7 @@
 	{"sched.peers", FIELD_ADDRESS, AT(sched_peers), true, 0, 0, NULL},
 	{"sched.operators", FIELD_ADDRESS, AT(sched_operators), true, 0, 0, NULL},
 	{"policy.weight_percent", FIELD_INTEGER, AT(weight_percent), false, 0, 100, "50"},
+	{"policy.urgent_percent", FIELD_INTEGER, AT(urgent_percent), false, 0, 50, "10"},
 	{"policy.reclaim_ms", FIELD_INTEGER, AT(reclaim_ms), false, 100, 600000, "5000"},
 	{"policy.lease_ms", FIELD_INTEGER, AT(lease_ms), false, 1000, 600000, "6000"},
 	{"log.file", FIELD_TEXT, AT(log_file), false, 0, 4096, "-"},
--- a/lib/settings/settings.h
+++ b/lib/settings/settings.h
@@ -38,6 +38,7 @@
  * @sched_peers: where schedd serves peers
  * @sched_operators: where schedd serves operators
  * @weight_percent: 0 favours completion time, 100 low fragmentation
+ * @urgent_percent: share of the accelerators left to work that urgent jobs can stop
  * @reclaim_ms: how long borrowed work may take to checkpoint and stop, in ms
  * @lease_ms: lease of tasks on backend servers, in ms
  * @log_file: log file, "-" for stderr
@@ -58,6 +59,7 @@
 	struct address sched_peers;
 	struct address sched_operators;
 	int64_t weight_percent;
+	int64_t urgent_percent;
 	int64_t reclaim_ms;
 	int64_t lease_ms;
 	char *log_file;
--- a/src/schedd_jobs.c
+++ b/src/schedd_jobs.c
@@ -508,8 +508,10 @@
 /* ---- questions and cancellation ---- */
 
 struct question {
+	struct schedd *s;
 	struct onc_request *req;
 	char *id;
+	char *key;
 };
 
 static void on_ended_read(enum platform_result result, int64_t version G_GNUC_UNUSED, json_t *value,
@@ -531,14 +533,34 @@
 	talloc_free(q);
 }
 
-static void read_ended(struct schedd *s, struct onc_request *req, const char *id)
+static void on_queue_read(enum platform_result result, int64_t version G_GNUC_UNUSED, json_t *value,
+			  void *data)
+{
+	struct question *q = data;
+
+	if (result == PLATFORM_OK && !value) {
+		platform_read(q->s->platform, TABLE_ENDED, q->key, base_deadline_in(WRITE_MS),
+			      on_ended_read, q);
+		return;
+	}
+	/* queued, but not here: another scheduler has taken over */
+	reply(q->req, CL_SCHED_UNSURE, json_object());
+	talloc_free(q);
+}
+
+/*
+ * A scheduler that was replaced without noticing lacks newer jobs, so the table
+ * decides. The queue is read first, because rows move from there to the ended.
+ */
+static void read_rows(struct schedd *s, struct onc_request *req, const char *id)
 {
 	struct question *q = talloc_zero(s, struct question);
-	char *key = talloc_asprintf(q, "%s/%s", s->settings->failure_domain, id);
 
+	q->s = s;
 	q->req = req;
 	q->id = talloc_strdup(q, id);
-	platform_read(s->platform, TABLE_ENDED, key, base_deadline_in(WRITE_MS), on_ended_read, q);
+	q->key = talloc_asprintf(q, "%s/%s", s->settings->failure_domain, id);
+	platform_read(s->platform, TABLE_QUEUE, q->key, base_deadline_in(WRITE_MS), on_queue_read, q);
 }
 
 void jobs_state(struct schedd *s, struct onc_request *req)
@@ -549,7 +571,7 @@
 	if (job)
 		reply(req, CL_SCHED_OK, jobs_status(job));
 	else
-		read_ended(s, req, args->id);
+		read_rows(s, req, args->id);
 }
 
 void jobs_cancel(struct schedd *s, struct onc_request *req)
@@ -558,7 +580,7 @@
 	struct job *job = g_hash_table_lookup(s->jobs, args->id);
 
 	if (!job) {
-		read_ended(s, req, args->id);
+		read_rows(s, req, args->id);
 		return;
 	}
 	job->is_cancelled = true;
--- a/src/schedd_rebuild.c
+++ b/src/schedd_rebuild.c
@@ -12,19 +12,44 @@
 
 #define SCAN_ROWS 500
 #define SCAN_MS 2000
+#define RESERVE_AFTER_MS 20000
 #define REBUILD_MS 2500 /* servers silent for this long are not waited for */
 
+/* a read of one takeover; its answer may come during the next one */
+struct rebuild_read {
+	struct schedd *s;
+	int64_t epoch;
+};
+
 static void scan(struct schedd *s, const char *after);
+static void read_epoch_row(struct schedd *s);
+
+static struct rebuild_read *rebuild_read_new(struct schedd *s)
+{
+	struct rebuild_read *r = talloc_zero(s, struct rebuild_read);
+
+	r->s = s;
+	r->epoch = s->epoch;
+	return r;
+}
+
+/* whether the answer still belongs to the takeover under way */
+static bool rebuild_read_end(struct rebuild_read *r)
+{
+	bool is_current = r->s->role == ROLE_REBUILDING && r->epoch == r->s->epoch;
+
+	talloc_free(r);
+	return is_current;
+}
 
 static void on_epoch_row(enum platform_result result, int64_t version, json_t *value, void *data)
 {
-	struct schedd *s = data;
+	struct schedd *s = ((struct rebuild_read *)data)->s;
 
-	if (s->role != ROLE_REBUILDING || s->epoch_row_version)
+	if (!rebuild_read_end(data))
 		return;
 	if (result != PLATFORM_OK) {
-		platform_read(s->platform, TABLE_EPOCH, s->settings->failure_domain,
-			      base_deadline_in(SCAN_MS), on_epoch_row, s);
+		read_epoch_row(s);
 		return;
 	}
 	if (base_json_int(value, "epoch", 0) != s->epoch) {
@@ -34,16 +59,22 @@
 	s->epoch_row_version = version;
 }
 
+static void read_epoch_row(struct schedd *s)
+{
+	platform_read(s->platform, TABLE_EPOCH, s->settings->failure_domain,
+		      base_deadline_in(SCAN_MS), on_epoch_row, rebuild_read_new(s));
+}
+
 static void on_scanned(enum platform_result result, int64_t version G_GNUC_UNUSED, json_t *value,
 		       void *data)
 {
-	struct schedd *s = data;
+	struct schedd *s = ((struct rebuild_read *)data)->s;
 	size_t prefix = strlen(s->settings->failure_domain) + 1;
 	const char *last = NULL;
 	size_t i;
 	json_t *row;
 
-	if (s->role != ROLE_REBUILDING || s->is_rebuild_scanned)
+	if (!rebuild_read_end(data))
 		return;
 	if (result != PLATFORM_OK) {
 		scan(s, s->scan_after ? s->scan_after : "");
@@ -69,14 +100,15 @@
 	char *prefix = talloc_asprintf(s, "%s/", s->settings->failure_domain);
 
 	platform_scan(s->platform, TABLE_QUEUE, prefix, after, SCAN_ROWS, base_deadline_in(SCAN_MS),
-		      on_scanned, s);
+		      on_scanned, rebuild_read_new(s));
 	talloc_free(prefix);
 }
 
 void rebuild_start(struct schedd *s)
 {
 	struct policy_options opt = {.weight_percent = s->settings->weight_percent,
-				     .reserve_after_ms = 20000};
+				     .reserve_after_ms = RESERVE_AFTER_MS,
+				     .urgent_percent = s->settings->urgent_percent};
 
 	s->role = ROLE_REBUILDING;
 	s->is_rebuild_scanned = false;
@@ -90,7 +122,7 @@
 	sched_workspaces(s);
 	TALLOC_FREE(s->scan_after);
 	scan(s, "");
-	on_epoch_row(PLATFORM_AWAY, 0, NULL, s);
+	read_epoch_row(s);
 	servers_poll(s, base_now());
 }
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -77,9 +77,9 @@
     def start(self, what="both"):
         path = self.write_settings()
         self.starts += 1
-        if what in ("both", "entryd"):
+        if what in ("both", "entryd") and not self.entryd:
             self.entryd = self.deployment.spawn("currantlane-entryd", "--settings", path)
-        if what in ("both", "schedd"):
+        if what in ("both", "schedd") and not self.schedd:
             self.schedd = self.deployment.spawn("currantlane-schedd", "--settings", path)
 
     def kill(self, what="both"):
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -113,7 +113,7 @@
             return None
         start = time.time()
         vm.entryd.send_signal(signal.SIGTERM)
-        old = vm.entryd
+        old, vm.entryd = vm.entryd, None
 
         def end():
             try:
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -81,20 +81,20 @@
             key = (a["job"], a["attempt"], a["server"])
             if key in open_spans:
                 start, tasks = open_spans.pop(key)
-                spans[key[:2]].append((start, a["time_us"], tasks, a["why"]))
+                spans[key[:2]].append((start, a["time_us"], tasks, a["why"], a["server"]))
     for key, (start, tasks) in open_spans.items():
-        spans[key[:2]].append((start, last, tasks, "running"))
+        spans[key[:2]].append((start, last, tasks, "running", key[2]))
     return spans, gang
 
 
 def partial_us(members, gang):
     """How long only a part of the gang ran; a member that is done counts as present."""
     edges = []
-    for start, end, tasks, why in members:
+    for start, end, tasks, why, _ in members:
         edges.append((start, tasks))
         if why not in ("done", "failed"):
             edges.append((end, -tasks))
-    end_of_all = max(end for _, end, _, _ in members)
+    end_of_all = max(m[1] for m in members)
     edges.append((end_of_all, 0))
     edges.sort()
     present, partial, since = 0, 0, None
@@ -106,8 +106,23 @@
     return partial
 
 
+def deaths(acts):
+    """Per server: the times at which it died and forgot everything."""
+    died = collections.defaultdict(list)
+    for a in acts:
+        if a["act"] == "fault" and a["fault"].get("dead"):
+            died[a["server"]].append(a["time_us"])
+    return died
+
+
+def is_evidence_lost(members, next_start, died):
+    """A server died after its member was done and before another attempt: nobody could know."""
+    return any(m[1] <= t <= next_start for m in members for t in died[m[4]])
+
+
 def check_gangs(report, acts, window_s):
     spans, gang = task_spans(acts)
+    died = deaths(acts)
     multi = {k: m for k, m in spans.items() if gang[k[0]] > 1}
     bad = []
     for key, members in multi.items():
@@ -124,8 +139,12 @@
         for a, b in zip(attempts, attempts[1:]):
             if b[0] < a[1]:
                 overlap.append((job, a[2], b[2], "overlap %.2f s" % ((a[1] - b[0]) / 1e6)))
-        whole = [a for a in attempts if all(m[3] == "done" for m in a[3])
-                 and sum(m[2] for m in a[3]) == gang[job]]
+        whole = []
+        for i, a in enumerate(attempts):
+            later = attempts[i + 1][0] if i + 1 < len(attempts) else 0
+            if all(m[3] == "done" for m in a[3]) and sum(m[2] for m in a[3]) == gang[job] \
+                    and not is_evidence_lost(a[3], later, died):
+                whole.append(a)
         if len(whole) > 1:
             twice.append((job, len(whole)))
     report.add("two attempts of a job never run at once", len(by_job), overlap, 5)
