--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,61 @@
 
 clean:
 	rm -rf $(BUILD) run
+
+# ---- commands ----
+
+SEED ?= 1
+SECONDS ?= 45
+PACKAGES = build-essential g++ pkg-config python3 libtalloc-dev libtevent-dev libtirpc-dev \
+	libmicrohttpd-dev libcurl4-openssl-dev libargtable2-dev libglib2.0-dev libjansson-dev \
+	liburcu-dev libxxhash-dev libtomlplusplus-dev check
+
+# installs only where something is missing, so that it also works without a network later
+deps:
+	@pkg-config --exists $(PKGS) check tomlplusplus && command -v python3 >/dev/null || \
+		(echo "installing packages"; apt-get update -qq && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null)
+
+demo: deps
+	@$(MAKE) --no-print-directory all
+	python3 tools/demo.py
+
+# unit tests, quick bounds, and two short fault runs with fixed seeds
+check: deps
+	@$(MAKE) --no-print-directory all $(TESTS) $(BENCHES) 2>&1
+	BUILD=$(BUILD) python3 tools/check.py
+
+faults: deps
+	@$(MAKE) --no-print-directory all
+	BUILD=$(BUILD) python3 tools/faults.py --seed $(SEED) --seconds $(SECONDS)
+
+bench-quick: deps
+	@$(MAKE) --no-print-directory all $(BENCHES)
+	BUILD=$(BUILD) python3 tools/bench.py --quick
+
+bench: deps
+	@$(MAKE) --no-print-directory all $(BENCHES)
+	BUILD=$(BUILD) python3 tools/bench.py
+
+# mixed load with faults against instrumented daemons
+tsan: deps
+	@$(MAKE) --no-print-directory BUILD=build-tsan OPT=-O1 SAN=-fsanitize=thread all build-tsan/tests/test_threads
+	BUILD=build-tsan python3 tools/sanitize.py thread
+
+asan: deps
+	@$(MAKE) --no-print-directory BUILD=build-asan OPT=-O1 SAN="-fsanitize=address,undefined" all
+	BUILD=build-asan python3 tools/sanitize.py address
+
+SOURCES = $(filter-out lib/proto/%,$(wildcard lib/*/*.[ch] src/*.[ch] tests/*.[ch] bench/*.[ch]))
+
+format:
+	clang-format -i $(SOURCES)
+
+lint:
+	clang-format --dry-run -Werror $(SOURCES)
+	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -Ilib \
+		--enable=warning,portability --suppress=missingIncludeSystem \
+		--suppress=normalCheckLevelMaxBranches $(filter %.c,$(SOURCES))
+
+.PHONY: all clean deps demo check faults bench bench-quick tsan asan format lint
+.DEFAULT_GOAL := all
--- a/lib/onc/onc.c
+++ b/lib/onc/onc.c
@@ -107,12 +107,24 @@
 	return true;
 }
 
+static bool wire_is_refused(const struct wire *wire)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	return getsockopt(wire->fd, SOL_SOCKET, SO_ERROR, &error, &len) || error;
+}
+
 static void on_wire_event(struct tevent_context *ev G_GNUC_UNUSED,
 			  struct tevent_fd *fde G_GNUC_UNUSED, uint16_t flags, void *data)
 {
 	struct wire *wire = data;
 	bool is_open = true;
 
+	if (wire->is_connecting && wire_is_refused(wire)) {
+		wire->on_closed(wire); /* still connecting: nothing was sent */
+		return;
+	}
 	if (flags & TEVENT_FD_WRITE) {
 		wire->is_connecting = false;
 		is_open = wire_write(wire);
--- a/src/schedd_gang.c
+++ b/src/schedd_gang.c
@@ -154,6 +154,7 @@
 
 	trace_end(&op->span, kind == BACKEND_TASK_PREPARE ? "prepare" :
 			     kind == BACKEND_TASK_START	  ? "start" :
+			     kind == BACKEND_TASK_FORGET  ? "forget" :
 							    "stop",
 		  m ? m->server->id : "");
 	talloc_free(op);
--- /dev/null
+++ b/tests/test_onc.c
@@ -0,0 +1,193 @@
+/**
+ * DOC: test_onc - calls, silent peers, foreign networks and random bytes
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "onc/onc.h"
+#include "proto/proto.h"
+
+#define PORT 17901
+
+static const struct onc_proc procs[] = {
+	{CL_PEER, CL_PEER_V1, PEER_PULL, (xdrproc_t)xdr_cl_pull_args, sizeof(cl_pull_args),
+	 (xdrproc_t)xdr_cl_pull_res},
+};
+
+/* a server that answers, or keeps quiet, and a client */
+struct fixture {
+	struct tevent_context *ev;
+	struct onc_server *server;
+	struct onc_client *client;
+	bool is_quiet;
+	int served;
+	int done;
+	enum onc_result result;
+	int64_t version;
+};
+
+static void on_call(struct onc_request *req)
+{
+	struct fixture *f = req->server_data;
+	const cl_pull_args *args = req->args;
+	cl_pull_res res = {.catalogue_version = args->catalogue_version + 1,
+			   .catalogue = (char *)"{}", .vm_list = (char *)"[]"};
+
+	f->served++;
+	if (!f->is_quiet)
+		onc_reply(req, &res);
+}
+
+static void on_done(enum onc_result result, void *res, void *data)
+{
+	struct fixture *f = data;
+
+	f->done++;
+	f->result = result;
+	if (res)
+		f->version = ((cl_pull_res *)res)->catalogue_version;
+}
+
+static struct fixture *fixture_new(const char *allow)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	const char *networks[] = {talloc_strdup(f, allow)};
+	struct onc_server_options opt = {.ip = "127.0.0.1", .port = PORT,
+					 .allow = talloc_memdup(f, networks, sizeof(networks)),
+					 .allow_count = 1, .procs = procs, .proc_count = 1};
+
+	f->ev = tevent_context_init(f);
+	f->server = onc_server_new(f, f->ev, &opt, on_call, f);
+	ck_assert_ptr_nonnull(f->server);
+	f->client = onc_client_new(f, f->ev, "127.0.0.1", PORT);
+	return f;
+}
+
+static void call(struct fixture *f, int64_t deadline_ms)
+{
+	cl_pull_args args = {.catalogue_version = 41};
+	int before = f->done;
+
+	onc_call(f->client, &procs[0], &args, sizeof(cl_pull_res), base_deadline_in(deadline_ms),
+		 on_done, f);
+	while (f->done == before)
+		tevent_loop_once(f->ev);
+}
+
+START_TEST(a_call_gets_its_result)
+{
+	struct fixture *f = fixture_new("127.0.0.0/8");
+
+	call(f, 1000);
+	ck_assert_int_eq(f->result, ONC_OK);
+	ck_assert_int_eq(f->version, 42);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_silent_peer_is_given_up_and_called_anew)
+{
+	struct fixture *f = fixture_new("127.0.0.0/8");
+
+	f->is_quiet = true;
+	call(f, 50);
+	ck_assert_int_eq(f->result, ONC_LOST);
+	f->is_quiet = false;
+	call(f, 1000);
+	ck_assert_int_eq(f->result, ONC_OK);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_dead_port_is_not_sent)
+{
+	struct fixture *f = fixture_new("127.0.0.0/8");
+
+	TALLOC_FREE(f->server);
+	call(f, 1000);
+	ck_assert_int_eq(f->result, ONC_NOT_SENT);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(foreign_networks_are_refused)
+{
+	struct fixture *f = fixture_new("10.0.0.0/8");
+
+	call(f, 500);
+	ck_assert_int_ne(f->result, ONC_OK);
+	ck_assert_int_eq(f->served, 0);
+	talloc_free(f);
+}
+END_TEST
+
+static int raw_connect(void)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+static void on_nothing(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		       void *data)
+{
+}
+
+/* random bytes, also behind a valid mark, never reach a handler nor stop the server */
+START_TEST(random_bytes_do_no_harm)
+{
+	struct fixture *f = fixture_new("127.0.0.0/8");
+	GRand *rng = g_rand_new_with_seed((guint32)_i);
+
+	for (int round = 0; round < 40; round++) {
+		uint8_t bytes[512];
+		int fd = raw_connect();
+		uint32_t mark = htonl(0x80000000U | (sizeof(bytes) - 4));
+
+		for (size_t i = 0; i < sizeof(bytes); i++)
+			bytes[i] = (uint8_t)g_rand_int(rng);
+		if (g_rand_boolean(rng))
+			memcpy(bytes, &mark, 4);
+		ck_assert_int_gt(send(fd, bytes, sizeof(bytes), MSG_NOSIGNAL), 0);
+		for (int i = 0; i < 4; i++) {
+			tevent_add_timer(f->ev, f, base_timeval_in_ms(1), on_nothing, NULL);
+			tevent_loop_once(f->ev);
+		}
+		close(fd);
+	}
+	call(f, 1000);
+	ck_assert_int_eq(f->result, ONC_OK);
+	ck_assert_int_eq(f->served, 1);
+	g_rand_free(rng);
+	talloc_free(f);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("onc");
+	TCase *t = tcase_create("onc");
+	SRunner *runner;
+	int failed;
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_add_test(t, a_call_gets_its_result);
+	tcase_add_test(t, a_silent_peer_is_given_up_and_called_anew);
+	tcase_add_test(t, a_dead_port_is_not_sent);
+	tcase_add_test(t, foreign_networks_are_refused);
+	tcase_add_loop_test(t, random_bytes_do_no_harm, 0, 5);
+	suite_add_tcase(suite, t);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_threads.c
@@ -0,0 +1,154 @@
+/**
+ * DOC: test_threads - inbox and snapshot under several threads
+ *
+ * Most telling under ThreadSanitizer: make tsan.
+ */
+#include <check.h>
+#include <pthread.h>
+#include <stdlib.h>
+
+#include "inbox/inbox.h"
+#include "snapshot/snapshot.h"
+
+#define MESSAGES 20000
+#define SENDERS 4
+#define VERSIONS 2000
+
+struct numbered {
+	struct inbox_msg msg;
+	int sender;
+	int number;
+};
+
+struct receiver {
+	struct inbox *inbox;
+	int next[SENDERS];
+	int count;
+	bool is_ordered;
+};
+
+static void on_message(struct inbox_msg *msg, void *data)
+{
+	struct numbered *n = (struct numbered *)msg;
+	struct receiver *r = data;
+
+	r->is_ordered = r->is_ordered && n->number == r->next[n->sender]++;
+	r->count++;
+	g_free(n);
+}
+
+struct sender {
+	struct receiver *receiver;
+	int index;
+};
+
+static void *send_many(void *data)
+{
+	struct sender *s = data;
+
+	for (int i = 0; i < MESSAGES; i++) {
+		struct numbered *n = g_new0(struct numbered, 1);
+
+		n->msg.run = on_message;
+		n->sender = s->index;
+		n->number = i;
+		inbox_push(s->receiver->inbox, &n->msg);
+	}
+	return NULL;
+}
+
+START_TEST(every_message_arrives_once_and_in_order)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct receiver r = {.is_ordered = true};
+	struct sender senders[SENDERS];
+	pthread_t threads[SENDERS];
+
+	r.inbox = inbox_new(ev, ev, &r);
+	for (int i = 0; i < SENDERS; i++) {
+		senders[i] = (struct sender){&r, i};
+		pthread_create(&threads[i], NULL, send_many, &senders[i]);
+	}
+	while (r.count < SENDERS * MESSAGES)
+		tevent_loop_once(ev);
+	for (int i = 0; i < SENDERS; i++)
+		pthread_join(threads[i], NULL);
+	ck_assert(r.is_ordered);
+	talloc_free(ev);
+}
+END_TEST
+
+/* readers must never see a value whose halves differ or that was freed */
+struct value {
+	int first;
+	int second;
+};
+
+static struct snapshot shared;
+static _Atomic bool is_over;
+static _Atomic int torn;
+
+static void *read_many(void *data)
+{
+	int last = 0;
+
+	snapshot_thread_register();
+	while (!atomic_load(&is_over)) {
+		const struct value *v = snapshot_read(&shared);
+
+		if (v->first != v->second || v->first < last)
+			atomic_fetch_add(&torn, 1);
+		last = v->first;
+		snapshot_done();
+	}
+	snapshot_thread_unregister();
+	return NULL;
+}
+
+static void free_value(void *p)
+{
+	struct value *v = p;
+
+	v->first = -1;
+	v->second = -2;
+	g_free(v);
+}
+
+START_TEST(readers_see_whole_values_in_order)
+{
+	pthread_t threads[3];
+
+	snapshot_thread_register();
+	for (int i = 0; i <= VERSIONS; i++) {
+		struct value *v = g_new0(struct value, 1);
+
+		v->first = v->second = i;
+		snapshot_publish(&shared, v, free_value);
+		if (i == 0)
+			for (int t = 0; t < 3; t++)
+				pthread_create(&threads[t], NULL, read_many, NULL);
+	}
+	atomic_store(&is_over, true);
+	for (int t = 0; t < 3; t++)
+		pthread_join(threads[t], NULL);
+	ck_assert_int_eq(atomic_load(&torn), 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("threads");
+	TCase *t = tcase_create("threads");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, every_message_arrives_once_and_in_order);
+	tcase_add_test(t, readers_see_whole_values_in_order);
+	suite_add_tcase(suite, t);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -132,6 +132,8 @@
         return process
 
     def start_standins(self):
+        if http("GET", "http://%s/admin/counts" % PLATFORM, timeout=1)[0]:
+            raise RuntimeError("another deployment is running on these addresses")
         self.platform = self.spawn("standin-platform", "--port", PLATFORM.split(":")[1],
                                    "--ledger", os.path.join(self.dir, "platform.ledger"))
         self.backends = []
