--- a/Makefile
+++ b/Makefile
@@ -117,7 +117,9 @@
 	clang-format --dry-run -Werror $(SOURCES)
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -Ilib \
 		--enable=warning,portability --suppress=missingIncludeSystem \
-		--suppress=normalCheckLevelMaxBranches $(filter %.c,$(SOURCES))
+		"-Djson_array_foreach(a,i,v)=for(i=0;(v=json_array_get(a,i));i++)" \
+		"-Djson_object_foreach(o,k,v)=for(k=json_next(o,&v);k;)" \
+		$(filter %.c,$(SOURCES))
 
 .PHONY: all clean deps demo check faults bench bench-quick tsan asan format lint
 .DEFAULT_GOAL := all
--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -26,7 +26,9 @@
 	if (bound >= 0)
 		g_snprintf(limit, sizeof(limit), "%.3f", bound);
 	printf("%5d servers  %-34s %12.4f %-6s bound %-8s %s\n", servers, name, value, unit, limit,
-	       bound < 0 ? "" : is_ok ? "ok" : "FAIL");
+	       bound < 0 ? ""
+	       : is_ok	 ? "ok"
+			 : "FAIL");
 	failures += !is_ok;
 }
 
@@ -40,8 +42,8 @@
 
 static struct policy *fleet(int servers)
 {
-	struct policy_options opt = {.weight_percent = 50, .reserve_after_ms = 60000,
-				     .urgent_percent = 10};
+	struct policy_options opt = {
+		.weight_percent = 50, .reserve_after_ms = 60000, .urgent_percent = 10};
 	struct policy *p = policy_new(NULL, &opt);
 	struct policy_cell cell = {UNITS, true, MAX(servers / (4 * WORKSPACES), 1)};
 	struct policy_workspace list[WORKSPACES];
@@ -54,7 +56,7 @@
 
 		g_snprintf(id, sizeof(id), "s%d", i);
 		g_snprintf(rack, sizeof(rack), "r%d", i / PER_RACK);
-		policy_server_set(p, id, rack, UNITS, true);
+		policy_server_set(p, id, rack, UNITS, POLICY_SERVER_USABLE);
 	}
 	for (int i = 0; i < WORKSPACES; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "w%d", i);
@@ -76,9 +78,13 @@
 	g_snprintf(ws, sizeof(ws), "w%u", sequence % WORKSPACES);
 	sequence++;
 	return policy_job_add(p,
-			      &(struct policy_spec){.id = id, .workspace = ws, .kind = ws,
-						    .cls = CLASS_NORMAL, .tasks = tasks,
-						    .accelerators = 1, .checkpointable = soft,
+			      &(struct policy_spec){.id = id,
+						    .workspace = ws,
+						    .kind = ws,
+						    .cls = CLASS_NORMAL,
+						    .tasks = tasks,
+						    .accelerators = 1,
+						    .checkpointable = soft,
 						    .run_ms = 3600000},
 			      now, NULL);
 }
@@ -148,7 +154,8 @@
 		tasks = fill(p, (int64_t)servers * 18, rng);
 		figure("tasks placed", servers, (double)tasks, "tasks", -1);
 		figure("memory of the policy", servers,
-		       (double)(mallinfo2().uordblks - before) / 1048576.0, "MB", is_plan ? 64 : -1);
+		       (double)(mallinfo2().uordblks - before) / 1048576.0, "MB",
+		       is_plan ? 64 : -1);
 		measure(p, servers, 1, is_plan ? BOUND_ONE_MS : -1);
 		measure(p, servers, MIN(1024, servers), is_plan ? BOUND_GANG_MS : -1);
 		talloc_free(p);
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -48,9 +48,9 @@
 	bool soft;
 	enum service_class cls;
 	int ws;
-	int64_t started;   /* first start, -1 before */
+	int64_t started; /* first start, -1 before */
 	int64_t resumed;
-	int64_t ended; /* -1 before */
+	int64_t ended;	     /* -1 before */
 	unsigned int serial; /* invalidates an older end event */
 	struct policy_job *pj;
 	struct baseline_job bj;
@@ -89,7 +89,7 @@
 /* figures of one run */
 struct result {
 	double urgent_p99_start_ms;
-	double firm_p99_ms; /* completion of urgent and guaranteed jobs */
+	double firm_p99_ms;	  /* completion of urgent and guaranteed jobs */
 	double firm_alone_p99_ms; /* had none of them ever waited: a lower bound */
 	double large_p90_wait_ms;
 	double rest_p50_ms;
@@ -159,7 +159,7 @@
 /* ---- the stream ---- */
 
 #define WORKSPACES 4
-#define LARGE_GANG 32 /* accelerators */
+#define LARGE_GANG 32	  /* accelerators */
 #define GUARANTEE_TASKS 2 /* servers guaranteed to each of the first two workspaces, per 17 */
 
 static int64_t guarantee_servers(const struct setup *u)
@@ -197,8 +197,8 @@
 	if (g_rand_int_range(rng, 0, 20) == 0)
 		run *= 8;
 	j->cls = g_rand_int_range(rng, 0, 100) < u->urgent_percent ? CLASS_URGENT
-		 : g_rand_boolean(rng)				    ? CLASS_NORMAL
-								    : CLASS_BATCH;
+		 : g_rand_boolean(rng)				   ? CLASS_NORMAL
+								   : CLASS_BATCH;
 	j->ws = g_rand_int_range(rng, 0, WORKSPACES);
 	/* long work on many accelerators writes checkpoints for its own sake */
 	j->soft = g_rand_int_range(rng, 0, 100) < 80 || j->tasks * j->accelerators > LARGE_GANG;
@@ -314,7 +314,8 @@
 
 	j->is_waiting = true;
 	if (s->engine != ENGINE_POLICY) {
-		j->bj = (struct baseline_job){.tasks = j->tasks, .accelerators = j->accelerators,
+		j->bj = (struct baseline_job){.tasks = j->tasks,
+					      .accelerators = j->accelerators,
 					      .one_rack = j->one_rack};
 		j->bj.servers = g_new(int, (gsize)j->tasks);
 		g_ptr_array_add(s->waiting, j);
@@ -322,8 +323,11 @@
 	}
 	g_snprintf(id, sizeof(id), "%08d", i);
 	j->pj = policy_job_add(s->p,
-			       &(struct policy_spec){.id = id, .workspace = names[j->ws], .kind = "k",
-						     .cls = j->cls, .tasks = j->tasks,
+			       &(struct policy_spec){.id = id,
+						     .workspace = names[j->ws],
+						     .kind = "k",
+						     .cls = j->cls,
+						     .tasks = j->tasks,
 						     .accelerators = j->accelerators,
 						     .one_rack = j->one_rack,
 						     .checkpointable = j->soft,
@@ -397,8 +401,9 @@
 		s->frag_sum += (double)(size * (free - usable(s, j))) / (double)free;
 	}
 	s->unusable_sum += is_unusable ? (double)free / (double)total : 0;
-	startable = s->engine == ENGINE_POLICY ? policy_startable_tasks(s->p, s->setup->accelerators)
-					       : baseline_startable(s->b, s->setup->accelerators);
+	startable = s->engine == ENGINE_POLICY
+			    ? policy_startable_tasks(s->p, s->setup->accelerators)
+			    : baseline_startable(s->b, s->setup->accelerators);
 	if (free >= s->setup->accelerators) {
 		s->startable_sum += (double)(startable * s->setup->accelerators) / (double)free;
 		s->startable_samples++;
@@ -491,7 +496,7 @@
 		g_snprintf(id, sizeof(id), "s%d", i);
 		g_snprintf(rack, sizeof(rack), "r%d", i / u->per_rack);
 		if (s->p)
-			policy_server_set(s->p, id, rack, u->accelerators, true);
+			policy_server_set(s->p, id, rack, u->accelerators, POLICY_SERVER_USABLE);
 		else
 			baseline_server(s->b, i / u->per_rack, u->accelerators);
 	}
@@ -501,8 +506,8 @@
 
 static struct result run(const struct setup *u, enum engine engine)
 {
-	struct policy_options opt = {.weight_percent = u->weight, .reserve_after_ms = 120000,
-				     .urgent_percent = 10};
+	struct policy_options opt = {
+		.weight_percent = u->weight, .reserve_after_ms = 120000, .urgent_percent = 10};
 	struct sim s = {.setup = u, .engine = engine, .jobs = draw_stream(u)};
 	struct result r;
 	struct event e;
@@ -559,7 +564,8 @@
 
 static int failures;
 
-static void figure(const char *setup, const char *name, double value, const char *unit, double bound)
+static void figure(const char *setup, const char *name, double value, const char *unit,
+		   double bound)
 {
 	bool is_ok = bound < 0 || value <= bound;
 	char limit[32] = "-";
@@ -567,7 +573,9 @@
 	if (bound >= 0)
 		g_snprintf(limit, sizeof(limit), "%.3f", bound);
 	printf("%-14s %-44s %14.3f %-6s bound %-10s %s\n", setup, name, value, unit, limit,
-	       bound < 0 ? "" : is_ok ? "ok" : "FAIL");
+	       bound < 0 ? ""
+	       : is_ok	 ? "ok"
+			 : "FAIL");
 	failures += !is_ok;
 }
 
@@ -590,8 +598,8 @@
 {
 	char name[64];
 
-#define SHOW(label, value, unit)                                                                   \
-	g_snprintf(name, sizeof(name), "%s %s", engine_names[e], label);                           \
+#define SHOW(label, value, unit)                                         \
+	g_snprintf(name, sizeof(name), "%s %s", engine_names[e], label); \
 	figure(u->name, name, value, unit, -1)
 	SHOW("urgent start p99", r->urgent_p99_start_ms / 1000, "s");
 	SHOW("urgent+guaranteed completion p99", r->firm_p99_ms / 1000, "s");
@@ -617,7 +625,8 @@
 		print_engine(u, (enum engine)e, &r[e]);
 	}
 	figure(u->name, "lower bound of the makespan", bound_ms / 1000, "s", -1);
-	figure(u->name, "lower bound of urgent+guaranteed p99", r[0].firm_alone_p99_ms / 1000, "s", -1);
+	figure(u->name, "lower bound of urgent+guaranteed p99", r[0].firm_alone_p99_ms / 1000, "s",
+	       -1);
 	figure(u->name, "jobs never finished", r[ENGINE_POLICY].unfinished, "jobs", 0);
 	figure(u->name, "urgent start p99", r[ENGINE_POLICY].urgent_p99_start_ms / 1000, "s",
 	       URGENT_BOUND_MS / 1000.0);
--- a/lib/backend/backend.c
+++ b/lib/backend/backend.c
@@ -9,8 +9,8 @@
 
 enum backend_state backend_state_parse(const char *name)
 {
-#define X(id, text)                                                                                \
-	if (!strcmp(name, text))                                                                   \
+#define X(id, text)              \
+	if (!strcmp(name, text)) \
 		return id;
 	BACKEND_STATES(X)
 #undef X
@@ -19,8 +19,8 @@
 
 static enum backend_refusal refusal_parse(const char *name)
 {
-#define X(id, text)                                                                                \
-	if (!strcmp(name, text))                                                                   \
+#define X(id, text)              \
+	if (!strcmp(name, text)) \
 		return id;
 	BACKEND_REFUSALS(X)
 #undef X
@@ -57,8 +57,8 @@
 	char url[320];
 	char vm[96];
 	char parent[96];
-	struct httpc_options opt = {.method = method, .url = url, .body = body,
-				    .deadline = deadline, .fresh = fresh};
+	struct httpc_options opt = {
+		.method = method, .url = url, .body = body, .deadline = deadline, .fresh = fresh};
 
 	op->done = done;
 	op->data = data;
@@ -93,8 +93,9 @@
 void backend_task(const struct backend_target *target, enum backend_task_op op, json_t *args,
 		  bool fresh, int64_t deadline, backend_done *done, void *data)
 {
-	static const char *const paths[] = {"/v1/tasks/prepare", "/v1/tasks/start", "/v1/tasks/stop",
-					    "/v1/tasks/forget", "/v1/tasks/renew", "/v1/tasks/fence"};
+	static const char *const paths[] = {"/v1/tasks/prepare", "/v1/tasks/start",
+					    "/v1/tasks/stop",	 "/v1/tasks/forget",
+					    "/v1/tasks/renew",	 "/v1/tasks/fence"};
 	char *body = base_json_text(NULL, args);
 
 	start(target, "POST", paths[op], str_from(body), fresh, deadline, done, data);
--- a/lib/backend/backend.h
+++ b/lib/backend/backend.h
@@ -9,14 +9,14 @@
 #include "httpc/httpc.h"
 
 /* state of a request or task as the backend server tells it */
-#define BACKEND_STATES(X)                                                                          \
-	X(BACKEND_ABSENT, "absent")                                                                \
-	X(BACKEND_PREPARED, "prepared")                                                            \
-	X(BACKEND_RUNNING, "running")                                                              \
-	X(BACKEND_STOPPING, "stopping")                                                            \
-	X(BACKEND_DONE, "done")                                                                    \
-	X(BACKEND_FAILED, "failed")                                                                \
-	X(BACKEND_STOPPED, "stopped")                                                              \
+#define BACKEND_STATES(X)               \
+	X(BACKEND_ABSENT, "absent")     \
+	X(BACKEND_PREPARED, "prepared") \
+	X(BACKEND_RUNNING, "running")   \
+	X(BACKEND_STOPPING, "stopping") \
+	X(BACKEND_DONE, "done")         \
+	X(BACKEND_FAILED, "failed")     \
+	X(BACKEND_STOPPED, "stopped")   \
 	X(BACKEND_CANCELLED, "cancelled")
 
 enum backend_state {
@@ -26,13 +26,13 @@
 };
 
 /* why a backend server did not do what was asked; it then ran nothing */
-#define BACKEND_REFUSALS(X)                                                                        \
-	X(BACKEND_REFUSED_FULL, "full")                                                            \
-	X(BACKEND_REFUSED_LEAVING, "leaving")                                                      \
-	X(BACKEND_REFUSED_KNOWN, "known")                                                          \
-	X(BACKEND_REFUSED_CANCELLED, "cancelled")                                                  \
-	X(BACKEND_REFUSED_ABSENT, "absent")                                                        \
-	X(BACKEND_REFUSED_STALE, "stale_epoch")                                                    \
+#define BACKEND_REFUSALS(X)                       \
+	X(BACKEND_REFUSED_FULL, "full")           \
+	X(BACKEND_REFUSED_LEAVING, "leaving")     \
+	X(BACKEND_REFUSED_KNOWN, "known")         \
+	X(BACKEND_REFUSED_CANCELLED, "cancelled") \
+	X(BACKEND_REFUSED_ABSENT, "absent")       \
+	X(BACKEND_REFUSED_STALE, "stale_epoch")   \
 	X(BACKEND_REFUSED_OTHER, "other")
 
 enum backend_refusal {
--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -35,8 +35,8 @@
 
 enum outcome base_outcome_parse(const char *name)
 {
-#define X(id, text, status)                                                                        \
-	if (!strcmp(name, text))                                                                   \
+#define X(id, text, status)      \
+	if (!strcmp(name, text)) \
 		return id;
 	BASE_OUTCOMES(X)
 #undef X
@@ -55,8 +55,8 @@
 
 enum service_class base_class_parse(const char *name)
 {
-#define X(id, text)                                                                                \
-	if (!strcmp(name, text))                                                                   \
+#define X(id, text)              \
+	if (!strcmp(name, text)) \
 		return id;
 	BASE_CLASSES(X)
 #undef X
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -24,11 +24,11 @@
 /* ---- outcomes ---- */
 
 /* the closed set of outcomes of a request or a job */
-#define BASE_OUTCOMES(X)                                                                           \
-	X(OUTCOME_NONE, "pending", 202)                                                            \
-	X(OUTCOME_DONE, "done", 200)                                                               \
-	X(OUTCOME_FAILED, "failed", 500)                                                           \
-	X(OUTCOME_NOT_RUN, "not_run", 503)                                                         \
+#define BASE_OUTCOMES(X)                   \
+	X(OUTCOME_NONE, "pending", 202)    \
+	X(OUTCOME_DONE, "done", 200)       \
+	X(OUTCOME_FAILED, "failed", 500)   \
+	X(OUTCOME_NOT_RUN, "not_run", 503) \
 	X(OUTCOME_UNKNOWN, "unknown", 504)
 
 enum outcome {
@@ -42,16 +42,16 @@
 enum outcome base_outcome_parse(const char *name);
 
 /* service classes, most urgent first */
-#define BASE_CLASSES(X)                                                                            \
-	X(CLASS_URGENT, "urgent")                                                                  \
-	X(CLASS_NORMAL, "normal")                                                                  \
+#define BASE_CLASSES(X)           \
+	X(CLASS_URGENT, "urgent") \
+	X(CLASS_NORMAL, "normal") \
 	X(CLASS_BATCH, "batch")
 
 enum service_class {
 #define X(id, name) id,
 	BASE_CLASSES(X)
 #undef X
-	CLASS_COUNT
+		CLASS_COUNT
 };
 
 const char *base_class_name(enum service_class c);
--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -10,28 +10,28 @@
 enum field_type { FIELD_TEXT, FIELD_INTEGER, FIELD_BOOL, FIELD_CHOICE, FIELD_CELLS };
 
 /* name, type, required, least, most or choices, what an operator should write */
-#define WORKSPACE_FIELDS(X)                                                                        \
-	X("owner", FIELD_TEXT, true, 1, 128, NULL, "who answers for it")                           \
-	X("quota_accelerators", FIELD_INTEGER, false, 0, 1000000, NULL,                            \
-	  "a whole number, 0 for no limit")                                                        \
-	X("precedence", FIELD_INTEGER, false, 0, 1000, NULL, "a whole number, lower comes first")  \
-	X("requests_in_flight", FIELD_INTEGER, false, 0, 1000000, NULL,                            \
-	  "a whole number, 0 for no limit")                                                        \
-	X("guarantee", FIELD_CELLS, false, 0, CATALOGUE_CELLS_MAX, NULL,                           \
+#define WORKSPACE_FIELDS(X)                                                                       \
+	X("owner", FIELD_TEXT, true, 1, 128, NULL, "who answers for it")                          \
+	X("quota_accelerators", FIELD_INTEGER, false, 0, 1000000, NULL,                           \
+	  "a whole number, 0 for no limit")                                                       \
+	X("precedence", FIELD_INTEGER, false, 0, 1000, NULL, "a whole number, lower comes first") \
+	X("requests_in_flight", FIELD_INTEGER, false, 0, 1000000, NULL,                           \
+	  "a whole number, 0 for no limit")                                                       \
+	X("guarantee", FIELD_CELLS, false, 0, CATALOGUE_CELLS_MAX, NULL,                          \
 	  "a list of {failure_domain, accelerators, together = \"server\" or \"rack\", count}")
 
-#define KIND_FIELDS(X)                                                                             \
-	X("owner", FIELD_TEXT, true, 1, 128, NULL, "who answers for it")                           \
-	X("workspace", FIELD_TEXT, true, 1, 64, NULL, "the name of a workspace")                   \
-	X("class", FIELD_CHOICE, true, 0, 0, "urgent normal batch", "urgent, normal or batch")     \
-	X("work", FIELD_CHOICE, true, 0, 0, "request job", "request or job")                       \
-	X("idempotent", FIELD_BOOL, true, 0, 0, NULL, "true or false")                             \
-	X("checkpointable", FIELD_BOOL, false, 0, 0, NULL, "true or false")                        \
-	X("deadline_ms", FIELD_INTEGER, false, 1, 3600000, NULL, "1 to 3600000 milliseconds")      \
-	X("max_gang", FIELD_INTEGER, false, 1, POLICY_GANG_MAX, NULL, "1 to 1024 tasks")           \
-	X("max_accelerators", FIELD_INTEGER, false, 1, POLICY_ACCELERATORS_MAX, NULL,              \
-	  "1 to 32 accelerators a task")                                                           \
-	X("max_run_s", FIELD_INTEGER, false, 1, 2592000, NULL, "1 to 2592000 seconds")             \
+#define KIND_FIELDS(X)                                                                         \
+	X("owner", FIELD_TEXT, true, 1, 128, NULL, "who answers for it")                       \
+	X("workspace", FIELD_TEXT, true, 1, 64, NULL, "the name of a workspace")               \
+	X("class", FIELD_CHOICE, true, 0, 0, "urgent normal batch", "urgent, normal or batch") \
+	X("work", FIELD_CHOICE, true, 0, 0, "request job", "request or job")                   \
+	X("idempotent", FIELD_BOOL, true, 0, 0, NULL, "true or false")                         \
+	X("checkpointable", FIELD_BOOL, false, 0, 0, NULL, "true or false")                    \
+	X("deadline_ms", FIELD_INTEGER, false, 1, 3600000, NULL, "1 to 3600000 milliseconds")  \
+	X("max_gang", FIELD_INTEGER, false, 1, POLICY_GANG_MAX, NULL, "1 to 1024 tasks")       \
+	X("max_accelerators", FIELD_INTEGER, false, 1, POLICY_ACCELERATORS_MAX, NULL,          \
+	  "1 to 32 accelerators a task")                                                       \
+	X("max_run_s", FIELD_INTEGER, false, 1, 2592000, NULL, "1 to 2592000 seconds")         \
 	X("share_percent", FIELD_INTEGER, false, 1, 100, NULL, "1 to 100")
 
 struct field {
@@ -45,14 +45,14 @@
 };
 
 static const struct field workspace_fields[] = {
-#define X(name, type, required, min, max, choices, expected)                                       \
+#define X(name, type, required, min, max, choices, expected) \
 	{name, type, required, min, max, choices, expected},
 	WORKSPACE_FIELDS(X)
 #undef X
 };
 
 static const struct field kind_fields[] = {
-#define X(name, type, required, min, max, choices, expected)                                       \
+#define X(name, type, required, min, max, choices, expected) \
 	{name, type, required, min, max, choices, expected},
 	KIND_FIELDS(X)
 #undef X
@@ -74,11 +74,13 @@
 	g_snprintf(path, sizeof(path), "%s.%s", base_json_str(at, "path", ""), field);
 	line = base_json_int(json_object_get(at, "lines"), path, 0);
 	if (!line)
-		line = base_json_int(json_object_get(at, "lines"), base_json_str(at, "path", ""), 0);
+		line = base_json_int(json_object_get(at, "lines"), base_json_str(at, "path", ""),
+				     0);
 	if (at)
 		c->faults = talloc_asprintf_append(c->faults, "%s:%" PRId64 ": ",
 						   base_json_str(at, "file", ""), line);
-	c->faults = talloc_asprintf_append(c->faults, "%s: %s: expected %s\n", entry, field, expected);
+	c->faults =
+		talloc_asprintf_append(c->faults, "%s: %s: expected %s\n", entry, field, expected);
 }
 
 static bool is_choice(const char *choices, const char *text)
@@ -177,7 +179,8 @@
 		return;
 	}
 	check_fields(c, entry, value, kind_fields, G_N_ELEMENTS(kind_fields));
-	g_snprintf(workspace, sizeof(workspace), "workspace/%s", base_json_str(value, "workspace", ""));
+	g_snprintf(workspace, sizeof(workspace), "workspace/%s",
+		   base_json_str(value, "workspace", ""));
 	if (!json_object_get(c->entries, workspace))
 		fault(c, entry, "workspace", "the name of a workspace in this catalogue");
 }
@@ -229,8 +232,9 @@
 			g_snprintf(dotted, sizeof(dotted), "%s.%s", section, name);
 			if (json_object_get(entries, entry))
 				faults = talloc_asprintf_append(
-					faults, "%s:%" PRId64 ": %s: expected one definition only\n",
-					path, base_json_int(lines, dotted, 0), entry);
+					faults,
+					"%s:%" PRId64 ": %s: expected one definition only\n", path,
+					base_json_int(lines, dotted, 0), entry);
 			json_object_set(entries, entry, value);
 			json_object_set_new(where, entry,
 					    json_pack("{ss sO ss}", "file", path, "lines", lines,
@@ -257,8 +261,8 @@
 
 	*faults = talloc_strdup(ctx, "");
 	if (n <= 0)
-		*faults = talloc_asprintf_append(*faults, "%s: expected a directory of .toml files\n",
-						 dir);
+		*faults = talloc_asprintf_append(*faults,
+						 "%s: expected a directory of .toml files\n", dir);
 	for (int i = 0; i < n; i++) {
 		char *path = talloc_asprintf(ctx, "%s/%s", dir, names[i]->d_name);
 
@@ -351,7 +355,7 @@
 }
 
 const struct catalogue_workspace *catalogue_find_workspace(const struct catalogue *c,
-							    const char *name)
+							   const char *name)
 {
 	return g_hash_table_lookup(c->workspace_by_name, name);
 }
@@ -397,8 +401,9 @@
 	json_array_foreach(vms, i, vm) {
 		if (!strcmp(base_json_str(vm, "role", ""), "backend") &&
 		    !strcmp(base_json_str(vm, "failure_domain", ""), domain))
-			policy_server_set(p, base_json_str(vm, "id", ""), base_json_str(vm, "rack", ""),
-					  base_json_int(vm, "accelerators", 0), true);
+			policy_server_set(
+				p, base_json_str(vm, "id", ""), base_json_str(vm, "rack", ""),
+				base_json_int(vm, "accelerators", 0), POLICY_SERVER_USABLE);
 	}
 	add_domain_workspaces(p, c, domain);
 	for (unsigned int k = 0; k < c->workspace_count; k++) {
@@ -441,8 +446,8 @@
 
 static void add_change(json_t *changes, const char *entry, json_t *old, json_t *new)
 {
-	json_array_append_new(changes, json_pack("{ss sO? sO?}", "entry", entry, "old", old, "new",
-						 new));
+	json_array_append_new(changes,
+			      json_pack("{ss sO? sO?}", "entry", entry, "old", old, "new", new));
 }
 
 json_t *catalogue_diff(const json_t *old, const json_t *new)
@@ -479,8 +484,9 @@
 		json_t *now = json_object_get(new, key);
 
 		if (!now || !json_equal(v, now))
-			text = talloc_asprintf_append(text, "%s: %s changes from %s to %s\n", entry, key,
-						      field_text(tmp, v), field_text(tmp, now));
+			text = talloc_asprintf_append(text, "%s: %s changes from %s to %s\n", entry,
+						      key, field_text(tmp, v),
+						      field_text(tmp, now));
 	}
 	json_object_foreach((json_t *)new, key, v) {
 		if (!json_object_get(old, key))
--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -93,7 +93,7 @@
 /** catalogue_new() - look-up form of checked entries; talloc_free() frees it */
 struct catalogue *catalogue_new(TALLOC_CTX *ctx, const json_t *entries, int64_t version);
 const struct catalogue_workspace *catalogue_find_workspace(const struct catalogue *c,
-							    const char *name);
+							   const char *name);
 const struct catalogue_kind *catalogue_find_kind(const struct catalogue *c, const char *name);
 
 /**
--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -4,14 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_MS 1500	      /* pause between reads of the platform */
-#define GOSSIP_MS 700	      /* pause between exchanges with peers */
-#define GOSSIP_FANOUT 3	      /* peers of the own failure domain a round */
-#define CALL_MS 1000	      /* deadline of one exchange */
-#define HEARD_MS 4000	      /* a peer silent for longer is not counted as live */
-#define NOTE_MS 20000	      /* a note lapses unless it is renewed */
-#define DELTAS_KEPT 512	      /* deltas held for peers */
-#define DELTAS_READ 64	      /* deltas a read */
+#define POLL_MS 1500	/* pause between reads of the platform */
+#define GOSSIP_MS 700	/* pause between exchanges with peers */
+#define GOSSIP_FANOUT 3 /* peers of the own failure domain a round */
+#define CALL_MS 1000	/* deadline of one exchange */
+#define HEARD_MS 4000	/* a peer silent for longer is not counted as live */
+#define NOTE_MS 20000	/* a note lapses unless it is renewed */
+#define DELTAS_KEPT 512 /* deltas held for peers */
+#define DELTAS_READ 64	/* deltas a read */
 
 struct note {
 	char *server;
@@ -366,8 +366,8 @@
 		peer->heard_at = base_now();
 		peer->incarnation = g->incarnation;
 		peer->is_draining = g->draining;
-		if (peer->client && (g->catalogue_version > c->version ||
-				     g->vm_list_version > c->vm_version))
+		if (peer->client &&
+		    (g->catalogue_version > c->version || g->vm_list_version > c->vm_version))
 			pull_from(c, peer->client);
 	}
 	for (u_int i = 0; i < g->notes.notes_len; i++)
@@ -473,8 +473,8 @@
 	cl_pull_res res = {.catalogue_version = c->version, .vm_list_version = c->vm_version};
 
 	if (args->catalogue_version < c->version) {
-		bool has_all = first && base_json_int(first, "version", 0) <=
-						args->catalogue_version + 1;
+		bool has_all =
+			first && base_json_int(first, "version", 0) <= args->catalogue_version + 1;
 
 		if (has_all && args->catalogue_version > 0)
 			json_object_set(doc, "deltas", c->deltas);
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -57,8 +57,8 @@
 		httpd_kick(server);
 }
 
-static void on_kick(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_immediate *im G_GNUC_UNUSED,
-		    void *data)
+static void on_kick(struct tevent_context *ev G_GNUC_UNUSED,
+		    struct tevent_immediate *im G_GNUC_UNUSED, void *data)
 {
 	struct httpd *server = data;
 
@@ -75,8 +75,9 @@
 	tevent_schedule_immediate(server->kick, server->ev, on_kick, server);
 }
 
-static void on_readable(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_fd *fde G_GNUC_UNUSED,
-			uint16_t flags G_GNUC_UNUSED, void *data)
+static void on_readable(struct tevent_context *ev G_GNUC_UNUSED,
+			struct tevent_fd *fde G_GNUC_UNUSED, uint16_t flags G_GNUC_UNUSED,
+			void *data)
 {
 	httpd_run(data);
 }
@@ -227,20 +228,19 @@
 	server->data = data;
 	server->kick = tevent_create_immediate(server);
 	server->mhd = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, opt->port, NULL,
-		NULL, on_access, server, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
-		MHD_OPTION_ARRAY, reuse,
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, opt->port, NULL, NULL, on_access, server,
+		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa, MHD_OPTION_ARRAY, reuse,
 		MHD_OPTION_CONNECTION_LIMIT, opt->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
 		opt->idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTPD_CONNECTION_MEMORY,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-		NULL, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-		1024U, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, NULL, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
 	if (!server->mhd)
 		goto fail;
 	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_EPOLL_FD);
 	if (!info)
 		goto fail;
-	server->fde = tevent_add_fd(ev, server, info->epoll_fd, TEVENT_FD_READ, on_readable, server);
+	server->fde =
+		tevent_add_fd(ev, server, info->epoll_fd, TEVENT_FD_READ, on_readable, server);
 	tevent_add_timer(ev, server, base_timeval_in_ms(HTTPD_TICK_MS), on_tick, server);
 	talloc_set_destructor(server, httpd_destructor);
 	return server;
@@ -298,7 +298,8 @@
 	call->status = status;
 	MHD_add_response_header(call->response, "Content-Type", "application/json");
 	for (unsigned int i = 0; i < call->headers; i++)
-		MHD_add_response_header(call->response, call->header[i].name, call->header[i].value);
+		MHD_add_response_header(call->response, call->header[i].name,
+					call->header[i].value);
 	call_finish(call);
 }
 
--- a/lib/inbox/inbox.c
+++ b/lib/inbox/inbox.c
@@ -64,8 +64,8 @@
 
 	do {
 		msg->next = old;
-	} while (!atomic_compare_exchange_weak_explicit(&inbox->head, &old, msg,
-							memory_order_release, memory_order_relaxed));
+	} while (!atomic_compare_exchange_weak_explicit(
+		&inbox->head, &old, msg, memory_order_release, memory_order_relaxed));
 	/* only the push onto an empty list has to wake the thread */
 	if (!old && write(inbox->fd, &one, sizeof(one)) < 0)
 		errno = 0;
--- a/lib/onc/onc.c
+++ b/lib/onc/onc.c
@@ -148,9 +148,9 @@
 	wire->owner = owner;
 	wire->is_connecting = is_connecting;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	wire->fde = tevent_add_fd(ev, wire, fd,
-				  TEVENT_FD_READ | (is_connecting ? TEVENT_FD_WRITE : 0),
-				  on_wire_event, wire);
+	wire->fde =
+		tevent_add_fd(ev, wire, fd, TEVENT_FD_READ | (is_connecting ? TEVENT_FD_WRITE : 0),
+			      on_wire_event, wire);
 	talloc_set_destructor(wire, wire_destructor);
 	return wire;
 }
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#define PLATFORM_TRY_MS 700	   /* one try; several fit into an ordinary deadline */
-#define PLATFORM_RETRY_BASE_MS 40  /* first pause between tries */
+#define PLATFORM_TRY_MS 700	    /* one try; several fit into an ordinary deadline */
+#define PLATFORM_RETRY_BASE_MS 40   /* first pause between tries */
 #define PLATFORM_RETRY_LIMIT_MS 400 /* longest pause between tries */
 
 struct platform {
@@ -139,7 +139,8 @@
 
 static void tx_retry(struct tx_op *op)
 {
-	int64_t pause_ms = MIN(PLATFORM_RETRY_BASE_MS << MIN(op->tries, 8U), PLATFORM_RETRY_LIMIT_MS);
+	int64_t pause_ms =
+		MIN(PLATFORM_RETRY_BASE_MS << MIN(op->tries, 8U), PLATFORM_RETRY_LIMIT_MS);
 
 	pause_ms = pause_ms / 2 + (int64_t)(base_random64() % (uint64_t)pause_ms);
 	if (base_remaining_ms(op->deadline) <= pause_ms) {
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -13,12 +13,12 @@
 #define LEARN_SHARE 0.2		      /* weight of the newest observation */
 #define RATIO_MIN 0.05
 #define RATIO_MAX 20.0
-#define INDEXES 3
-#define PATIENCE_STEPS 20 /* weight 0 waits six times as long as weight 100 */
+#define INDEXES 2
+#define PATIENCE_STEPS 20	  /* weight 0 waits six times as long as weight 100 */
 #define KEPT_RACK_PENALTY 1000000 /* a kept rack is chosen last */
 
 /* what the units of a rack are counted over */
-enum unit_index { UNITS_FREE, UNITS_OPEN, UNITS_EVER };
+enum unit_index { UNITS_FREE, UNITS_OPEN };
 
 /* a workspace's accelerators on one server */
 struct holding {
@@ -33,6 +33,7 @@
 	int rack;
 	int64_t cap;
 	bool usable;
+	bool expected; /* in the fleet, though perhaps away now */
 	int64_t used;
 	struct holding *holdings;
 	unsigned int holding_count;
@@ -91,7 +92,7 @@
 	GSequenceIter *queue_pos;
 	bool is_new;
 	bool is_backfill; /* started in racks kept for another job, which may stop it */
-	int stage; /* enum stage of its placement */
+	int stage;	  /* enum stage of its placement */
 	void *user;
 };
 
@@ -112,7 +113,8 @@
 	struct policy_job *reservation;
 	int64_t reservation_start;
 	GQueue decisions;
-	int64_t total;
+	int64_t total;	  /* accelerators of usable servers */
+	int64_t expected; /* ... and of those that are away for now */
 	int64_t placed;
 	int64_t now;
 	int64_t costly_used; /* by work that urgent jobs cannot or should not stop */
@@ -212,12 +214,12 @@
 
 	now[UNITS_FREE] = server_free(s);
 	now[UNITS_OPEN] = MAX(MIN(now[UNITS_FREE], server_open(s)), 0);
-	now[UNITS_EVER] = MAX(server_unreserved(s), 0);
 	for (int k = 0; k < INDEXES; k++) {
 		if (now[k] == s->indexed[k])
 			continue;
 		for (int64_t a = 1; a <= POLICY_ACCELERATORS_MAX; a++)
-			*units_at(p, (enum unit_index)k, a, s->rack) += now[k] / a - s->indexed[k] / a;
+			*units_at(p, (enum unit_index)k, a, s->rack) +=
+				now[k] / a - s->indexed[k] / a;
 		s->indexed[k] = now[k];
 	}
 }
@@ -372,9 +374,11 @@
 }
 
 void policy_server_set(struct policy *p, const char *id, const char *rack, int64_t accelerators,
-		       bool usable)
+		       enum policy_server_state state)
 {
 	int index = server_find(p, id);
+	bool usable = state == POLICY_SERVER_USABLE;
+	bool expected = state != POLICY_SERVER_GONE;
 	struct server *s;
 	int none = 0;
 
@@ -391,9 +395,11 @@
 		g_array_append_val(rack_at(p, s->rack)->servers, none);
 	} else {
 		s = server_at(p, index);
-		if (s->usable == usable)
-			return;
 	}
+	p->expected += ((int)expected - (int)s->expected) * s->cap;
+	s->expected = expected;
+	if (s->usable == usable)
+		return;
 	p->total += usable ? s->cap : -s->cap;
 	s->usable = usable;
 	server_reindex(p, s);
@@ -780,7 +786,8 @@
 	for (guint r = 0; q->stage == STAGE_RESERVED && r < q->p->racks->len; r++) {
 		const GArray *servers = rack_at(q->p, (int)r)->servers;
 
-		for (guint i = 0; g_array_index(q->p->reserved_rack, char, r) && i < servers->len; i++)
+		for (guint i = 0; g_array_index(q->p->reserved_rack, char, r) && i < servers->len;
+		     i++)
 			add_extra(q, server_at(q->p, g_array_index(servers, int, i)), sign);
 	}
 }
@@ -1011,7 +1018,8 @@
 	for (guint k = 0; k < s->jobs->len; k++) {
 		const struct policy_job *other = g_ptr_array_index(s->jobs, k);
 
-		for (unsigned int j = 0; other->state == POLICY_STOPPING && j < other->place_count; j++)
+		for (unsigned int j = 0; other->state == POLICY_STOPPING && j < other->place_count;
+		     j++)
 			if (other->place_servers[j] == index)
 				sum += other->places[j].tasks * other->spec.accelerators;
 	}
@@ -1127,7 +1135,8 @@
 	memset(p->reserved_rack->data, 0, p->reserved_rack->len);
 }
 
-static int64_t rack_units_ever(const struct search *q, int rack)
+/* with everything stopped; @usable leaves out servers that are away now */
+static int64_t rack_units_ever(const struct search *q, int rack, bool usable)
 {
 	const GArray *list = rack_at(q->p, rack)->servers;
 	const struct policy_job *job = q->job;
@@ -1136,10 +1145,11 @@
 	for (guint i = 0; i < list->len; i++) {
 		const struct server *s = server_at(q->p, g_array_index(list, int, i));
 		const struct holding *h = holding_find(s, job->ws);
-		int64_t room = s->usable ? s->cap : 0;
+		int64_t room = (usable ? s->usable : s->expected) ? s->cap : 0;
 
-		if (!job->spec.checkpointable)
-			room = MAX(server_unreserved(s), 0) + (h && s->usable ? h->reserved : 0);
+		/* cells leave a server that goes away, so all of that one counts */
+		if (!job->spec.checkpointable && s->usable)
+			room = MAX(server_unreserved(s), 0) + (h ? h->reserved : 0);
 		units += room / job->spec.accelerators;
 	}
 	return units;
@@ -1155,7 +1165,7 @@
 	bool single = false;
 
 	for (guint r = 0; r < p->racks->len; r++) {
-		int64_t units = rack_units_ever(&q, (int)r);
+		int64_t units = rack_units_ever(&q, (int)r, true);
 		/* sorts by the second value when the first is equal: earliest to drain */
 		int64_t pair[2] = {-rack_at(p, (int)r)->busy_until, r};
 
@@ -1167,7 +1177,7 @@
 			g_array_append_vals(order, pair, 1);
 	}
 	for (guint i = 0; i < order->len; i++)
-		fits += rack_units_ever(&q, (int)((int64_t *)(void *)order->data)[2 * i + 1]);
+		fits += rack_units_ever(&q, (int)((int64_t *)(void *)order->data)[2 * i + 1], true);
 	/* servers may have died since it was admitted; racks kept for nothing starve all */
 	if (fits < left || (job->spec.one_rack && !single)) {
 		g_array_free(order, TRUE);
@@ -1181,7 +1191,7 @@
 
 		g_array_index(p->reserved_rack, char, pair[1]) = 1;
 		p->reservation_start = MAX(p->reservation_start, -pair[0]);
-		left -= rack_units_ever(&q, (int)pair[1]);
+		left -= rack_units_ever(&q, (int)pair[1], true);
 	}
 	job->wait = POLICY_WAIT_RESERVATION;
 	g_array_free(order, TRUE);
@@ -1193,6 +1203,12 @@
 	return p->total * (100 - p->opt.urgent_percent) / 100;
 }
 
+/* a share of the whole fleet, so that it does not shrink while servers are away */
+static int64_t share_limit(const struct policy *p, const struct policy_spec *spec)
+{
+	return p->expected * spec->share_percent / 100;
+}
+
 static bool is_over_quota(const struct policy *p, const struct policy_job *job)
 {
 	const struct workspace *ws = workspace_at(p, job->ws);
@@ -1200,7 +1216,7 @@
 
 	if (ws->quota && ws->used + need > ws->quota)
 		return true;
-	return job->spec.kind_quota && job->kind->used + need > job->spec.kind_quota;
+	return share_limit(p, &job->spec) && job->kind->used + need > share_limit(p, &job->spec);
 }
 
 static void mark_backfill(const struct search *q, int64_t now)
@@ -1478,12 +1494,14 @@
 	if (spec->accelerators < 1 || spec->accelerators > POLICY_ACCELERATORS_MAX ||
 	    spec->tasks < 1 || spec->tasks > POLICY_GANG_MAX)
 		return false;
-	if (is_costly(spec) && need > MAX(costly_limit(p), ws->reserved))
+	if (is_costly(spec) &&
+	    need > MAX(p->expected * (100 - p->opt.urgent_percent) / 100, ws->reserved))
 		return false;
-	if ((ws->quota && need > ws->quota) || (spec->kind_quota && need > spec->kind_quota))
+	if ((ws->quota && need > ws->quota) ||
+	    (share_limit(p, spec) && need > share_limit(p, spec)))
 		return false;
 	for (guint r = 0; r < p->racks->len; r++) {
-		int64_t units = rack_units_ever(&q, (int)r);
+		int64_t units = rack_units_ever(&q, (int)r, false);
 
 		sum += units;
 		most = MAX(most, units);
@@ -1625,16 +1643,44 @@
 				held += job->places[j].tasks * job->spec.accelerators;
 	}
 	if (held != used || used != s->used)
-		return talloc_asprintf(ctx, "%s: use is %" PRId64 ", holdings say %" PRId64
-				       ", jobs say %" PRId64, s->id, s->used, used, held);
+		return talloc_asprintf(
+			ctx, "%s: use is %" PRId64 ", holdings say %" PRId64 ", jobs say %" PRId64,
+			s->id, s->used, used, held);
 	if (s->usable && firm_or_reserved > s->cap)
 		return talloc_asprintf(ctx, "%s: reserved or firm %" PRId64 " of %" PRId64, s->id,
 				       firm_or_reserved, s->cap);
 	return NULL;
 }
 
+/* totals of workspaces and kinds against what servers hold */
+static char *check_totals(struct policy *p, TALLOC_CTX *ctx)
+{
+	int64_t used = 0;
+	int64_t by_workspace = 0;
+	int64_t by_kind = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < p->servers->len; i++)
+		used += server_at(p, (int)i)->used;
+	for (guint i = 0; i < p->workspaces->len; i++)
+		by_workspace += workspace_at(p, i)->used;
+	g_hash_table_iter_init(&iter, p->kinds);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		by_kind += ((struct kind *)value)->used;
+	if (used == by_workspace && used == by_kind)
+		return NULL;
+	return talloc_asprintf(ctx,
+			       "servers hold %" PRId64 ", workspaces %" PRId64 ", kinds %" PRId64,
+			       used, by_workspace, by_kind);
+}
+
 char *policy_check(struct policy *p, TALLOC_CTX *ctx)
 {
+	char *totals = check_totals(p, ctx);
+
+	if (totals)
+		return totals;
 	for (guint i = 0; i < p->servers->len; i++) {
 		char *wrong = check_server(p, server_at(p, (int)i), ctx);
 
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -75,7 +75,7 @@
  * @one_rack: refuse to spread over several racks
  * @checkpointable: can be stopped and resumed, so it may borrow
  * @run_ms: declared run time
- * @kind_quota: most accelerators of this kind in use at once, 0 for no limit
+ * @share_percent: most of the accelerators that this kind may use at once, 0 for no limit
  */
 struct policy_spec {
 	const char *id;
@@ -87,16 +87,16 @@
 	bool one_rack;
 	bool checkpointable;
 	int64_t run_ms;
-	int64_t kind_quota;
+	int64_t share_percent;
 };
 
 /* why a job is not running; also shown to operators */
-#define POLICY_WAITS(X)                                                                            \
-	X(POLICY_WAIT_NONE, "not waiting")                                                         \
-	X(POLICY_WAIT_NEW, "not looked at yet")                                                    \
-	X(POLICY_WAIT_CAPACITY, "no accelerators free in a fitting shape")                         \
-	X(POLICY_WAIT_QUOTA, "the workspace or kind is at its limit")                              \
-	X(POLICY_WAIT_RESERVATION, "racks are kept for this job until they drain")                 \
+#define POLICY_WAITS(X)                                                            \
+	X(POLICY_WAIT_NONE, "not waiting")                                         \
+	X(POLICY_WAIT_NEW, "not looked at yet")                                    \
+	X(POLICY_WAIT_CAPACITY, "no accelerators free in a fitting shape")         \
+	X(POLICY_WAIT_QUOTA, "the workspace or kind is at its limit")              \
+	X(POLICY_WAIT_RESERVATION, "racks are kept for this job until they drain") \
 	X(POLICY_WAIT_RECLAIM, "borrowed work is being stopped for this job")
 
 enum policy_wait {
@@ -138,9 +138,15 @@
 
 struct policy *policy_new(TALLOC_CTX *ctx, const struct policy_options *opt);
 
+enum policy_server_state {
+	POLICY_SERVER_GONE,   /* will not come back */
+	POLICY_SERVER_AWAY,   /* takes no new work now, but is expected to */
+	POLICY_SERVER_USABLE, /* takes new work */
+};
+
 /** policy_server_set() - add a server or change whether it takes new work */
 void policy_server_set(struct policy *p, const char *id, const char *rack, int64_t accelerators,
-		       bool usable);
+		       enum policy_server_state state);
 /** policy_workspaces_set() - replace all workspaces and bind their cells; bound ones stay */
 void policy_workspaces_set(struct policy *p, const struct policy_workspace *list,
 			   unsigned int count);
--- a/src/cli.c
+++ b/src/cli.c
@@ -70,7 +70,8 @@
 	wait->is_done = true;
 }
 
-enum platform_result cli_tx(struct cli *cli, const struct platform_write *writes, unsigned int count)
+enum platform_result cli_tx(struct cli *cli, const struct platform_write *writes,
+			    unsigned int count)
 {
 	struct tx_wait wait = {0};
 
@@ -128,15 +129,18 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_str *platform = arg_str0(NULL, "platform", "IP:PORT", "the platform's table service");
-	struct arg_str *by = arg_str0(NULL, "by", "NAME", "operator named in the log (the user's name)");
+	struct arg_str *platform =
+		arg_str0(NULL, "platform", "IP:PORT", "the platform's table service");
+	struct arg_str *by =
+		arg_str0(NULL, "by", "NAME", "operator named in the log (the user's name)");
 	struct arg_str *note = arg_str0(NULL, "note", "TEXT", "reason named in the log");
 	struct arg_int *base = arg_int0(NULL, "base", "N", "version that your files start from");
 	struct arg_int *limit = arg_int0(NULL, "limit", "N", "versions shown by log (20)");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_str *words = arg_strn(NULL, NULL, "WORD", 0, ARGUMENTS_MAX, "command, see above");
+	struct arg_str *words =
+		arg_strn(NULL, NULL, "WORD", 0, ARGUMENTS_MAX, "command, see above");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {platform, by, note, base, limit, json, version, help, words, end};
 	int errors = arg_parse(argc, argv, table);
@@ -154,7 +158,8 @@
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	cli = cli_new(platform->count ? platform->sval[0] : NULL,
-		      by->count ? by->sval[0] : g_get_user_name(), note->count ? note->sval[0] : "");
+		      by->count ? by->sval[0] : g_get_user_name(),
+		      note->count ? note->sval[0] : "");
 	if (!cli)
 		return EXIT_USAGE;
 	cli->json = json->count > 0;
--- a/src/cli.h
+++ b/src/cli.h
@@ -13,10 +13,10 @@
 
 /* exit codes, for scripts */
 #define EXIT_OK 0
-#define EXIT_FAULT 1    /* faults in the files, or differences found by diff */
+#define EXIT_FAULT 1 /* faults in the files, or differences found by diff */
 #define EXIT_USAGE 2
 #define EXIT_CONFLICT 3 /* another operator was first */
-#define EXIT_AWAY 4     /* a service did not answer */
+#define EXIT_AWAY 4	/* a service did not answer */
 
 #define CLI_DEADLINE_MS 8000
 
@@ -54,7 +54,8 @@
 struct cli_row cli_read(struct cli *cli, const char *table, const char *key);
 struct cli_row cli_scan(struct cli *cli, const char *table, const char *prefix, const char *after);
 struct cli_row cli_vms(struct cli *cli);
-enum platform_result cli_tx(struct cli *cli, const struct platform_write *writes, unsigned int count);
+enum platform_result cli_tx(struct cli *cli, const struct platform_write *writes,
+			    unsigned int count);
 
 /* cli_catalogue.c: each returns an exit code */
 int cli_catalogue(struct cli *cli, const char *verb, const char *argument);
--- a/src/cli_catalogue.c
+++ b/src/cli_catalogue.c
@@ -108,8 +108,8 @@
 	char *text = g_strdup_printf("%" PRId64 "\n", version);
 
 	if (!g_file_set_contents(path, text, -1, NULL))
-		fprintf(stderr, "warning: cannot write %s; give --base %" PRId64 " next time\n", path,
-			version);
+		fprintf(stderr, "warning: cannot write %s; give --base %" PRId64 " next time\n",
+			path, version);
 	g_free(text);
 	g_free(path);
 }
@@ -136,7 +136,8 @@
 	} else {
 		text = catalogue_diff_text(cli, json_object_get(delta, "changes"));
 		printf("version %" PRId64 ", %s, by %s: %s\n%s", base_json_int(delta, "version", 0),
-		       when, base_json_str(delta, "by", "?"), base_json_str(delta, "note", ""), text);
+		       when, base_json_str(delta, "by", "?"), base_json_str(delta, "note", ""),
+		       text);
 	}
 	talloc_free(text);
 	g_free(when);
@@ -169,9 +170,9 @@
 	int64_t version = h->version + 1;
 	char *key = catalogue_delta_key(cli, version);
 	json_t *head = json_pack("{sI}", "version", (json_int_t)version);
-	json_t *delta = json_pack("{sI ss ss sI sO}", "version", (json_int_t)version, "by", cli->by,
-				  "note", cli->note, "at_us", (json_int_t)base_wall_us(), "changes",
-				  changes);
+	json_t *delta =
+		json_pack("{sI ss ss sI sO}", "version", (json_int_t)version, "by", cli->by, "note",
+			  cli->note, "at_us", (json_int_t)base_wall_us(), "changes", changes);
 	json_t *entries = json_copy(h->entries);
 	json_t *snapshot;
 	struct platform_write writes[3] = {
@@ -182,8 +183,8 @@
 
 	catalogue_change(entries, changes);
 	snapshot = json_pack("{sI so}", "version", (json_int_t)version, "entries", entries);
-	writes[2] = (struct platform_write){CATALOGUE_TABLE, CATALOGUE_SNAPSHOT, PLATFORM_EXPECT_ANY,
-					    snapshot, false};
+	writes[2] = (struct platform_write){CATALOGUE_TABLE, CATALOGUE_SNAPSHOT,
+					    PLATFORM_EXPECT_ANY, snapshot, false};
 	result = cli_tx(cli, writes, version % CATALOGUE_SNAPSHOT_EVERY == 0 ? 3 : 2);
 	json_decref(head);
 	json_decref(delta);
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -25,8 +25,8 @@
 {
 	struct fetch f = {0};
 	char *url = talloc_asprintf(cli, "http://%s/status", address);
-	struct httpc_options opt = {.method = "GET", .url = url,
-				    .deadline = base_deadline_in(CLI_DEADLINE_MS)};
+	struct httpc_options opt = {
+		.method = "GET", .url = url, .deadline = base_deadline_in(CLI_DEADLINE_MS)};
 
 	httpc_start(cli->http, &opt, on_fetched, &f);
 	while (!f.is_done)
@@ -64,7 +64,8 @@
 	json_array_foreach(json_object_get(doc, "servers"), i, v)
 		if (!base_json_bool(v, "takes_work", true) || base_json_bool(v, "avoided", false))
 			printf("  backend server %-16s %s\n", base_json_str(v, "id", ""),
-			       base_json_bool(v, "avoided", false) ? "quarantined" : "leaving or lost");
+			       base_json_bool(v, "avoided", false) ? "quarantined"
+								   : "leaving or lost");
 	json_array_foreach(json_object_get(doc, "peers"), i, v)
 		if (!base_json_bool(v, "live", true))
 			printf("  entry VM %-20s not heard\n", base_json_str(v, "id", ""));
@@ -90,7 +91,8 @@
 		} else {
 			printf("%s %s in %s: catalogue version %" PRId64 "%s\n",
 			       json_object_get(doc, "epoch") ? "schedd" : "entryd",
-			       base_json_str(doc, "vm", "?"), base_json_str(doc, "failure_domain", "?"),
+			       base_json_str(doc, "vm", "?"),
+			       base_json_str(doc, "failure_domain", "?"),
 			       base_json_int(doc, "catalogue_version", 0),
 			       base_json_bool(doc, "active", false) ? ", active" : "");
 			if (json_object_get(doc, "epoch"))
@@ -142,7 +144,8 @@
 	g_ptr_array_sort(spans, compare_spans);
 	for (guint i = 0; i < spans->len; i++) {
 		json_t *span = g_ptr_array_index(spans, i);
-		int64_t start = base_json_int(span, "end_us", 0) - base_json_int(span, "duration_us", 0);
+		int64_t start =
+			base_json_int(span, "end_us", 0) - base_json_int(span, "duration_us", 0);
 		char *text;
 
 		first = i ? first : start;
@@ -152,8 +155,9 @@
 			talloc_free(text);
 		} else {
 			printf("%10" PRId64 " us  %-14s %8" PRId64 " us  %-12s %s\n", start - first,
-			       base_json_str(span, "hop", ""), base_json_int(span, "duration_us", 0),
-			       base_json_str(span, "vm", ""), base_json_str(span, "note", ""));
+			       base_json_str(span, "hop", ""),
+			       base_json_int(span, "duration_us", 0), base_json_str(span, "vm", ""),
+			       base_json_str(span, "note", ""));
 		}
 		json_decref(span);
 	}
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -12,9 +12,9 @@
 
 #include "version.h"
 
-#define DRAIN_MS 1500	     /* time for the balancer to see that this VM is not ready */
+#define DRAIN_MS 1500 /* time for the balancer to see that this VM is not ready */
 #define IDLE_POLL_MS 50
-#define IDLE_ROUNDS 8	     /* idle this often in a row before the process ends */
+#define IDLE_ROUNDS 8 /* idle this often in a row before the process ends */
 #define OPERATORS_BODY_MAX 1024
 #define OPERATORS_CONNECTIONS_MAX 32
 #define OPERATORS_IDLE_S 30
@@ -70,11 +70,10 @@
 	for (unsigned int i = 0; i < v->server_count; i++) {
 		const struct view_server *s = &v->servers[i];
 
-		json_array_append_new(
-			list, json_pack("{ss sb si si sb}", "id", s->id, "takes_work", s->takes_work,
-					"share", s->share, "in_flight",
-					atomic_load(&s->health->in_flight), "avoided",
-					atomic_load(&s->health->avoid_until) > now));
+		json_array_append_new(list, json_pack("{ss sb si si sb}", "id", s->id, "takes_work",
+						      s->takes_work, "share", s->share, "in_flight",
+						      atomic_load(&s->health->in_flight), "avoided",
+						      atomic_load(&s->health->avoid_until) > now));
 	}
 	return list;
 }
--- a/src/entryd.h
+++ b/src/entryd.h
@@ -25,31 +25,31 @@
 #define ENTRYD_WORKERS_MAX 16
 #define ID_MAX 128
 
-#define ENTRYD_COUNTERS(X)                                                                         \
-	X(COUNT_REQUESTS, "requests_total")                                                        \
-	X(COUNT_DONE, "requests_done_total")                                                       \
-	X(COUNT_FAILED, "requests_failed_total")                                                   \
-	X(COUNT_NOT_RUN, "requests_not_run_total")                                                 \
-	X(COUNT_UNKNOWN, "requests_unknown_total")                                                 \
-	X(COUNT_BAD_INPUT, "requests_bad_input_total")                                             \
-	X(COUNT_RETRIES, "retries_total")                                                          \
-	X(COUNT_BUDGET_EMPTY, "retries_over_budget_total")                                         \
-	X(COUNT_SETTLED, "requests_settled_by_status_total")                                       \
-	X(COUNT_HANDED_OVER, "requests_handed_to_owner_total")                                     \
-	X(COUNT_EXPIRED, "requests_expired_in_queue_total")                                        \
-	X(COUNT_SHED, "requests_shed_total")                                                       \
-	X(COUNT_QUARANTINES, "backend_quarantines_total")                                          \
-	X(COUNT_CLAIMS, "idempotency_claims_total")                                                \
-	X(COUNT_JOBS, "jobs_submitted_total")                                                      \
-	X(COUNT_RENEWALS, "lease_renewals_total")                                                  \
-	X(COUNT_RENEWALS_FAILED, "lease_renewals_failed_total")                                    \
+#define ENTRYD_COUNTERS(X)                                      \
+	X(COUNT_REQUESTS, "requests_total")                     \
+	X(COUNT_DONE, "requests_done_total")                    \
+	X(COUNT_FAILED, "requests_failed_total")                \
+	X(COUNT_NOT_RUN, "requests_not_run_total")              \
+	X(COUNT_UNKNOWN, "requests_unknown_total")              \
+	X(COUNT_BAD_INPUT, "requests_bad_input_total")          \
+	X(COUNT_RETRIES, "retries_total")                       \
+	X(COUNT_BUDGET_EMPTY, "retries_over_budget_total")      \
+	X(COUNT_SETTLED, "requests_settled_by_status_total")    \
+	X(COUNT_HANDED_OVER, "requests_handed_to_owner_total")  \
+	X(COUNT_EXPIRED, "requests_expired_in_queue_total")     \
+	X(COUNT_SHED, "requests_shed_total")                    \
+	X(COUNT_QUARANTINES, "backend_quarantines_total")       \
+	X(COUNT_CLAIMS, "idempotency_claims_total")             \
+	X(COUNT_JOBS, "jobs_submitted_total")                   \
+	X(COUNT_RENEWALS, "lease_renewals_total")               \
+	X(COUNT_RENEWALS_FAILED, "lease_renewals_failed_total") \
 	X(COUNT_TASKS_NOT_RENEWED, "lease_renewals_withheld_total")
 
 enum entryd_counter {
 #define X(id, name) id,
 	ENTRYD_COUNTERS(X)
 #undef X
-	COUNT_END
+		COUNT_END
 };
 
 /**
@@ -118,9 +118,9 @@
 	struct inbox *inbox;
 	GHashTable *requests; /* id to struct request, those this worker owns */
 	GQueue queues[CLASS_COUNT];
-	GQueue running;	  /* dispatched and not ended */
+	GQueue running; /* dispatched and not ended */
 	unsigned int running_before;
-	int64_t sweep_at; /* when forgotten requests are looked for */
+	int64_t sweep_at;	      /* when forgotten requests are looked for */
 	_Atomic unsigned int waiting; /* sum of the queues' lengths */
 	GHashTable *kinds;	      /* name to struct kind_stats */
 	GHashTable *onc_clients;      /* "ip:port" to struct onc_client */
--- a/src/entryd_jobs.c
+++ b/src/entryd_jobs.c
@@ -9,10 +9,10 @@
 
 #include <string.h>
 
-#define CALL_MS 1200	      /* one try with one scheduler */
-#define SUBMIT_MS 12000	      /* longer than a takeover */
-#define ROUND_PAUSE_MS 200    /* after all schedulers of the failure domain were tried */
-#define POLL_MS 200	      /* between looks at a job somebody waits for */
+#define CALL_MS 1200	   /* one try with one scheduler */
+#define SUBMIT_MS 12000	   /* longer than a takeover */
+#define ROUND_PAUSE_MS 200 /* after all schedulers of the failure domain were tried */
+#define POLL_MS 200	   /* between looks at a job somebody waits for */
 #define WAIT_MAX_MS 60000
 #define SCHEDS_MAX 64
 #define KEY_SEED 0x6a6f62ULL
@@ -178,7 +178,8 @@
 static void call_try(struct job_call *c)
 {
 	char parent[TRACE_PARENT_LEN + 1];
-	cl_job_args args = {.id = c->id, .spec = c->spec ? c->spec : (char *)"", .traceparent = parent};
+	cl_job_args args = {
+		.id = c->id, .spec = c->spec ? c->spec : (char *)"", .traceparent = parent};
 	int64_t try_deadline = MIN(base_deadline_in(CALL_MS), c->deadline);
 
 	if (base_now() >= c->deadline) {
@@ -243,9 +244,11 @@
 	bool is_domain_known = false;
 
 	for (unsigned int i = 0; i < v->peer_count; i++)
-		is_domain_known = is_domain_known || !strcmp(v->peers[i].failure_domain, b->failure_domain);
+		is_domain_known =
+			is_domain_known || !strcmp(v->peers[i].failure_domain, b->failure_domain);
 	if (!b->workspace || !catalogue_find_workspace(v->catalogue, b->workspace))
-		return (struct fault){"workspace", "expected the name of a workspace in the catalogue"};
+		return (struct fault){"workspace",
+				      "expected the name of a workspace in the catalogue"};
 	if (!kind || strcmp(kind->workspace, b->workspace))
 		return (struct fault){"kind", "expected the name of a kind of this workspace"};
 	if (kind->work != WORK_JOB)
@@ -265,10 +268,10 @@
 
 static json_t *spec_json(const struct job_body *b, const struct catalogue_kind *kind)
 {
-	return json_pack("{ss ss ss sI sI sI sb sb sb sI sI sO?}", "workspace", b->workspace, "kind",
-			 b->kind_name, "class", base_class_name(kind->cls), "tasks",
-			 (json_int_t)b->tasks, "accelerators", (json_int_t)b->accelerators, "run_ms",
-			 (json_int_t)b->run_ms, "one_rack", !strcmp(b->together, "rack"),
+	return json_pack("{ss ss ss sI sI sI sb sb sb sI sI sO?}", "workspace", b->workspace,
+			 "kind", b->kind_name, "class", base_class_name(kind->cls), "tasks",
+			 (json_int_t)b->tasks, "accelerators", (json_int_t)b->accelerators,
+			 "run_ms", (json_int_t)b->run_ms, "one_rack", !strcmp(b->together, "rack"),
 			 "checkpointable", kind->checkpointable, "idempotent", kind->idempotent,
 			 "max_run_ms", (json_int_t)(kind->run_s * BASE_MS_PER_S), "share_percent",
 			 (json_int_t)kind->share_percent, "payload",
@@ -286,10 +289,11 @@
 	b->workspace = base_json_str(b->doc, "workspace", NULL);
 	b->kind_name = base_json_str(b->doc, "kind", NULL);
 	b->tasks = base_json_int(b->doc, "tasks", json_object_get(b->doc, "tasks") ? 0 : 1);
-	b->accelerators =
-		base_json_int(b->doc, "accelerators", json_object_get(b->doc, "accelerators") ? 0 : 1);
+	b->accelerators = base_json_int(b->doc, "accelerators",
+					json_object_get(b->doc, "accelerators") ? 0 : 1);
 	b->run_ms = base_json_int(b->doc, "run_ms", 0);
-	b->together = base_json_str(b->doc, "together", json_object_get(b->doc, "together") ? "" : "any");
+	b->together =
+		base_json_str(b->doc, "together", json_object_get(b->doc, "together") ? "" : "any");
 	b->failure_domain =
 		base_json_str(b->doc, "failure_domain", w->entryd->settings->failure_domain);
 	return true;
@@ -358,7 +362,7 @@
 	}
 	c = call_new(w, http, !strcmp(http->method, "GET") ? JOB_STATE : JOB_CANCEL, path + 1);
 	if (wait)
-		c->wait_deadline = base_deadline_in(
-			CLAMP(g_ascii_strtoll(wait, NULL, 10), 0, WAIT_MAX_MS));
+		c->wait_deadline =
+			base_deadline_in(CLAMP(g_ascii_strtoll(wait, NULL, 10), 0, WAIT_MAX_MS));
 	call_try(c);
 }
--- a/src/entryd_requests.c
+++ b/src/entryd_requests.c
@@ -10,15 +10,15 @@
 
 #include <string.h>
 
-#define QUEUE_MAX 2000		/* requests of one class waiting in one worker */
-#define TRIED_MAX 4		/* backend servers tried for one request */
-#define SETTLE_GRACE_MS 1500	/* callers wait this long past the deadline for certainty */
-#define SETTLE_MS 30000		/* a kept request is settled for this long */
-#define SETTLE_PAUSE_MS 100	/* pause between questions about a request */
-#define STATUS_CALL_MS 700	/* deadline of one question */
-#define KEEP_MS 600000		/* outcomes of kept requests are remembered for this long */
-#define PROBE_MIN_MS 150	/* an answer is never suspected to be lost before this */
-#define PROBE_SERVICE_FACTOR 4	/* ... nor before this many times the usual service time */
+#define QUEUE_MAX 2000	       /* requests of one class waiting in one worker */
+#define TRIED_MAX 4	       /* backend servers tried for one request */
+#define SETTLE_GRACE_MS 1500   /* callers wait this long past the deadline for certainty */
+#define SETTLE_MS 30000	       /* a kept request is settled for this long */
+#define SETTLE_PAUSE_MS 100    /* pause between questions about a request */
+#define STATUS_CALL_MS 700     /* deadline of one question */
+#define KEEP_MS 600000	       /* outcomes of kept requests are remembered for this long */
+#define PROBE_MIN_MS 150       /* an answer is never suspected to be lost before this */
+#define PROBE_SERVICE_FACTOR 4 /* ... nor before this many times the usual service time */
 #define FAILURES_TO_QUARANTINE 5
 #define LOSSES_TO_AVOID 2
 #define QUARANTINE_MS 2000
@@ -26,8 +26,8 @@
 #define AVOID_MS 500
 #define RETRY_TOKENS_MAX 50.0
 #define RETRY_TOKENS_PER_REQUEST 0.1
-#define STATS_SHARE 0.1		/* weight of the newest observation */
-#define KIND_FAILS_RATIO 0.5	/* a kind failing more often is blamed itself */
+#define STATS_SHARE 0.1	     /* weight of the newest observation */
+#define KIND_FAILS_RATIO 0.5 /* a kind failing more often is blamed itself */
 
 enum request_state { REQUEST_QUEUED, REQUEST_RUNNING, REQUEST_SETTLING, REQUEST_ENDED };
 
@@ -576,7 +576,8 @@
 	r->is_kept = spec->is_kept;
 	r->payload = talloc_strdup(r, spec->payload);
 	r->deadline = spec->deadline;
-	r->settle_deadline = spec->deadline + (spec->is_kept ? SETTLE_MS : SETTLE_GRACE_MS) * BASE_NS_PER_MS;
+	r->settle_deadline =
+		spec->deadline + (spec->is_kept ? SETTLE_MS : SETTLE_GRACE_MS) * BASE_NS_PER_MS;
 	r->span = trace_begin(spec->traceparent);
 	r->stats = stats_get(w, r->kind);
 	r->reason = "";
@@ -591,7 +592,8 @@
 		finish(r, OUTCOME_NOT_RUN, "the workspace is at its limit of requests", NULL);
 	} else if (is_hopeless(w, r)) {
 		count(w, COUNT_SHED);
-		finish(r, OUTCOME_NOT_RUN, "overloaded: it would not be done by its deadline", NULL);
+		finish(r, OUTCOME_NOT_RUN, "overloaded: it would not be done by its deadline",
+		       NULL);
 	} else {
 		g_queue_push_tail(&w->queues[r->cls], r);
 		atomic_fetch_add(&w->waiting, 1);
@@ -651,8 +653,8 @@
 		l = l->next; /* the request may end below */
 		expire_waiters(w, r, now);
 		if (now >= r->settle_deadline)
-			finish(r, OUTCOME_UNKNOWN, "no word from the backend server by the deadline",
-			       NULL);
+			finish(r, OUTCOME_UNKNOWN,
+			       "no word from the backend server by the deadline", NULL);
 		else if (now >= r->probe_at)
 			ask(r, r->state == REQUEST_SETTLING);
 	}
@@ -727,8 +729,10 @@
 static void on_orphan_state(const struct backend_reply *reply, void *data)
 {
 	struct orphan *o = data;
-	struct outcome_msg msg = {OUTCOME_UNKNOWN, "the owner of the request is gone and not every "
-						   "backend server could be asked", NULL};
+	struct outcome_msg msg = {OUTCOME_UNKNOWN,
+				  "the owner of the request is gone and not every "
+				  "backend server could be asked",
+				  NULL};
 
 	o->open--;
 	if (reply->type == BACKEND_STATE && reply->state == BACKEND_CANCELLED)
--- a/src/entryd_view.c
+++ b/src/entryd_view.c
@@ -95,7 +95,8 @@
 
 	v->catalogue = catalogue_new(v, cluster_entries(e->cluster), cluster_version(e->cluster));
 	add_peers(e, v);
-	v->servers = talloc_zero_array(v, struct view_server, (unsigned int)json_array_size(vms) + 1);
+	v->servers =
+		talloc_zero_array(v, struct view_server, (unsigned int)json_array_size(vms) + 1);
 	json_array_foreach(vms, i, vm)
 		add_server(e, v, vm);
 	v->is_ready = cluster_is_ready(e->cluster);
--- a/src/entryd_worker.c
+++ b/src/entryd_worker.c
@@ -50,8 +50,9 @@
 static void reply_outcome(struct worker *w, struct httpd_request *http, const char *id,
 			  const struct outcome_msg *msg)
 {
-	char *text = talloc_asprintf(http, "{\"id\":\"%s\",\"outcome\":\"%s\",\"reason\":\"%s\","
-					   "\"answer\":%s}",
+	char *text = talloc_asprintf(http,
+				     "{\"id\":\"%s\",\"outcome\":\"%s\",\"reason\":\"%s\","
+				     "\"answer\":%s}",
 				     id, base_outcome_name(msg->outcome), msg->reason,
 				     msg->answer ? msg->answer : "null");
 
@@ -148,7 +149,8 @@
 		h->reason = msg->reason; /* always a constant */
 		h->answer = g_strdup(msg->answer);
 		h->msg.run = waiter->type == WAITER_PEER ? on_rpc_back : on_handover_back;
-		inbox_push(waiter->type == WAITER_PEER ? w->entryd->inbox : h->origin->inbox, &h->msg);
+		inbox_push(waiter->type == WAITER_PEER ? w->entryd->inbox : h->origin->inbox,
+			   &h->msg);
 		break;
 	}
 	talloc_free(waiter);
@@ -185,8 +187,8 @@
 {
 	const struct settings *s = w->entryd->settings;
 
-	g_snprintf(out, ID_MAX, "%s.%s.%" PRIx64 ".%u.%" PRIx64 ".%" PRIx64, s->failure_domain, s->vm,
-		   w->entryd->incarnation, w->index, (int64_t)(base_now() / BASE_NS_PER_MS),
+	g_snprintf(out, ID_MAX, "%s.%s.%" PRIx64 ".%u.%" PRIx64 ".%" PRIx64, s->failure_domain,
+		   s->vm, w->entryd->incarnation, w->index, (int64_t)(base_now() / BASE_NS_PER_MS),
 		   ++w->next_sequence);
 }
 
@@ -262,7 +264,8 @@
 		reply_fault(w, http, 422, field, reason);
 		return false;
 	}
-	ms = deadline ? MIN(json_integer_value(deadline), b->kind.deadline_ms) : b->kind.deadline_ms;
+	ms = deadline ? MIN(json_integer_value(deadline), b->kind.deadline_ms)
+		      : b->kind.deadline_ms;
 	b->deadline = base_deadline_in(ms);
 	return true;
 }
@@ -611,7 +614,8 @@
 		claim_run(c, base_json_str(value, "id", ""));
 }
 
-static void on_claimed(enum platform_result result, const int64_t *versions G_GNUC_UNUSED, void *data)
+static void on_claimed(enum platform_result result, const int64_t *versions G_GNUC_UNUSED,
+		       void *data)
 {
 	struct claim *c = data;
 
@@ -642,7 +646,8 @@
 	c->body = *b;
 	id_new(w, c->id);
 	g_snprintf(c->hash, sizeof(c->hash), "%016" PRIx64,
-		   base_hash(b->payload, strlen(b->payload), base_hash(b->kind.name, strlen(b->kind.name), 0)));
+		   base_hash(b->payload, strlen(b->payload),
+			     base_hash(b->kind.name, strlen(b->kind.name), 0)));
 	c->key = talloc_asprintf(c, "%s/%s", b->workspace, key);
 	http->user = c;
 	http->on_abort = on_claim_abort;
@@ -662,7 +667,8 @@
 	size_t n = strlen(key);
 
 	return n > 0 && n <= KEY_MAX &&
-	       strspn(key, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == n;
+	       strspn(key, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") ==
+		       n;
 }
 
 static void handle_post(struct worker *w, struct httpd_request *http)
@@ -724,8 +730,9 @@
 	if (atomic_load(&w->entryd->is_draining))
 		httpd_reply_json(http, 503, json_pack("{ss}", "state", "draining"));
 	else
-		httpd_reply_json(http, is_ready ? 200 : 503,
-				 json_pack("{ss}", "state", is_ready ? "ready" : "no catalogue yet"));
+		httpd_reply_json(
+			http, is_ready ? 200 : 503,
+			json_pack("{ss}", "state", is_ready ? "ready" : "no catalogue yet"));
 }
 
 static void handle_metrics(struct worker *w, struct httpd_request *http)
@@ -868,9 +875,12 @@
 	const struct settings *s = e->settings;
 	TALLOC_CTX *root = talloc_named_const(NULL, 0, "worker");
 
-	struct httpd_options opt = {.ip = s->entry_callers.ip, .port = s->entry_callers.port,
-				    .body_max = BODY_MAX, .connections_max = CONNECTIONS_MAX,
-				    .idle_s = IDLE_S, .reuse_port = true};
+	struct httpd_options opt = {.ip = s->entry_callers.ip,
+				    .port = s->entry_callers.port,
+				    .body_max = BODY_MAX,
+				    .connections_max = CONNECTIONS_MAX,
+				    .idle_s = IDLE_S,
+				    .reuse_port = true};
 
 	w->entryd = e;
 	w->index = index;
--- a/src/load.c
+++ b/src/load.c
@@ -201,7 +201,10 @@
 		    (it->tries < RETRIES_MAX || it->is_job_admitted))
 			item_again(it, RETRY_MS);
 		else
-			item_end(it, outcome ? outcome : a->result == HTTPC_NOT_SENT ? "not_run" : "unknown",
+			item_end(it,
+				 outcome		       ? outcome
+				 : a->result == HTTPC_NOT_SENT ? "not_run"
+							       : "unknown",
 				 a->status);
 	} else if (it->work->mode == MODE_JOB) {
 		job_answered(it, outcome, a->status);
@@ -224,8 +227,8 @@
 {
 	struct item *it = data;
 	char url[256];
-	struct httpc_options opt = {.method = "DELETE", .url = url,
-				    .deadline = base_deadline_in(CALL_GRACE_MS)};
+	struct httpc_options opt = {
+		.method = "DELETE", .url = url, .deadline = base_deadline_in(CALL_GRACE_MS)};
 
 	if (!it->id)
 		return;
@@ -240,7 +243,9 @@
 	char url[256];
 	char key[96];
 	int64_t left_ms = MAX(base_remaining_ms(it->deadline), 100);
-	struct httpc_options opt = {.method = "POST", .url = url, .body = str_from(it->body),
+	struct httpc_options opt = {.method = "POST",
+				    .url = url,
+				    .body = str_from(it->body),
 				    .deadline = base_deadline_in(left_ms + CALL_GRACE_MS)};
 
 	it->tries++;
@@ -271,8 +276,8 @@
 			opt.method = "GET";
 			opt.body = str_from("");
 			opt.deadline = base_deadline_in(JOB_POLL_MS + 15000);
-			g_snprintf(url, sizeof(url), "http://%s/v1/jobs/%s?wait_ms=%d", target(l), it->id,
-				   JOB_POLL_MS);
+			g_snprintf(url, sizeof(url), "http://%s/v1/jobs/%s?wait_ms=%d", target(l),
+				   it->id, JOB_POLL_MS);
 		} else {
 			g_snprintf(url, sizeof(url), "http://%s/v1/jobs", target(l));
 			g_snprintf(key, sizeof(key), "Idempotency-Key: %s", it->key);
@@ -303,17 +308,20 @@
 	if (g_rand_int_range(l->rng, 0, 100) < w->wrong_percent)
 		declared *= g_rand_boolean(l->rng) ? 5 : 0.2;
 	if (w->mode == MODE_JOB)
-		doc = json_pack("{ss ss sI sI sI ss* s{sI sb sI}}", "workspace", w->workspace, "kind",
-				w->kind, "tasks", (json_int_t)tasks, "accelerators", (json_int_t)acc,
-				"run_ms", (json_int_t)MAX(declared, 1), "failure_domain",
-				w->failure_domain, "payload", "work_ms", (json_int_t)MAX(run_ms, 1),
-				"fail", fails, "echo", (json_int_t)it->echo);
+		doc = json_pack("{ss ss sI sI sI ss* s{sI sb sI}}", "workspace", w->workspace,
+				"kind", w->kind, "tasks", (json_int_t)tasks, "accelerators",
+				(json_int_t)acc, "run_ms", (json_int_t)MAX(declared, 1),
+				"failure_domain", w->failure_domain, "payload", "work_ms",
+				(json_int_t)MAX(run_ms, 1), "fail", fails, "echo",
+				(json_int_t)it->echo);
 	else if (w->mode == MODE_DIRECT)
-		doc = json_pack("{sI sI}", "echo", (json_int_t)it->echo, "run_ms", (json_int_t)run_ms);
+		doc = json_pack("{sI sI}", "echo", (json_int_t)it->echo, "run_ms",
+				(json_int_t)run_ms);
 	else
-		doc = json_pack("{ss ss sI s{sI sI sb}}", "workspace", w->workspace, "kind", w->kind,
-				"deadline_ms", (json_int_t)w->deadline_ms, "payload", "echo",
-				(json_int_t)it->echo, "run_ms", (json_int_t)run_ms, "fail", fails);
+		doc = json_pack("{ss ss sI s{sI sI sb}}", "workspace", w->workspace, "kind",
+				w->kind, "deadline_ms", (json_int_t)w->deadline_ms, "payload",
+				"echo", (json_int_t)it->echo, "run_ms", (json_int_t)run_ms, "fail",
+				fails);
 	text = base_json_text(it, doc);
 	json_decref(doc);
 	return text;
@@ -345,9 +353,10 @@
 	it->work->sent++;
 	l->open++;
 	if (g_rand_int_range(l->rng, 0, 100) < it->work->cancel_percent)
-		tevent_add_timer(l->ev, it,
-				 base_timeval_in_ms((int64_t)exponential(l, MAX(it->work->run_ms, 50))),
-				 on_cancel_time, it);
+		tevent_add_timer(
+			l->ev, it,
+			base_timeval_in_ms((int64_t)exponential(l, MAX(it->work->run_ms, 50))),
+			on_cancel_time, it);
 	item_send(it);
 }
 
@@ -475,11 +484,11 @@
 		struct work *w = &l->works[i];
 
 		g_array_sort(w->latency_us, compare_int64);
-		printf(as_json
-			       ? "{\"name\":\"%s\",\"sent\":%" PRIu64 ",\"done\":%" PRIu64
-				 ",\"failed\":%" PRIu64 ",\"not_run\":%" PRIu64 ",\"unknown\":%" PRIu64
-				 ",\"pending\":%" PRIu64 ",\"goodput\":%.1f,\"p50_us\":%" PRId64
-				 ",\"p90_us\":%" PRId64 ",\"p99_us\":%" PRId64 ",\"max_us\":%" PRId64 "}\n"
+		printf(as_json ? "{\"name\":\"%s\",\"sent\":%" PRIu64 ",\"done\":%" PRIu64
+				 ",\"failed\":%" PRIu64 ",\"not_run\":%" PRIu64
+				 ",\"unknown\":%" PRIu64 ",\"pending\":%" PRIu64
+				 ",\"goodput\":%.1f,\"p50_us\":%" PRId64 ",\"p90_us\":%" PRId64
+				 ",\"p99_us\":%" PRId64 ",\"max_us\":%" PRId64 "}\n"
 			       : "%-16s sent %7" PRIu64 " done %7" PRIu64 " failed %5" PRIu64
 				 " not_run %6" PRIu64 " unknown %4" PRIu64 " pending %4" PRIu64
 				 "  %8.1f/s  p50 %7" PRId64 " p90 %7" PRId64 " p99 %7" PRId64
@@ -503,15 +512,19 @@
 	struct arg_str *targets = arg_strn(NULL, "target", "IP:PORT", 1, TARGETS_MAX, "entry VM");
 	struct arg_file *path = arg_file1(NULL, "experiment", "FILE", "work and rates (TOML)");
 	struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "how long work arrives");
-	struct arg_int *drain = arg_int0(NULL, "drain", "N", "how long ends are waited for, in s (30)");
-	struct arg_dbl *rate = arg_dbl0(NULL, "rate", "N", "arrivals a second, instead of the file's");
+	struct arg_int *drain =
+		arg_int0(NULL, "drain", "N", "how long ends are waited for, in s (30)");
+	struct arg_dbl *rate =
+		arg_dbl0(NULL, "rate", "N", "arrivals a second, instead of the file's");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of all draws (1)");
-	struct arg_file *record = arg_file0(NULL, "record", "FILE", "a line for every piece of work");
+	struct arg_file *record =
+		arg_file0(NULL, "record", "FILE", "a line for every piece of work");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON lines");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {targets, path, seconds, drain, rate, seed, record, json, version, help, end};
+	void *table[] = {targets, path, seconds, drain, rate, seed,
+			 record,  json, version, help,	end};
 	struct load *l = talloc_zero(NULL, struct load);
 	struct rlimit files;
 	int errors = arg_parse(argc, argv, table);
@@ -547,7 +560,8 @@
 		l->record = fopen(record->filename[0], "a");
 	l->started = base_now();
 	l->stop_at = base_deadline_in((int64_t)seconds->ival[0] * BASE_MS_PER_S);
-	l->give_up_at = l->stop_at + (drain->count ? drain->ival[0] : 30) * BASE_MS_PER_S * BASE_NS_PER_MS;
+	l->give_up_at =
+		l->stop_at + (drain->count ? drain->ival[0] : 30) * BASE_MS_PER_S * BASE_NS_PER_MS;
 	on_tick(l->ev, NULL, base_timeval_in_ms(0), l);
 	on_keep_awake(l->ev, NULL, base_timeval_in_ms(0), l);
 	while (base_now() < l->stop_at || l->open)
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -102,8 +102,8 @@
 		run_policy(s);
 }
 
-static void on_step(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_immediate *im G_GNUC_UNUSED,
-		    void *data)
+static void on_step(struct tevent_context *ev G_GNUC_UNUSED,
+		    struct tevent_immediate *im G_GNUC_UNUSED, void *data)
 {
 	struct schedd *s = data;
 
@@ -261,14 +261,14 @@
 {
 	json_t *list = json_array();
 
-	for (unsigned int i = 0; s->policy && s->catalogue && i < s->catalogue->workspace_count; i++) {
+	for (unsigned int i = 0; s->policy && s->catalogue && i < s->catalogue->workspace_count;
+	     i++) {
 		const char *name = s->catalogue->workspaces[i].name;
 
-		json_array_append_new(list,
-				      json_pack("{ss sI sI}", "workspace", name, "reclaimable",
-						(json_int_t)policy_reclaimable(s->policy, name),
-						"unbound",
-						(json_int_t)policy_unbound_cells(s->policy, name)));
+		json_array_append_new(
+			list, json_pack("{ss sI sI}", "workspace", name, "reclaimable",
+					(json_int_t)policy_reclaimable(s->policy, name), "unbound",
+					(json_int_t)policy_unbound_cells(s->policy, name)));
 	}
 	return list;
 }
@@ -302,11 +302,12 @@
 	doc = json_pack("{ss ss sb sI sI sI sI sI sI sI so so so ss}", "vm", s->settings->vm,
 			"failure_domain", s->settings->failure_domain, "active",
 			s->role == ROLE_ACTIVE, "epoch", (json_int_t)s->epoch, "catalogue_version",
-			(json_int_t)cluster_version(s->cluster), "total", (json_int_t)u.total, "free",
-			(json_int_t)u.free, "largest_rack_free", (json_int_t)u.largest_rack_free,
-			"queued", (json_int_t)u.queued, "placed", (json_int_t)u.placed, "jobs",
-			status_jobs(s), "guarantees", status_guarantees(s), "quarantined",
-			status_quarantined(s), "policy_fault", wrong ? wrong : "");
+			(json_int_t)cluster_version(s->cluster), "total", (json_int_t)u.total,
+			"free", (json_int_t)u.free, "largest_rack_free",
+			(json_int_t)u.largest_rack_free, "queued", (json_int_t)u.queued, "placed",
+			(json_int_t)u.placed, "jobs", status_jobs(s), "guarantees",
+			status_guarantees(s), "quarantined", status_quarantined(s), "policy_fault",
+			wrong ? wrong : "");
 	talloc_free(wrong);
 	httpd_reply_json(http, 200, doc);
 }
@@ -364,7 +365,8 @@
 	s->counters.count = SCHED_COUNT_END;
 	s->ev = tevent_context_init(s);
 	s->http = httpc_new(s, s->ev, 0);
-	s->platform = platform_new(s, s->ev, s->http, set->platform.ip, set->platform.port, set->vm);
+	s->platform =
+		platform_new(s, s->ev, s->http, set->platform.ip, set->platform.port, set->vm);
 	s->servers = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->active = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/src/schedd.h
+++ b/src/schedd.h
@@ -25,29 +25,29 @@
 #define TABLE_QUEUE "queue"
 #define TABLE_ENDED "ended"
 
-#define SCHEDD_COUNTERS(X)                                                                         \
-	X(SCHED_ADMITTED, "jobs_admitted_total")                                                   \
-	X(SCHED_REFUSED, "jobs_refused_total")                                                     \
-	X(SCHED_DONE, "jobs_done_total")                                                           \
-	X(SCHED_FAILED, "jobs_failed_total")                                                       \
-	X(SCHED_NOT_RUN, "jobs_not_run_total")                                                     \
-	X(SCHED_UNKNOWN, "jobs_unknown_total")                                                     \
-	X(SCHED_STARTS, "gang_starts_total")                                                       \
-	X(SCHED_ABORTS, "gang_starts_aborted_total")                                               \
-	X(SCHED_PREEMPTIONS, "gang_preemptions_total")                                             \
-	X(SCHED_MEMBERS_LOST, "gang_members_lost_total")                                           \
-	X(SCHED_TAKEOVERS, "takeovers_total")                                                      \
-	X(SCHED_STEP_DOWNS, "step_downs_total")                                                    \
-	X(SCHED_POLLS, "backend_polls_total")                                                      \
-	X(SCHED_ORPHANS, "orphan_tasks_stopped_total")                                             \
-	X(SCHED_QUARANTINES, "backend_quarantines_total")                                          \
+#define SCHEDD_COUNTERS(X)                                \
+	X(SCHED_ADMITTED, "jobs_admitted_total")          \
+	X(SCHED_REFUSED, "jobs_refused_total")            \
+	X(SCHED_DONE, "jobs_done_total")                  \
+	X(SCHED_FAILED, "jobs_failed_total")              \
+	X(SCHED_NOT_RUN, "jobs_not_run_total")            \
+	X(SCHED_UNKNOWN, "jobs_unknown_total")            \
+	X(SCHED_STARTS, "gang_starts_total")              \
+	X(SCHED_ABORTS, "gang_starts_aborted_total")      \
+	X(SCHED_PREEMPTIONS, "gang_preemptions_total")    \
+	X(SCHED_MEMBERS_LOST, "gang_members_lost_total")  \
+	X(SCHED_TAKEOVERS, "takeovers_total")             \
+	X(SCHED_STEP_DOWNS, "step_downs_total")           \
+	X(SCHED_POLLS, "backend_polls_total")             \
+	X(SCHED_ORPHANS, "orphan_tasks_stopped_total")    \
+	X(SCHED_QUARANTINES, "backend_quarantines_total") \
 	X(SCHED_STALE, "commands_refused_as_stale_total")
 
 enum schedd_counter {
 #define X(id, name) id,
 	SCHEDD_COUNTERS(X)
 #undef X
-	SCHED_COUNT_END
+		SCHED_COUNT_END
 };
 
 enum role { ROLE_STANDBY, ROLE_TAKING_OVER, ROLE_REBUILDING, ROLE_ACTIVE, ROLE_RELEASED };
@@ -61,14 +61,14 @@
 	bool is_listed_live;
 	bool is_polling;
 	int64_t polled_at;
-	int64_t answered_at; /* last answer, or the start of the epoch */
+	int64_t answered_at;	  /* last answer, or the start of the epoch */
 	int64_t unanswered_since; /* 0 while it answers */
 	bool is_given_up;	  /* its leases have lapsed for certain */
 	unsigned int jobs;	  /* jobs with members here */
-	GHashTable *failed_jobs; /* distinct jobs that failed here since the last success */
+	GHashTable *failed_jobs;  /* distinct jobs that failed here since the last success */
 	int64_t quarantined_until;
 	unsigned int quarantines;
-	bool was_fenced;	 /* it has seen this epoch */
+	bool was_fenced; /* it has seen this epoch */
 };
 
 enum member_state {
@@ -106,7 +106,7 @@
 enum stop_reason {
 	STOP_NONE,
 	STOP_PREEMPT,
-	STOP_ABORT,	  /* not all members could be prepared or started */
+	STOP_ABORT, /* not all members could be prepared or started */
 	STOP_MEMBER_LOST,
 	STOP_MEMBER_FAILED,
 	STOP_CANCEL,
@@ -121,7 +121,7 @@
 	enum job_state state;
 	enum stop_reason stop_reason;
 	int64_t attempt;
-	bool has_started;    /* some attempt may have run */
+	bool has_started; /* some attempt may have run */
 	bool is_cancelled;
 	bool is_held; /* not given to the policy before hold_until */
 	bool is_row_written;
--- a/src/schedd_gang.c
+++ b/src/schedd_gang.c
@@ -10,15 +10,15 @@
 
 #include <string.h>
 
-#define PREPARE_MS 2000	 /* all members must be prepared by then */
-#define HOLD_MS 6000	 /* a prepared member frees itself after this */
-#define START_MS 5000	 /* all members must run by then; shorter than the hold */
+#define PREPARE_MS 2000 /* all members must be prepared by then */
+#define HOLD_MS 6000	/* a prepared member frees itself after this */
+#define START_MS 5000	/* all members must run by then; shorter than the hold */
 #define CALL_MS 1000
 #define STOP_CALL_MS 3000 /* includes writing a checkpoint */
 #define RETRY_MS 200
 #define ATTEMPTS_PER_EPOCH 100000
 #define ABORT_PAUSE_MS 250 /* before the next attempt, doubled each time */
-#define FAILURES_MAX 3	 /* attempts that may fail before the job is blamed */
+#define FAILURES_MAX 3	   /* attempts that may fail before the job is blamed */
 
 static void member_call(struct member *m, enum backend_task_op op);
 
@@ -152,10 +152,11 @@
 	struct member *m = op_member(op);
 	enum backend_task_op kind = op->op;
 
-	trace_end(&op->span, kind == BACKEND_TASK_PREPARE ? "prepare" :
-			     kind == BACKEND_TASK_START	  ? "start" :
-			     kind == BACKEND_TASK_FORGET  ? "forget" :
-							    "stop",
+	trace_end(&op->span,
+		  kind == BACKEND_TASK_PREPARE	? "prepare"
+		  : kind == BACKEND_TASK_START	? "start"
+		  : kind == BACKEND_TASK_FORGET ? "forget"
+						: "stop",
 		  m ? m->server->id : "");
 	talloc_free(op);
 	if (!m)
@@ -177,8 +178,8 @@
 {
 	const struct job *job = m->job;
 	int64_t a = base_json_int(job->spec, "accelerators", 1);
-	json_t *args = json_pack("{sI ss sI sI}", "epoch", (json_int_t)job->s->epoch, "job", job->id,
-				 "attempt", (json_int_t)job->attempt, "lease_ms",
+	json_t *args = json_pack("{sI ss sI sI}", "epoch", (json_int_t)job->s->epoch, "job",
+				 job->id, "attempt", (json_int_t)job->attempt, "lease_ms",
 				 (json_int_t)job->s->settings->lease_ms);
 
 	if (op == BACKEND_TASK_PREPARE) {
@@ -188,9 +189,10 @@
 		json_object_set_new(args, "from_ms", json_integer(job->checkpoint_ms));
 		json_object_set_new(args, "record", member_record(job));
 	} else if (op == BACKEND_TASK_STOP) {
-		json_object_set_new(args, "checkpoint",
-				    json_boolean(job->stop_reason == STOP_PREEMPT &&
-						 base_json_bool(job->spec, "checkpointable", false)));
+		json_object_set_new(
+			args, "checkpoint",
+			json_boolean(job->stop_reason == STOP_PREEMPT &&
+				     base_json_bool(job->spec, "checkpointable", false)));
 	}
 	return args;
 }
@@ -344,7 +346,8 @@
 		break;
 	case STOP_MEMBER_FAILED:
 		if (++job->failures >= FAILURES_MAX || !may_repeat) {
-			jobs_end(job, OUTCOME_FAILED, "its tasks failed on several backend servers");
+			jobs_end(job, OUTCOME_FAILED,
+				 "its tasks failed on several backend servers");
 			return;
 		}
 		break;
@@ -428,7 +431,8 @@
 		sched_count(job->s, SCHED_MEMBERS_LOST);
 		gang_stop(job, STOP_MEMBER_LOST);
 	} else if (now - job->started_at >
-		   base_json_int(job->spec, "max_run_ms", INT64_MAX / BASE_NS_PER_MS) * BASE_NS_PER_MS) {
+		   base_json_int(job->spec, "max_run_ms", INT64_MAX / BASE_NS_PER_MS) *
+			   BASE_NS_PER_MS) {
 		gang_stop(job, STOP_TOO_LONG);
 	}
 }
--- a/src/schedd_jobs.c
+++ b/src/schedd_jobs.c
@@ -8,8 +8,8 @@
 
 #include <string.h>
 
-#define QUEUE_MAX 20000	     /* jobs kept by one scheduler */
-#define ENDED_KEPT 4000	     /* ended jobs remembered; older ones are read from the table */
+#define QUEUE_MAX 20000 /* jobs kept by one scheduler */
+#define ENDED_KEPT 4000 /* ended jobs remembered; older ones are read from the table */
 #define WRITE_MS 1500
 #define RETRY_WRITE_MS 1000
 
@@ -28,8 +28,6 @@
 
 struct policy_spec jobs_spec(struct schedd *s, const char *id, const json_t *spec)
 {
-	struct policy_usage usage;
-	int64_t share = base_json_int(spec, "share_percent", 100);
 	struct policy_spec out = {
 		.id = id,
 		.workspace = base_json_str(spec, "workspace", ""),
@@ -40,11 +38,9 @@
 		.one_rack = base_json_bool(spec, "one_rack", false),
 		.checkpointable = base_json_bool(spec, "checkpointable", false),
 		.run_ms = base_json_int(spec, "run_ms", 1000),
+		.share_percent = base_json_int(spec, "share_percent", 100),
 	};
 
-	policy_usage(s->policy, &usage);
-	if (share < 100)
-		out.kind_quota = usage.total * share / 100;
 	return out;
 }
 
@@ -81,10 +77,12 @@
 	json_decref(state);
 }
 
-static void reply_refused(struct onc_request *req, int status, const char *field, const char *reason)
+static void reply_refused(struct onc_request *req, int status, const char *field,
+			  const char *reason)
 {
-	reply(req, CL_SCHED_REFUSED, json_pack("{ss ss ss si}", "outcome", "not_run", "field", field,
-					       "reason", reason, "status", status));
+	reply(req, CL_SCHED_REFUSED,
+	      json_pack("{ss ss ss si}", "outcome", "not_run", "field", field, "reason", reason,
+			"status", status));
 }
 
 /* ---- life of a job in memory ---- */
@@ -217,10 +215,11 @@
 	char parent[TRACE_PARENT_LEN + 1];
 
 	trace_parent(&job->span, parent);
-	return json_pack("{sO sI sI sI ss}", "spec", job->spec, "attempt", (json_int_t)job->attempt,
-			 "checkpoint_ms", (json_int_t)job->checkpoint_ms, "admitted_us",
-			 (json_int_t)(base_wall_us() - (base_now() - job->admitted_at) / BASE_NS_PER_US),
-			 "traceparent", parent);
+	return json_pack(
+		"{sO sI sI sI ss}", "spec", job->spec, "attempt", (json_int_t)job->attempt,
+		"checkpoint_ms", (json_int_t)job->checkpoint_ms, "admitted_us",
+		(json_int_t)(base_wall_us() - (base_now() - job->admitted_at) / BASE_NS_PER_US),
+		"traceparent", parent);
 }
 
 /* ---- admission ---- */
@@ -295,7 +294,8 @@
 	char *key = row_key(job);
 
 	l->op = row_op_new(job);
-	platform_read(job->s->platform, TABLE_QUEUE, key, base_deadline_in(WRITE_MS), on_looked_up, l);
+	platform_read(job->s->platform, TABLE_QUEUE, key, base_deadline_in(WRITE_MS), on_looked_up,
+		      l);
 	talloc_free(key);
 }
 
@@ -372,9 +372,10 @@
 		reply_refused(req, 503, "queue", "the queue of this failure domain is full");
 	} else if (!policy_fits_ever(s->policy, &spec)) {
 		sched_count(s, SCHED_REFUSED);
-		reply_refused(req, 422, "tasks",
-			      "a gang of this size can never start here: it exceeds the accelerators "
-			      "open to this workspace, or its quota");
+		reply_refused(
+			req, 422, "tasks",
+			"a gang of this size can never start here: it exceeds the accelerators "
+			"open to this workspace, or its quota");
 	} else {
 		job = job_new(s, args->id, doc);
 		job->state = JOB_ADMITTING;
@@ -560,7 +561,8 @@
 	q->req = req;
 	q->id = talloc_strdup(q, id);
 	q->key = talloc_asprintf(q, "%s/%s", s->settings->failure_domain, id);
-	platform_read(s->platform, TABLE_QUEUE, q->key, base_deadline_in(WRITE_MS), on_queue_read, q);
+	platform_read(s->platform, TABLE_QUEUE, q->key, base_deadline_in(WRITE_MS), on_queue_read,
+		      q);
 }
 
 void jobs_state(struct schedd *s, struct onc_request *req)
--- a/src/schedd_rebuild.c
+++ b/src/schedd_rebuild.c
@@ -250,7 +250,8 @@
 		return;
 	}
 	if (!is_idempotent && recorded > 0 && !is_any_silent) {
-		jobs_end(job, OUTCOME_UNKNOWN, "its backend servers are gone and it must not run twice");
+		jobs_end(job, OUTCOME_UNKNOWN,
+			 "its backend servers are gone and it must not run twice");
 		return;
 	}
 	if (is_any_silent) {
--- a/src/schedd_servers.c
+++ b/src/schedd_servers.c
@@ -5,11 +5,11 @@
 
 #include <string.h>
 
-#define POLL_MS 400		  /* between polls of a server that runs something */
-#define POLL_IDLE_MS 3000	  /* ... that runs nothing */
-#define POLLS_PER_TICK 8	  /* bounds the rate whatever the fleet's size */
+#define POLL_MS 400	  /* between polls of a server that runs something */
+#define POLL_IDLE_MS 3000 /* ... that runs nothing */
+#define POLLS_PER_TICK 8  /* bounds the rate whatever the fleet's size */
 #define POLL_CALL_MS 1500
-#define JOBS_TO_QUARANTINE 3	  /* distinct jobs that fail there in a row */
+#define JOBS_TO_QUARANTINE 3 /* distinct jobs that fail there in a row */
 #define QUARANTINE_MS 15000
 #define QUARANTINE_DOUBLINGS 6
 
@@ -40,7 +40,13 @@
 			 b->quarantined_until <= base_now() &&
 			 cluster_note_of(s->cluster, b->id) == NOTE_LIVE;
 
-	policy_server_set(s->policy, b->id, b->rack, b->accelerators, is_usable);
+	enum policy_server_state state = POLICY_SERVER_GONE;
+
+	if (is_usable)
+		state = POLICY_SERVER_USABLE;
+	else if (b->is_listed_live)
+		state = POLICY_SERVER_AWAY;
+	policy_server_set(s->policy, b->id, b->rack, b->accelerators, state);
 }
 
 void servers_update(struct schedd *s)
@@ -143,8 +149,8 @@
 	struct schedd *s = p->s;
 	struct backend_server *b = p->server;
 	const json_t *tasks = json_object_get(reply->doc, "tasks");
-	bool is_current = s->epoch == p->epoch &&
-			  (s->role == ROLE_ACTIVE || s->role == ROLE_REBUILDING);
+	bool is_current =
+		s->epoch == p->epoch && (s->role == ROLE_ACTIVE || s->role == ROLE_REBUILDING);
 	size_t i;
 	json_t *task;
 
@@ -246,7 +252,8 @@
 	for (unsigned int round = 0; round < 2; round++) {
 		/* starts behind the server polled last, so that none is starved */
 		g_hash_table_iter_init(&iter, s->servers);
-		for (skipped = 0; g_hash_table_iter_next(&iter, NULL, &value) && sent < limit; skipped++) {
+		for (skipped = 0; g_hash_table_iter_next(&iter, NULL, &value) && sent < limit;
+		     skipped++) {
 			struct backend_server *b = value;
 			int64_t pause_ms = b->jobs ? POLL_MS : POLL_IDLE_MS;
 
@@ -257,7 +264,8 @@
 				b->quarantined_until = 0;
 				set_usable(s, b);
 			}
-			if (b->is_polling || (b->was_fenced && now - b->polled_at < pause_ms * BASE_NS_PER_MS))
+			if (b->is_polling ||
+			    (b->was_fenced && now - b->polled_at < pause_ms * BASE_NS_PER_MS))
 				continue;
 			poll_server(s, b);
 			if (++sent == limit)
--- a/src/standin_backend.c
+++ b/src/standin_backend.c
@@ -149,7 +149,8 @@
 	struct delayed *d;
 
 	req->on_abort = NULL;
-	json_object_set_new(body, "server_state", json_string(s->faults.leaving ? "leaving" : "live"));
+	json_object_set_new(body, "server_state",
+			    json_string(s->faults.leaving ? "leaving" : "live"));
 	if (s->faults.dead || is_percent(s->faults.lose_percent)) {
 		json_decref(body);
 		httpd_drop(req);
@@ -276,7 +277,8 @@
 	req->user = r;
 	req->on_abort = on_request_abort;
 	s->slots_used++;
-	act(s, "request_run", json_pack("{ss sO?}", "id", id, "echo", json_object_get(payload, "echo")));
+	act(s, "request_run",
+	    json_pack("{ss sO?}", "id", id, "echo", json_object_get(payload, "echo")));
 	json_decref(payload);
 	if (run_ms > 0)
 		tevent_add_timer(s->group->ev, r, base_timeval_in_ms(run_ms), on_request_end, r);
@@ -366,10 +368,11 @@
 	int64_t epoch = base_json_int(doc, "epoch", -1);
 
 	if (epoch < s->epoch) {
-		act(s, "task_refused", json_pack("{sI ss}", "epoch", (json_int_t)epoch, "why",
-						 "stale_epoch"));
+		act(s, "task_refused",
+		    json_pack("{sI ss}", "epoch", (json_int_t)epoch, "why", "stale_epoch"));
 		answer(s, req, 409,
-		       json_pack("{ss sI}", "refused", "stale_epoch", "epoch", (json_int_t)s->epoch));
+		       json_pack("{ss sI}", "refused", "stale_epoch", "epoch",
+				 (json_int_t)s->epoch));
 		return true;
 	}
 	s->epoch = epoch;
@@ -482,8 +485,8 @@
 
 static json_t *task_brief(const struct task *t)
 {
-	return json_pack("{ss sI ss sO?}", "job", t->job, "attempt", (json_int_t)t->attempt, "state",
-			 work_state_names[t->state], "servers",
+	return json_pack("{ss sI ss sO?}", "job", t->job, "attempt", (json_int_t)t->attempt,
+			 "state", work_state_names[t->state], "servers",
 			 json_object_get(t->record, "servers"));
 }
 
@@ -513,9 +516,10 @@
 				  base_json_int(doc, "lease_ms", LEASE_MS_DEFAULT),
 				  base_json_bool(doc, "brief", false));
 
-	answer(s, req, 200, json_pack("{sI sI sI so}", "epoch", (json_int_t)s->epoch,
-				      "accelerators_used", (json_int_t)s->accelerators_used,
-				      "slots_used", (json_int_t)s->slots_used, "tasks", tasks));
+	answer(s, req, 200,
+	       json_pack("{sI sI sI so}", "epoch", (json_int_t)s->epoch, "accelerators_used",
+			 (json_int_t)s->accelerators_used, "slots_used", (json_int_t)s->slots_used,
+			 "tasks", tasks));
 }
 
 static void handle_task(struct server *s, struct httpd_request *req, const char *op)
@@ -555,7 +559,8 @@
 
 /* ---- faults, time and dispatch ---- */
 
-static gboolean drop_request(gpointer key G_GNUC_UNUSED, gpointer value, gpointer data G_GNUC_UNUSED)
+static gboolean drop_request(gpointer key G_GNUC_UNUSED, gpointer value,
+			     gpointer data G_GNUC_UNUSED)
 {
 	struct request *r = value;
 
@@ -689,9 +694,9 @@
 	tevent_add_timer(ev, g, base_timeval_in_ms(SWEEP_MS), on_sweep, g);
 }
 
-static void on_signal(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
-		      int signum G_GNUC_UNUSED, int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED,
-		      void *data)
+static void on_signal(struct tevent_context *ev G_GNUC_UNUSED,
+		      struct tevent_signal *se G_GNUC_UNUSED, int signum G_GNUC_UNUSED,
+		      int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED, void *data)
 {
 	*(bool *)data = true;
 }
@@ -706,14 +711,16 @@
 	struct arg_str *ip = arg_str0(NULL, "ip", "ADDRESS", "address to listen on (127.0.0.1)");
 	struct arg_int *port = arg_int1(NULL, "port", "PORT", "port of the first server");
 	struct arg_int *count = arg_int0(NULL, "count", "N", "number of servers (1)");
-	struct arg_str *prefix = arg_str0(NULL, "prefix", "TEXT", "server ids are TEXT0, TEXT1, ...");
+	struct arg_str *prefix =
+		arg_str0(NULL, "prefix", "TEXT", "server ids are TEXT0, TEXT1, ...");
 	struct arg_int *accelerators = arg_int0(NULL, "accelerators", "N", "accelerators each (8)");
 	struct arg_int *slots = arg_int0(NULL, "slots", "N", "request slots each (8)");
 	struct arg_int *connections = arg_int0(NULL, "connections", "N", "connections each (64)");
 	struct arg_str *path = arg_str0(NULL, "ledger", "FILE", "append every act to this file");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {ip, port, count, prefix, accelerators, slots, connections, path, help, end};
+	void *table[] = {ip,	port,	     count, prefix, accelerators,
+			 slots, connections, path,  help,   end};
 	struct group *g = talloc_zero(NULL, struct group);
 	struct httpd_options opt = {.ip = "127.0.0.1", .body_max = BODY_MAX, .idle_s = IDLE_S};
 	struct rlimit files;
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -294,8 +294,8 @@
 	g_tree_foreach(ps->rows, scan_row, &scan);
 	g_free(full_prefix);
 	g_free(full_after);
-	answer(ps, req, 200, json_pack("{sI so}", "version", (json_int_t)ps->next_version, "value",
-				       scan.rows),
+	answer(ps, req, 200,
+	       json_pack("{sI so}", "version", (json_int_t)ps->next_version, "value", scan.rows),
 	       false);
 }
 
@@ -339,7 +339,8 @@
 
 	ps->reads++;
 	if (since && g_ascii_strtoll(since, NULL, 10) == state->version)
-		answer(ps, req, 200, json_pack("{sI}", "version", (json_int_t)state->version), false);
+		answer(ps, req, 200, json_pack("{sI}", "version", (json_int_t)state->version),
+		       false);
 	else
 		answer(ps, req, 200,
 		       json_pack("{sI sO}", "version", (json_int_t)state->version, "value",
@@ -411,8 +412,9 @@
 	else if (!strcmp(req->path, "/admin/vms"))
 		handle_admin_vms(ps, req);
 	else if (!strcmp(req->path, "/admin/counts"))
-		httpd_reply_json(req, 200, json_pack("{sI sI}", "reads", (json_int_t)ps->reads,
-						     "writes", (json_int_t)ps->writes));
+		httpd_reply_json(req, 200,
+				 json_pack("{sI sI}", "reads", (json_int_t)ps->reads, "writes",
+					   (json_int_t)ps->writes));
 	else if (ps->faults.drop || is_cut(ps, req))
 		answer(ps, req, 0, json_object(), true);
 	else if (ps->faults.down)
@@ -429,9 +431,9 @@
 		httpd_reply_json(req, 404, json_pack("{ss}", "error", "no such path"));
 }
 
-static void on_signal(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
-		      int signum G_GNUC_UNUSED, int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED,
-		      void *data)
+static void on_signal(struct tevent_context *ev G_GNUC_UNUSED,
+		      struct tevent_signal *se G_GNUC_UNUSED, int signum G_GNUC_UNUSED,
+		      int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED, void *data)
 {
 	*(bool *)data = true;
 }
@@ -445,8 +447,10 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = {ip, port, path, help, end};
 	struct platform_state *ps = talloc_zero(NULL, struct platform_state);
-	struct httpd_options opt = {.ip = "127.0.0.1", .body_max = BODY_MAX,
-				    .connections_max = CONNECTIONS_MAX, .idle_s = IDLE_S};
+	struct httpd_options opt = {.ip = "127.0.0.1",
+				    .body_max = BODY_MAX,
+				    .connections_max = CONNECTIONS_MAX,
+				    .idle_s = IDLE_S};
 	bool is_stopping = false;
 	int errors = arg_parse(argc, argv, table);
 
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -36,7 +36,8 @@
 			     "idempotent = 1\nspeed = 3\n");
 	ck_assert_ptr_null(catalogue_load(NULL, dir, &faults));
 	ck_assert_ptr_nonnull(strstr(faults, "a.toml:7: kind/k: class: expected urgent, normal"));
-	ck_assert_ptr_nonnull(strstr(faults, "a.toml:9: kind/k: idempotent: expected true or false"));
+	ck_assert_ptr_nonnull(
+		strstr(faults, "a.toml:9: kind/k: idempotent: expected true or false"));
 	ck_assert_ptr_nonnull(strstr(faults, "a.toml:10: kind/k: speed: expected no such key"));
 	ck_assert_ptr_nonnull(strstr(faults, "a.toml:6: kind/k: workspace:"));
 	talloc_free(faults);
@@ -83,19 +84,20 @@
 
 	for (int i = 0; i < 2; i++)
 		json_array_append_new(vms, json_pack("{ss+ ss ss ss si}", "id", "b", i ? "1" : "0",
-						     "role", "backend", "failure_domain", "fd", "rack",
-						     "r", "accelerators", 8));
+						     "role", "backend", "failure_domain", "fd",
+						     "rack", "r", "accelerators", 8));
 	e = entries("{\"workspace/a\":{\"owner\":\"x\",\"guarantee\":[{\"failure_domain\":\"fd\","
 		    "\"accelerators\":8,\"together\":\"server\",\"count\":1}]},"
 		    "\"workspace/b\":{\"owner\":\"x\",\"guarantee\":[{\"failure_domain\":\"fd\","
 		    "\"accelerators\":8,\"together\":\"rack\",\"count\":1}]}}");
 	ck_assert_ptr_null(catalogue_check_fit(NULL, e, vms));
-	json_object_set_new(json_array_get(json_object_get(json_object_get(e, "workspace/b"),
-							   "guarantee"), 0),
-			    "accelerators", json_integer(9));
+	json_object_set_new(
+		json_array_get(json_object_get(json_object_get(e, "workspace/b"), "guarantee"), 0),
+		"accelerators", json_integer(9));
 	faults = catalogue_check_fit(NULL, e, vms);
 	ck_assert_ptr_nonnull(faults);
-	ck_assert_ptr_nonnull(strstr(faults, "workspace/a: guarantee: expected guarantees that all fit fd at once; 8 accelerators do not"));
+	ck_assert_ptr_nonnull(strstr(faults, "workspace/a: guarantee: expected guarantees that all "
+					     "fit fd at once; 8 accelerators do not"));
 	talloc_free(faults);
 	json_decref(e);
 	json_decref(vms);
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -85,7 +85,9 @@
 {
 	struct call c = {0};
 	char url[64];
-	struct httpc_options opt = {.method = "POST", .url = url, .body = str_from("body-of-five"),
+	struct httpc_options opt = {.method = "POST",
+				    .url = url,
+				    .body = str_from("body-of-five"),
 				    .deadline = base_deadline_in(2000)};
 
 	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/", port);
--- a/tests/test_onc.c
+++ b/tests/test_onc.c
@@ -36,7 +36,8 @@
 	struct fixture *f = req->server_data;
 	const cl_pull_args *args = req->args;
 	cl_pull_res res = {.catalogue_version = args->catalogue_version + 1,
-			   .catalogue = (char *)"{}", .vm_list = (char *)"[]"};
+			   .catalogue = (char *)"{}",
+			   .vm_list = (char *)"[]"};
 
 	f->served++;
 	if (!f->is_quiet)
@@ -57,9 +58,12 @@
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 	const char *networks[] = {talloc_strdup(f, allow)};
-	struct onc_server_options opt = {.ip = "127.0.0.1", .port = PORT,
+	struct onc_server_options opt = {.ip = "127.0.0.1",
+					 .port = PORT,
 					 .allow = talloc_memdup(f, networks, sizeof(networks)),
-					 .allow_count = 1, .procs = procs, .proc_count = 1};
+					 .allow_count = 1,
+					 .procs = procs,
+					 .proc_count = 1};
 
 	f->ev = tevent_context_init(f);
 	f->server = onc_server_new(f, f->ev, &opt, on_call, f);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -42,8 +42,8 @@
 		if (f->lose-- > 0)
 			httpd_drop(req);
 		else
-			httpd_reply_json(req, 200, json_pack("{s[I]}", "versions",
-							     (json_int_t)f->version));
+			httpd_reply_json(req, 200,
+					 json_pack("{s[I]}", "versions", (json_int_t)f->version));
 	}
 	json_decref(doc);
 }
@@ -57,15 +57,19 @@
 	else if (!strcmp(req->path, "/v1/tx"))
 		on_tx_request(f, req);
 	else
-		httpd_reply_json(req, 200, json_pack("{sI sO?}", "version", (json_int_t)f->version,
-						     "value", f->value));
+		httpd_reply_json(req, 200,
+				 json_pack("{sI sO?}", "version", (json_int_t)f->version, "value",
+					   f->value));
 }
 
 static struct fixture *fixture_new(void)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct httpd_options opt = {.ip = "127.0.0.1", .port = PORT, .body_max = 10000,
-				    .connections_max = 10, .idle_s = 10};
+	struct httpd_options opt = {.ip = "127.0.0.1",
+				    .port = PORT,
+				    .body_max = 10000,
+				    .connections_max = 10,
+				    .idle_s = 10};
 
 	f->ev = tevent_context_init(f);
 	f->server = httpd_new(f, f->ev, &opt, on_request, f);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -20,7 +20,8 @@
 
 			g_snprintf(id, sizeof(id), "r%d-s%d", r, i);
 			g_snprintf(rack, sizeof(rack), "r%d", r);
-			policy_server_set(p, id, rack, 8, usable);
+			policy_server_set(p, id, rack, 8,
+					  usable ? POLICY_SERVER_USABLE : POLICY_SERVER_AWAY);
 		}
 	}
 }
@@ -34,11 +35,17 @@
 	return p;
 }
 
-static struct policy_spec spec(const char *id, const char *ws, enum service_class cls, int64_t tasks,
-			       int64_t acc, bool soft)
+static struct policy_spec spec(const char *id, const char *ws, enum service_class cls,
+			       int64_t tasks, int64_t acc, bool soft)
 {
-	struct policy_spec s = {.id = id, .workspace = ws, .kind = ws, .cls = cls, .tasks = tasks,
-				.accelerators = acc, .checkpointable = soft, .run_ms = 1000};
+	struct policy_spec s = {.id = id,
+				.workspace = ws,
+				.kind = ws,
+				.cls = cls,
+				.tasks = tasks,
+				.accelerators = acc,
+				.checkpointable = soft,
+				.run_ms = 1000};
 
 	return s;
 }
@@ -327,7 +334,8 @@
 	case 2:
 		g_snprintf(rack, sizeof(rack), "r%d", r);
 		g_snprintf(id, sizeof(id), "r%d-s%d", r, g_rand_int_range(w->rng, 0, 4));
-		policy_server_set(w->p, id, rack, 8, g_rand_int_range(w->rng, 0, 3) > 0);
+		policy_server_set(w->p, id, rack, 8,
+				  (enum policy_server_state)g_rand_int_range(w->rng, 0, 3));
 		break;
 	default:
 		break;
@@ -438,11 +446,11 @@
 
 	guarantee(p, "owner", 16, false, 1);
 	ck_assert_int_eq(policy_reclaimable(p, "owner"), 16);
-	policy_server_set(p, "r0-s0", "r0", 8, false);
-	policy_server_set(p, "r1-s0", "r1", 8, false);
+	policy_server_set(p, "r0-s0", "r0", 8, POLICY_SERVER_AWAY);
+	policy_server_set(p, "r1-s0", "r1", 8, POLICY_SERVER_AWAY);
 	settle(p, 0, &starts, &stops);
 	ck_assert_int_eq(policy_unbound_cells(p, "owner"), 16);
-	policy_server_set(p, "r1-s0", "r1", 8, true);
+	policy_server_set(p, "r1-s0", "r1", 8, POLICY_SERVER_USABLE);
 	settle(p, 1, &starts, &stops);
 	ck_assert_int_eq(policy_unbound_cells(p, "owner"), 0);
 	check_policy(p);
@@ -450,6 +458,33 @@
 }
 END_TEST
 
+/* found by fault run seed 201: a share computed while servers were away held for ever */
+START_TEST(a_share_is_of_the_whole_fleet)
+{
+	struct policy *p = new_policy(2, 4);
+	struct policy_spec s = spec("a", "w", CLASS_NORMAL, 4, 8, true);
+	struct policy_job *job;
+	int starts = 0;
+	int stops = 0;
+
+	s.share_percent = 50;
+	add_servers(p, 2, 4, false);
+	ck_assert(policy_fits_ever(p, &s));
+	job = add(p, s, 0);
+	settle(p, 0, &starts, &stops);
+	ck_assert_int_eq(starts, 0);
+	add_servers(p, 2, 4, true);
+	settle(p, 1, &starts, &stops);
+	ck_assert_int_eq(policy_job_state(job), POLICY_PLACED);
+	s.id = "b";
+	s.tasks = 1;
+	job = add(p, s, 2);
+	settle(p, 2, &starts, &stops);
+	ck_assert_int_eq(policy_job_wait(job), POLICY_WAIT_QUOTA);
+	talloc_free(p);
+}
+END_TEST
+
 START_TEST(run_times_are_corrected_by_kind)
 {
 	struct policy *p = new_policy(1, 1);
@@ -480,6 +515,7 @@
 	tcase_add_loop_test(t, random_interleavings_keep_the_invariants, 0, 8);
 	tcase_add_loop_test(t, unused_cells_can_always_be_reclaimed, 0, 20);
 	tcase_add_test(t, cells_of_a_lost_server_are_bound_elsewhere);
+	tcase_add_test(t, a_share_is_of_the_whole_fleet);
 	tcase_add_test(t, run_times_are_corrected_by_kind);
 	suite_add_tcase(suite, t);
 	runner = srunner_create(suite);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -38,12 +38,14 @@
 
 START_TEST(all_faults_are_told_at_once)
 {
-	char *text = g_strconcat(good, "threads = \"two\"\n[policy]\nlease_ms = 5\nspeed = 1\n", NULL);
+	char *text =
+		g_strconcat(good, "threads = \"two\"\n[policy]\nlease_ms = 5\nspeed = 1\n", NULL);
 	char *faults;
 
 	ck_assert_ptr_null(load(text, &faults));
 	ck_assert_ptr_nonnull(strstr(faults, ":15: sched.threads: expected no such key"));
-	ck_assert_ptr_nonnull(strstr(faults, ":17: policy.lease_ms: expected a whole number from 1000"));
+	ck_assert_ptr_nonnull(
+		strstr(faults, ":17: policy.lease_ms: expected a whole number from 1000"));
 	ck_assert_ptr_nonnull(strstr(faults, ":18: policy.speed: expected no such key"));
 	talloc_free(faults);
 	g_free(text);
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -311,16 +311,21 @@
         faults.accepted[1] = time.time() * 1e6
         load = start_load(d, args.seed, args.seconds)
         counts = run_schedule(faults, schedule, args.seconds)
+        # with all faults over, a change must reach everybody
+        time.sleep(2)
+        faults.operators_race()
         out, err = load.communicate(timeout=args.seconds + QUIET_S + 60)
         print(out, end="")
         time.sleep(3)
         versions = set()
+        left = []
         for vm in d.vms:
             for which in ("entry", "sched"):
                 status = vm.status(which)
                 versions.add(status["catalogue_version"] if isinstance(status, dict) else "no answer from %s" % vm.id)
-                if which == "sched" and isinstance(status, dict) and status["policy_fault"]:
-                    problem = status["policy_fault"]
+                if which == "sched" and isinstance(status, dict):
+                    problem = status["policy_fault"] or problem
+                    left += status["jobs"] + ([status] if status["jobs"] else [])
     finally:
         codes = d.stop()
     report = promises.Report()
@@ -341,6 +346,8 @@
     report.add("the policy's invariants hold at the end", 1, [problem] if problem else [])
     print("faults: " + ", ".join("%s %d" % c for c in sorted(counts.items())))
     report.print()
+    for job in left:
+        print("left: " + json.dumps(job)[:1500])
     sys.exit(0 if report.is_ok() else 1)
 
 
