--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -13,6 +13,8 @@
 #define DELTAS_KEPT 512 /* deltas held for peers */
 #define DELTAS_READ 64	/* deltas a read */
 
+#define SCHED_PREFIX "sched:" /* a scheduler's name in exchanges, before its VM's id */
+
 struct note {
 	char *server;
 	enum cluster_note_state state;
@@ -41,6 +43,7 @@
 	uint64_t live_mask_hash;
 	char *name; /* in exchanges; only an entryd goes by its VM's id */
 	int64_t contact_at;
+	int64_t scheduler_at;
 };
 
 const struct onc_proc cluster_procs[CLUSTER_PROC_COUNT] = {
@@ -362,6 +365,9 @@
 
 	if (!strcmp(g->failure_domain, c->settings->failure_domain))
 		c->contact_at = base_now();
+	if (!strcmp(g->failure_domain, c->settings->failure_domain) &&
+	    g_str_has_prefix(g->vm, SCHED_PREFIX) && g->incarnation)
+		c->scheduler_at = base_now();
 	if (peer && strcmp(g->vm, c->name)) {
 		peer->heard_at = base_now();
 		peer->incarnation = g->incarnation;
@@ -531,7 +537,7 @@
 	c->hooks = *hooks;
 	c->incarnation = incarnation;
 	/* schedd shares its VM with an entryd, which is a peer to it */
-	c->name = talloc_asprintf(c, "%s%s", platform ? "" : "sched:", settings->vm);
+	c->name = talloc_asprintf(c, "%s%s", platform ? "" : SCHED_PREFIX, settings->vm);
 	c->entries = json_object();
 	c->deltas = json_array();
 	c->vms = json_array();
@@ -595,6 +601,16 @@
 	return c->contact_at && base_now() - c->contact_at < ms * BASE_NS_PER_MS;
 }
 
+bool cluster_has_scheduler(const struct cluster *c, int64_t ms)
+{
+	return c->scheduler_at && base_now() - c->scheduler_at < ms * BASE_NS_PER_MS;
+}
+
+void cluster_set_epoch(struct cluster *c, int64_t epoch)
+{
+	c->incarnation = epoch;
+}
+
 void cluster_set_draining(struct cluster *c)
 {
 	c->is_draining = true;
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -59,6 +59,10 @@
 			    int64_t incarnation, const struct cluster_hooks *hooks);
 /** cluster_has_contact() - a peer or scheduler of the own failure domain was heard within @ms */
 bool cluster_has_contact(const struct cluster *c, int64_t ms);
+/** cluster_has_scheduler() - the active scheduler of the failure domain was heard within @ms */
+bool cluster_has_scheduler(const struct cluster *c, int64_t ms);
+/** cluster_set_epoch() - a scheduler tells peers that it is active; 0 when it is not */
+void cluster_set_epoch(struct cluster *c, int64_t epoch);
 /** cluster_is_ready() - a catalogue is held and every reachable source was asked */
 bool cluster_is_ready(const struct cluster *c);
 const json_t *cluster_entries(const struct cluster *c);
--- a/src/entryd_renew.c
+++ b/src/entryd_renew.c
@@ -62,7 +62,9 @@
 	r->is_calling = false;
 	if (reply->type != BACKEND_STATE) {
 		counter_add(&e->counters, 0, COUNT_RENEWALS_FAILED, 1);
-		if (++r->failures >= LOST_AFTER_FAILURES)
+		/* the scheduler knows better, if there is one: it polls every server itself */
+		if (++r->failures >= LOST_AFTER_FAILURES &&
+		    !cluster_has_scheduler(e->cluster, e->settings->lease_ms))
 			cluster_note(e->cluster, r->server, NOTE_LOST);
 		return;
 	}
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -378,6 +378,7 @@
 	}
 	tevent_add_signal(s->ev, s, SIGTERM, 0, on_term, s);
 	lead_start(s);
+	sweep_start(s);
 	on_tick(s->ev, NULL, base_timeval_in_ms(0), s);
 	log_info("start", "scheduler of %s, standing by", set->failure_domain);
 	while (!s->is_stopped)
--- a/src/schedd.h
+++ b/src/schedd.h
@@ -41,6 +41,7 @@
 	X(SCHED_POLLS, "backend_polls_total")             \
 	X(SCHED_ORPHANS, "orphan_tasks_stopped_total")    \
 	X(SCHED_QUARANTINES, "backend_quarantines_total") \
+	X(SCHED_SWEPT, "rows_swept_total")                \
 	X(SCHED_STALE, "commands_refused_as_stale_total")
 
 enum schedd_counter {
@@ -122,6 +123,7 @@
 	enum stop_reason stop_reason;
 	int64_t attempt;
 	bool has_started; /* some attempt may have run */
+	bool is_loaded;	  /* from its row, at a takeover */
 	bool is_cancelled;
 	bool is_held; /* not given to the policy before hold_until */
 	bool is_row_written;
@@ -131,7 +133,7 @@
 	int64_t row_version;
 	int64_t checkpoint_ms;
 	int64_t started_at;
-	int64_t step_deadline; /* of preparing or starting */
+	int64_t step_deadline; /* of preparing, starting or writing a checkpoint */
 	int64_t hold_until;    /* not to be queued before: old members may still run */
 	unsigned int failures;
 	unsigned int aborts; /* in a row */
@@ -176,6 +178,7 @@
 	int64_t rebuild_deadline;
 	int64_t next_held_at; /* when jobs held back are looked at */
 	unsigned int poll_cursor;
+	char *sweep_after[2]; /* cursors of the sweep, a table each */
 	struct tevent_immediate *step;
 	bool is_step_scheduled;
 };
@@ -204,6 +207,8 @@
 struct job *jobs_load(struct schedd *s, const char *id, json_t *row, int64_t version);
 void jobs_enqueue(struct job *job);
 void jobs_end(struct job *job, enum outcome outcome, const char *reason);
+/** jobs_end_cancelled() - the outcome depends on whether it may have run */
+void jobs_end_cancelled(struct job *job);
 /** jobs_record() - write the row's attempt; gang_recorded() follows */
 void jobs_record(struct job *job);
 /** jobs_save_checkpoint() - write the row's checkpoint; losing it costs only time */
@@ -239,6 +244,10 @@
 void servers_worked(struct backend_server *b);
 void servers_forget_epoch(struct schedd *s);
 
+/* schedd_sweep.c */
+/** sweep_start() - delete rows that nobody needs any more, slowly, while active */
+void sweep_start(struct schedd *s);
+
 /* schedd_rebuild.c */
 void rebuild_start(struct schedd *s);
 void rebuild_check(struct schedd *s, int64_t now);
--- a/src/schedd_gang.c
+++ b/src/schedd_gang.c
@@ -174,6 +174,13 @@
 		sched_kick(m->job->s);
 }
 
+/* past the reclaim deadline the owner of the capacity goes first */
+static bool may_checkpoint(const struct job *job)
+{
+	return job->stop_reason == STOP_PREEMPT && base_now() < job->step_deadline &&
+	       base_json_bool(job->spec, "checkpointable", false);
+}
+
 static json_t *member_args(const struct member *m, enum backend_task_op op)
 {
 	const struct job *job = m->job;
@@ -189,10 +196,7 @@
 		json_object_set_new(args, "from_ms", json_integer(job->checkpoint_ms));
 		json_object_set_new(args, "record", member_record(job));
 	} else if (op == BACKEND_TASK_STOP) {
-		json_object_set_new(
-			args, "checkpoint",
-			json_boolean(job->stop_reason == STOP_PREEMPT &&
-				     base_json_bool(job->spec, "checkpointable", false)));
+		json_object_set_new(args, "checkpoint", json_boolean(may_checkpoint(job)));
 	}
 	return args;
 }
@@ -294,6 +298,7 @@
 	if (reason == STOP_PREEMPT)
 		sched_count(job->s, SCHED_PREEMPTIONS);
 	job->stop_reason = reason;
+	job->step_deadline = base_deadline_in(job->s->settings->reclaim_ms);
 	for (unsigned int i = 0; i < job->member_count; i++)
 		job->members[i].retry_at = 0;
 	job_set_state(job, JOB_STOPPING);
@@ -335,12 +340,14 @@
 
 	switch (job->stop_reason) {
 	case STOP_CANCEL:
-		jobs_end(job, job->has_started ? OUTCOME_FAILED : OUTCOME_NOT_RUN, "cancelled");
+		jobs_end_cancelled(job);
 		return;
 	case STOP_TOO_LONG:
 		jobs_end(job, OUTCOME_FAILED, "ran longer than its kind allows");
 		return;
 	case STOP_PREEMPT:
+		/* a member stopped without a checkpoint says 0 and loses what it did since the last
+		 */
 		job->checkpoint_ms = MAX(job->checkpoint_ms, least_progress(job));
 		may_repeat = true; /* resumed from its checkpoint */
 		break;
@@ -359,7 +366,7 @@
 		break;
 	}
 	if (job->is_cancelled)
-		jobs_end(job, job->has_started ? OUTCOME_FAILED : OUTCOME_NOT_RUN, "cancelled");
+		jobs_end_cancelled(job);
 	else if (!may_repeat)
 		jobs_end(job, OUTCOME_FAILED, "stopped in part; it must not run twice");
 	else
--- a/src/schedd_jobs.c
+++ b/src/schedd_jobs.c
@@ -122,6 +122,7 @@
 	int64_t age_us = base_wall_us() - base_json_int(row, "admitted_us", base_wall_us());
 
 	job->state = JOB_QUEUED;
+	job->is_loaded = true;
 	job->is_row_written = true;
 	job->row_version = version;
 	job->attempt = base_json_int(row, "attempt", 0);
@@ -232,7 +233,7 @@
 	sched_set_active(job, false);
 	if (job->is_cancelled) {
 		job->state = JOB_QUEUED;
-		jobs_end(job, OUTCOME_NOT_RUN, "cancelled");
+		jobs_end_cancelled(job);
 	} else {
 		jobs_enqueue(job);
 	}
@@ -494,6 +495,18 @@
 	sched_kick(job->s);
 }
 
+/* an earlier scheduler may have started it without leaving word in its row */
+void jobs_end_cancelled(struct job *job)
+{
+	if (job->has_started)
+		jobs_end(job, OUTCOME_FAILED, "cancelled");
+	else if (job->is_loaded)
+		jobs_end(job, OUTCOME_UNKNOWN,
+			 "cancelled; an earlier scheduler may have started it");
+	else
+		jobs_end(job, OUTCOME_NOT_RUN, "cancelled");
+}
+
 void jobs_write_due(struct job *job, int64_t now)
 {
 	if (job->is_writing || now < job->retry_write_at)
@@ -587,7 +600,7 @@
 	}
 	job->is_cancelled = true;
 	if (job->state == JOB_QUEUED)
-		jobs_end(job, job->has_started ? OUTCOME_FAILED : OUTCOME_NOT_RUN, "cancelled");
+		jobs_end_cancelled(job);
 	else
 		gang_stop(job, STOP_CANCEL);
 	reply(req, CL_SCHED_OK, jobs_status(job));
--- a/src/schedd_lead.c
+++ b/src/schedd_lead.c
@@ -116,6 +116,7 @@
 	log_warn("step-down", "%s", why);
 	sched_count(s, SCHED_STEP_DOWNS);
 	s->role = ROLE_STANDBY;
+	cluster_set_epoch(s->cluster, 0);
 	s->seen_row_version = 0;
 	s->seen_at = base_now();
 	jobs_drop_all(s);
--- a/src/schedd_rebuild.c
+++ b/src/schedd_rebuild.c
@@ -268,6 +268,7 @@
 	GList *list = g_hash_table_get_values(s->jobs);
 
 	s->role = ROLE_ACTIVE;
+	cluster_set_epoch(s->cluster, s->epoch);
 	for (GList *l = list; l; l = l->next)
 		rebuild_job(l->data, is_any_silent);
 	log_info("rebuilt", "%u jobs in the queue, %zu found at backend servers%s",
