A restarted backend server's absent proves nothing; a replaced scheduler may not say not_run

Change: answers name the run of the server's process; absent counts only in the run that the request was sent to. For the same reason a request of a dead owner that no server knows is unknown, not not_run. Change: the epoch is asked first, and not_run is told only once its write has succeeded.

--- a/lib/backend/backend.c
+++ b/lib/backend/backend.c
@@ -42,6 +42,7 @@
 		reply.type = refused ? BACKEND_REFUSED : BACKEND_STATE;
 		reply.state = backend_state_parse(base_json_str(reply.doc, "state", ""));
 		reply.refusal = refused ? refusal_parse(refused) : BACKEND_REFUSED_OTHER;
+		reply.boot = base_json_int(reply.doc, "boot", 0);
 		reply.is_leaving =
 			!strcmp(base_json_str(reply.doc, "server_state", "live"), "leaving");
 	}
--- a/lib/backend/backend.h
+++ b/lib/backend/backend.h
@@ -54,6 +54,8 @@
  * @state: for BACKEND_STATE
  * @refusal: for BACKEND_REFUSED
  * @is_leaving: the backend server says that it is leaving
+ * @boot: names the run of the backend server's process; after a restart it has
+ *        forgotten everything, so that "absent" proves nothing; 0 when not told
  * @doc: the whole answer, NULL unless it answered
  */
 struct backend_reply {
@@ -61,6 +63,7 @@
 	enum backend_state state;
 	enum backend_refusal refusal;
 	bool is_leaving;
+	int64_t boot;
 	json_t *doc;
 };
 
--- a/src/entryd.h
+++ b/src/entryd.h
@@ -60,6 +60,7 @@
  * @avoid_until: no new work before this, on this process's clock
  * @is_probing: one request is under way to see whether it has recovered
  * @quarantines: quarantines in a row, for the back-off
+ * @boot: run of its process that answered last, 0 before the first answer
  *
  * Lives as long as the process, so that views may come and go.
  */
@@ -70,6 +71,7 @@
 	_Atomic int64_t avoid_until;
 	_Atomic bool is_probing;
 	_Atomic int quarantines;
+	_Atomic int64_t boot;
 };
 
 /* a backend server of the own failure domain */
@@ -154,6 +156,8 @@
 
 /* entryd_view.c */
 void view_publish(struct entryd *e);
+/** view_note_boot() - a backend server answered in this run of its process */
+void view_note_boot(struct entryd *e, const char *server, int64_t boot);
 const struct view_peer *view_find_peer(const struct view *v, const char *id);
 
 /* ---- entryd_requests.c: the life of a short request ---- */
@@ -213,7 +217,11 @@
 void requests_dispatch(struct worker *w);
 /** requests_tick() - expire, probe and forget */
 void requests_tick(struct worker *w);
-/** requests_orphan() - settle a request whose owner is gone, at all backend servers */
+/**
+ * requests_orphan() - settle a request whose owner is gone, at all backend servers
+ * Found there it has its outcome, else it is unknown: a server may have been
+ * replaced since. Every server refuses it from then on.
+ */
 void requests_orphan(struct worker *w, const char *id, struct waiter *waiter);
 
 /* ---- entryd_worker.c ---- */
--- a/src/entryd_renew.c
+++ b/src/entryd_renew.c
@@ -69,6 +69,7 @@
 		return;
 	}
 	r->failures = 0;
+	view_note_boot(e, r->server, reply->boot);
 	counter_add(&e->counters, 0, COUNT_RENEWALS, 1);
 	cluster_note(e->cluster, r->server, reply->is_leaving ? NOTE_LEAVING : NOTE_LIVE);
 	take_tasks(r, json_object_get(reply->doc, "tasks"));
--- a/src/entryd_requests.c
+++ b/src/entryd_requests.c
@@ -45,6 +45,7 @@
 	bool holds_slot;
 	bool is_done; /* its call has returned */
 	int64_t sent_at;
+	int64_t boot; /* run of the server that it was sent to */
 	struct trace_span span;
 };
 
@@ -351,6 +352,16 @@
 
 static void ask(struct request *r, bool cancels);
 
+/* the server restarted since and has forgotten; the request may have run before */
+static void settled_by_restart(struct request *r)
+{
+	r->may_have_run = true;
+	if (r->is_idempotent)
+		try_elsewhere(r, "the backend server restarted");
+	else
+		finish(r, OUTCOME_UNKNOWN, "the backend server restarted", NULL);
+}
+
 static void on_settled(const struct backend_reply *reply, void *data)
 {
 	struct question *q = data;
@@ -364,6 +375,8 @@
 		maybe_free(r);
 		return;
 	}
+	if (reply->boot)
+		atomic_store(&r->attempt->health->boot, reply->boot);
 	r->probe_at = base_deadline_in(SETTLE_PAUSE_MS);
 	if (reply->type != BACKEND_STATE) {
 		health_lost(r->attempt->health);
@@ -385,6 +398,10 @@
 	case BACKEND_CANCELLED:
 		count(r->worker, COUNT_SETTLED);
 		release_slot(r->attempt);
+		if (!reply->boot || reply->boot != r->attempt->boot) {
+			settled_by_restart(r);
+			break;
+		}
 		try_elsewhere(r, "the request did not reach the backend server");
 		break;
 	case BACKEND_ABSENT:
@@ -428,6 +445,8 @@
 	bool is_current = r->attempt == a && r->state != REQUEST_ENDED;
 
 	a->is_done = true;
+	if (reply->boot)
+		atomic_store(&a->health->boot, reply->boot);
 	r->calls--;
 	trace_end(&a->span, "backend", a->server);
 	if (!is_current) {
@@ -477,6 +496,7 @@
 	a->health = s->health;
 	a->holds_slot = true;
 	a->sent_at = base_now();
+	a->boot = atomic_load(&s->health->boot);
 	trace_parent(&r->span, own_parent);
 	a->span = trace_begin(own_parent);
 	trace_parent(&a->span, parent);
@@ -719,8 +739,6 @@
 	struct worker *worker;
 	char *id;
 	struct waiter *waiter;
-	unsigned int asked;
-	unsigned int cancelled;
 	unsigned int open;
 	enum outcome outcome;
 	char *answer;
@@ -730,13 +748,11 @@
 {
 	struct orphan *o = data;
 	struct outcome_msg msg = {OUTCOME_UNKNOWN,
-				  "the owner of the request is gone and not every "
-				  "backend server could be asked",
+				  "the owner of the request is gone, and no backend "
+				  "server knows it now",
 				  NULL};
 
 	o->open--;
-	if (reply->type == BACKEND_STATE && reply->state == BACKEND_CANCELLED)
-		o->cancelled++;
 	if (reply->type == BACKEND_STATE &&
 	    (reply->state == BACKEND_DONE || reply->state == BACKEND_FAILED)) {
 		o->outcome = reply->state == BACKEND_DONE ? OUTCOME_DONE : OUTCOME_FAILED;
@@ -748,9 +764,6 @@
 		msg.outcome = o->outcome;
 		msg.reason = "settled at the backend server; its owner is gone";
 		msg.answer = o->answer;
-	} else if (o->asked && o->cancelled == o->asked) {
-		msg.outcome = OUTCOME_NOT_RUN;
-		msg.reason = "its owner is gone and no backend server has or will take it";
 	}
 	count(o->worker, COUNT_SETTLED);
 	o->worker->active--;
@@ -762,6 +775,7 @@
 {
 	const struct view *v = snapshot_read(&w->entryd->view);
 	struct orphan *o = talloc_zero(w->root, struct orphan);
+	struct backend_reply none = {.type = BACKEND_LOST};
 
 	o->worker = w;
 	o->id = talloc_strdup(o, id);
@@ -773,16 +787,9 @@
 						w->entryd->settings->vm, NULL};
 
 		o->open++;
-		o->asked++;
 		backend_request_state(&target, id, true, base_deadline_in(STATUS_CALL_MS),
 				      on_orphan_state, o);
 	}
 	snapshot_done();
-	if (o->asked) {
-		o->open--;
-	} else {
-		struct backend_reply none = {.type = BACKEND_LOST};
-
-		on_orphan_state(&none, o);
-	}
+	on_orphan_state(&none, o);
 }
--- a/src/entryd_view.c
+++ b/src/entryd_view.c
@@ -29,6 +29,12 @@
 	return h;
 }
 
+void view_note_boot(struct entryd *e, const char *server, int64_t boot)
+{
+	if (boot)
+		atomic_store(&health_get(e, server)->boot, boot);
+}
+
 /*
  * Live entry VMs divide a server's slots without talking: everybody ranks
  * them by rendezvous weight, and the first ones get what does not divide.
--- a/src/load.c
+++ b/src/load.c
@@ -30,6 +30,7 @@
 #define CALL_GRACE_MS 4000
 #define JOB_POLL_MS 5000
 #define TICK_US 200
+#define TAIL_MAX 12 /* no work runs longer than this many times the mean */
 
 enum mode { MODE_REQUEST, MODE_TICKET, MODE_KEY, MODE_JOB, MODE_DIRECT };
 
@@ -202,9 +203,9 @@
 			item_again(it, RETRY_MS);
 		else
 			item_end(it,
-				 outcome		       ? outcome
-				 : a->result == HTTPC_NOT_SENT ? "not_run"
-							       : "unknown",
+				 outcome					 ? outcome
+				 : a->result == HTTPC_NOT_SENT && it->tries == 1 ? "not_run"
+										 : "unknown",
 				 a->status);
 	} else if (it->work->mode == MODE_JOB) {
 		job_answered(it, outcome, a->status);
@@ -304,6 +305,7 @@
 	/* one in twenty is ten times as long */
 	if (w->has_tail && g_rand_int_range(l->rng, 0, 20) == 0)
 		run_ms *= 10;
+	run_ms = MIN(run_ms, w->run_ms * TAIL_MAX);
 	declared = MAX(run_ms, 1);
 	if (g_rand_int_range(l->rng, 0, 100) < w->wrong_percent)
 		declared *= g_rand_boolean(l->rng) ? 5 : 0.2;
--- a/src/schedd_jobs.c
+++ b/src/schedd_jobs.c
@@ -54,6 +54,14 @@
 	return names[state];
 }
 
+/* a scheduler that was replaced may not say that a job did not run: its write decides */
+static enum outcome told_outcome(const struct job *job)
+{
+	if (job->outcome == OUTCOME_NOT_RUN && !job->is_end_written)
+		return OUTCOME_NONE;
+	return job->outcome;
+}
+
 json_t *jobs_status(struct job *job)
 {
 	enum policy_wait wait = job->policy_job && job->state == JOB_QUEUED
@@ -61,8 +69,8 @@
 					: POLICY_WAIT_NONE;
 
 	return json_pack("{ss ss ss ss ss sI sI}", "id", job->id, "state", state_name(job->state),
-			 "outcome", base_outcome_name(job->outcome), "reason", job->reason, "wait",
-			 job->state == JOB_QUEUED ? policy_wait_text(wait) : "", "attempt",
+			 "outcome", base_outcome_name(told_outcome(job)), "reason", job->reason,
+			 "wait", job->state == JOB_QUEUED ? policy_wait_text(wait) : "", "attempt",
 			 (json_int_t)job->attempt, "checkpoint_ms", (json_int_t)job->checkpoint_ms);
 }
 
@@ -300,6 +308,26 @@
 	talloc_free(key);
 }
 
+static void on_epoch_read(enum platform_result result, int64_t version, json_t *value G_GNUC_UNUSED,
+			  void *data)
+{
+	struct job *job = row_op_end(data);
+
+	if (!job || result != PLATFORM_OK)
+		return; /* jobs_write_due() tries again */
+	if (version != job->s->epoch_row_version)
+		lead_step_down(job->s, "the epoch row has changed");
+	else
+		look_up(job);
+}
+
+/* a row found after a conflict may be another scheduler's, so the epoch is asked first */
+static void check_epoch(struct job *job)
+{
+	platform_read(job->s->platform, TABLE_EPOCH, job->s->settings->failure_domain,
+		      base_deadline_in(WRITE_MS), on_epoch_read, row_op_new(job));
+}
+
 static void on_admitted(enum platform_result result, const int64_t *versions, void *data)
 {
 	struct row_op *op = data;
@@ -312,7 +340,7 @@
 		admitted(job, versions[0]);
 		break;
 	case PLATFORM_CONFLICT:
-		look_up(job);
+		check_epoch(job);
 		break;
 	case PLATFORM_REFUSED:
 		if (job->submit)
--- a/src/standin_backend.c
+++ b/src/standin_backend.c
@@ -28,6 +28,7 @@
 #define CHECKPOINT_MS 150 /* time that writing a checkpoint takes */
 #define RECORD_KEEP_MS 900000
 #define SWEEP_MS 100
+#define HOLD_SILENT_MS 10000
 #define HOLD_MS_DEFAULT 3000
 #define LEASE_MS_DEFAULT 6000
 
@@ -93,6 +94,7 @@
 	int64_t slots_used;
 	int64_t accelerators_used;
 	int64_t epoch;
+	int64_t boot; /* changes whenever everything is forgotten */
 	GHashTable *requests;
 	GHashTable *tasks;
 	struct faults faults;
@@ -120,6 +122,34 @@
 
 /* ---- answers ---- */
 
+/* a connection that went silent ends only after the caller has given it up */
+static void on_hold_over(struct tevent_context *ev G_GNUC_UNUSED,
+			 struct tevent_timer *te G_GNUC_UNUSED, struct timeval now G_GNUC_UNUSED,
+			 void *data)
+{
+	struct httpd_request **held = data;
+
+	(*held)->on_abort = NULL;
+	httpd_drop(*held);
+	talloc_free(held);
+}
+
+static void on_held_abort(struct httpd_request *req)
+{
+	talloc_free(req->user);
+}
+
+static void hold(struct server *s, struct httpd_request *req)
+{
+	struct httpd_request **held = talloc_zero(s, struct httpd_request *);
+
+	*held = req;
+	req->user = held;
+	req->on_abort = on_held_abort;
+	tevent_add_timer(s->group->ev, held, base_timeval_in_ms(HOLD_SILENT_MS), on_hold_over,
+			 held);
+}
+
 static void on_abort_delayed(struct httpd_request *req)
 {
 	((struct delayed *)req->user)->req = NULL;
@@ -149,6 +179,7 @@
 	struct delayed *d;
 
 	req->on_abort = NULL;
+	json_object_set_new(body, "boot", json_integer(s->boot));
 	json_object_set_new(body, "server_state",
 			    json_string(s->faults.leaving ? "leaving" : "live"));
 	if (s->faults.dead || is_percent(s->faults.lose_percent)) {
@@ -157,7 +188,8 @@
 		return;
 	}
 	if (s->faults.paused || req->connected_at < s->faults.silent_before) {
-		json_decref(body); /* never answered; the connection ends with its caller */
+		json_decref(body);
+		hold(s, req);
 		return;
 	}
 	if (s->faults.late_ms <= 0) {
@@ -598,6 +630,7 @@
 	s->slots_used = 0;
 	s->accelerators_used = 0;
 	s->epoch = 0;
+	s->boot = base_wall_us();
 }
 
 static void server_fault(struct server *s, const json_t *doc)
@@ -646,7 +679,7 @@
 	else if (s->faults.dead || (vm && is_listed(s->faults.cut, vm)))
 		httpd_drop(req);
 	else if (s->faults.paused || req->connected_at < s->faults.silent_before)
-		return; /* received, never acted on */
+		hold(s, req); /* received, never acted on */
 	else if (g_str_has_prefix(req->path, "/v1/requests/"))
 		handle_request(s, req, req->path + strlen("/v1/requests/"));
 	else if (g_str_has_prefix(req->path, "/v1/tasks/"))
@@ -754,6 +787,7 @@
 		s->id = talloc_asprintf(s, "%s%u", prefix->count ? prefix->sval[0] : "b", i);
 		s->accelerators = int_or(accelerators, 8);
 		s->slots = int_or(slots, 8);
+		s->boot = base_wall_us();
 		s->requests = g_hash_table_new(g_str_hash, g_str_equal);
 		s->tasks = g_hash_table_new(g_str_hash, g_str_equal);
 		opt.port = (uint16_t)(port->ival[0] + (int)i);
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -56,7 +56,7 @@
         self.sched_operators = self.ip + ":7004"
         self.entryd = None
         self.schedd = None
-        self.starts = 0
+        self.draining = None  # an entryd that got SIGTERM and still finishes its requests
 
     def write_settings(self):
         d = self.deployment
@@ -78,7 +78,9 @@
 
     def start(self, what="both"):
         path = self.write_settings()
-        self.starts += 1
+        if self.draining and self.draining.poll() is None:
+            self.draining.wait()
+        self.draining = None
         if what in ("both", "entryd") and not self.entryd:
             self.entryd = self.deployment.spawn("currantlane-entryd", "--settings", path)
         if what in ("both", "schedd") and not self.schedd:
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -114,6 +114,7 @@
         start = time.time()
         vm.entryd.send_signal(signal.SIGTERM)
         old, vm.entryd = vm.entryd, None
+        vm.draining = old
 
         def end():
             try:
@@ -251,7 +252,7 @@
             bag = rng.sample(FAULTS, len(FAULTS))
         name = bag.pop()
         schedule.append((at, name, rng.uniform(1.0, 8.0)))
-        at += rng.uniform(0.3, 2.5)
+        at += rng.uniform(0.3, 2.0)
     return schedule
 
 
