--- a/src/schedd_rebuild.c
+++ b/src/schedd_rebuild.c
@@ -131,12 +131,22 @@
 	const char *id = base_json_str(task, "job", "");
 	json_t *list = json_object_get(s->found, id);
 	json_t *copy = json_deep_copy(task);
+	size_t i;
+	json_t *old;
 
 	json_object_set_new(copy, "server", json_string(b->id));
 	if (!list) {
 		list = json_array();
 		json_object_set_new(s->found, id, list);
 	}
+	/* a later answer of the same server replaces its earlier one */
+	json_array_foreach(list, i, old) {
+		if (strcmp(base_json_str(old, "server", ""), b->id) ||
+		    base_json_int(old, "attempt", 0) != base_json_int(task, "attempt", 0))
+			continue;
+		json_array_set_new(list, i, copy);
+		return;
+	}
 	json_array_append_new(list, copy);
 }
 
@@ -275,8 +285,6 @@
 		 g_list_length(list), json_object_size(s->found),
 		 is_any_silent ? ", some servers are silent" : "");
 	g_list_free(list);
-	json_decref(s->found);
-	s->found = NULL;
 	sched_kick(s);
 }
 
@@ -289,23 +297,21 @@
 	activate(s);
 }
 
-/* jobs held back until every lease that might belong to them has lapsed */
+/* jobs held back until every server has answered or its leases have lapsed */
 void rebuild_release_held(struct schedd *s, int64_t now)
 {
-	GHashTableIter iter;
-	gpointer value;
+	bool is_any_silent = is_any_server_silent(s);
+	GList *list = g_hash_table_get_values(s->jobs);
 
-	g_hash_table_iter_init(&iter, s->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct job *job = value;
+	for (GList *l = list; l; l = l->next) {
+		struct job *job = l->data;
 
-		if (!job->is_held || job->hold_until > now || job->state != JOB_QUEUED)
+		if (!job->is_held || job->state != JOB_QUEUED)
+			continue;
+		if (is_any_silent && job->hold_until > now)
 			continue;
 		job->is_held = false;
-		if (job->attempt > 0 && !base_json_bool(job->spec, "idempotent", false))
-			jobs_end(job, OUTCOME_UNKNOWN,
-				 "its backend servers are gone and it must not run twice");
-		else
-			jobs_enqueue(job);
+		rebuild_job(job, false);
 	}
+	g_list_free(list);
 }
--- a/src/schedd_servers.c
+++ b/src/schedd_servers.c
@@ -143,6 +143,14 @@
 
 static void stop_orphan(struct schedd *s, struct backend_server *b, const json_t *task);
 
+/* evidence that arrives late for a job whose fate is still open */
+static bool is_of_held_job(struct schedd *s, const json_t *task)
+{
+	const struct job *job = g_hash_table_lookup(s->jobs, base_json_str(task, "job", ""));
+
+	return job && job->is_held;
+}
+
 static void on_polled(const struct backend_reply *reply, void *data)
 {
 	struct poll *p = data;
@@ -178,7 +186,7 @@
 	if (s->role == ROLE_ACTIVE)
 		find_missing(s, b, tasks);
 	json_array_foreach(tasks, i, task) {
-		if (s->role == ROLE_REBUILDING)
+		if (s->role == ROLE_REBUILDING || is_of_held_job(s, task))
 			rebuild_task(s, b, task);
 		else if (!gang_observe(s, b, task))
 			stop_orphan(s, b, task);
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -38,12 +38,14 @@
     print("%-66s %12.4f %s" % (name, value, unit), flush=True)
 
 
-def loopback_bytes():
-    with open("/proc/net/dev") as f:
-        for line in f:
-            if line.strip().startswith("lo:"):
-                return int(line.split(":")[1].split()[0])
-    return 0
+def socket_bytes(pid):
+    """Bytes sent and received by the open connections of a process."""
+    out = subprocess.run(["ss", "-tinpH"], capture_output=True, text=True).stdout.splitlines()
+    total = 0
+    for line, info in zip(out[::2], out[1::2]):
+        if "pid=%d," % pid in line:
+            total += sum(int(n) for n in re.findall(r"bytes_(?:sent|received):(\d+)", info))
+    return total
 
 
 def catalogue(d):
@@ -62,12 +64,24 @@
 
 
 def window(d, vm):
-    """Processor time a second of entryd and schedd, and loopback bytes a second of everything."""
-    before = (cpu_seconds(vm.entryd.pid), cpu_seconds(vm.schedd.pid), loopback_bytes(), time.time())
+    """Processor time a second and KB a second of entryd and schedd."""
+    pids = (vm.entryd.pid, vm.schedd.pid)
+    before = [(cpu_seconds(p), socket_bytes(p)) for p in pids]
+    start = time.time()
     time.sleep(MEASURE_S)
-    took = time.time() - before[3]
-    return ((cpu_seconds(vm.entryd.pid) - before[0]) / took * 100,
-            (cpu_seconds(vm.schedd.pid) - before[1]) / took * 100, (loopback_bytes() - before[2]) / took)
+    took = time.time() - start
+    after = [(cpu_seconds(p), socket_bytes(p)) for p in pids]
+    return [((a[0] - b[0]) / took * 100, max(a[1] - b[1], 0) / took / 1024) for a, b in zip(after, before)]
+
+
+def report(d, vm, what):
+    (entry_cpu, entry_kb), (sched_cpu, sched_kb) = window(d, vm)
+    say(what + ": entryd processor time", entry_cpu, "% of a core")
+    say(what + ": entryd traffic", entry_kb, "KB/s")
+    say(what + ": entryd memory", memory_mb(vm.entryd.pid), "MB")
+    say(what + ": schedd processor time", sched_cpu, "% of a core")
+    say(what + ": schedd traffic", sched_kb, "KB/s")
+    say(what + ": schedd memory", memory_mb(vm.schedd.pid), "MB")
 
 
 def servers_and_tasks(sizes):
@@ -77,23 +91,13 @@
             d.start(catalogue(d))
             vm = d.vms[0]
             time.sleep(3)
-            entry, sched, total = window(d, vm)
-            say("%d servers idle: entryd" % n, entry, "% of a core")
-            say("%d servers idle: schedd" % n, sched, "% of a core")
-            say("%d servers idle: loopback, 3 domains with all stand-ins" % n, total / 1024, "KB/s")
-            say("%d servers idle: memory of entryd" % n, memory_mb(vm.entryd.pid), "MB")
-            say("%d servers idle: memory of schedd" % n, memory_mb(vm.schedd.pid), "MB")
+            report(d, vm, "%d servers idle" % n)
             gangs = n * 8 // 64
             for i in range(gangs):
                 submit(d, vm, 64)
             time.sleep(3)
             placed = vm.status()["placed"]
-            entry, sched, loaded = window(d, vm)
-            say("%d servers, %d tasks in %d gangs: entryd" % (n, placed * 64, placed), entry, "% of a core")
-            say("%d servers, %d tasks in %d gangs: schedd" % (n, placed * 64, placed), sched, "% of a core")
-            say("%d servers, %d tasks: loopback added by the tasks of one domain" % (n, placed * 64),
-                (loaded - total) / 1024, "KB/s")
-            say("%d servers, %d tasks: memory of schedd" % (n, placed * 64), memory_mb(vm.schedd.pid), "MB")
+            report(d, vm, "%d servers, %d tasks in %d gangs" % (n, placed * 64, placed))
         finally:
             d.end()
 
