--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wstrict-prototypes
 OPT ?= -O2
 SAN ?=
-CFLAGS += -std=gnu11 -g $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -Ilib -pthread \
+CFLAGS += -std=gnu11 -Itests -g $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -Ilib -pthread \
 	$(shell pkg-config --cflags $(PKGS))
 CXXFLAGS += -std=c++17 -g -O1 -Wall -Wextra $(SAN) -Ilib $(shell pkg-config --cflags jansson)
 LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lm -pthread
--- a/bench/bench_cost.c
+++ b/bench/bench_cost.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "figure.h"
 #include "policy/policy.h"
 
 #define PER_RACK 8
@@ -16,20 +17,13 @@
 #define BOUND_ONE_MS 0.1
 #define BOUND_GANG_MS 1.0
 
-static int failures;
-
-static void figure(const char *name, int servers, double value, const char *unit, double bound)
+/* a figure of a fleet of that many servers */
+static void show(const char *name, int servers, double value, const char *unit, double bound)
 {
-	bool is_ok = bound < 0 || value <= bound;
-	char limit[32] = "-";
-
-	if (bound >= 0)
-		g_snprintf(limit, sizeof(limit), "%.3f", bound);
-	printf("%5d servers  %-34s %12.4f %-6s bound %-8s %s\n", servers, name, value, unit, limit,
-	       bound < 0 ? ""
-	       : is_ok	 ? "ok"
-			 : "FAIL");
-	failures += !is_ok;
+	char where[24];
+
+	g_snprintf(where, sizeof(where), "%d servers", servers);
+	figure(where, name, value, unit, bound);
 }
 
 static int compare_int64(const void *a, const void *b)
@@ -129,10 +123,10 @@
 	}
 	qsort(took, ROUNDS, sizeof(*took), compare_int64);
 	g_snprintf(name, sizeof(name), "gang of %d: p50", (int)tasks);
-	figure(name, servers, (double)took[ROUNDS / 2] / 1e6, "ms", -1);
+	show(name, servers, (double)took[ROUNDS / 2] / 1e6, "ms", NO_BOUND);
 	g_snprintf(name, sizeof(name), "gang of %d: p99 (%d%% placed)", (int)tasks,
 		   started * 100 / ROUNDS);
-	figure(name, servers, (double)took[ROUNDS * 99 / 100] / 1e6, "ms", bound);
+	show(name, servers, (double)took[ROUNDS * 99 / 100] / 1e6, "ms", bound);
 }
 
 int main(int argc, char **argv)
@@ -152,15 +146,15 @@
 			continue;
 		p = fleet(servers);
 		tasks = fill(p, (int64_t)servers * 18, rng);
-		figure("tasks placed", servers, (double)tasks, "tasks", -1);
-		figure("memory of the policy", servers,
-		       (double)(mallinfo2().uordblks - before) / 1048576.0, "MB",
-		       is_plan ? 64 : -1);
-		measure(p, servers, 1, is_plan ? BOUND_ONE_MS : -1);
-		measure(p, servers, MIN(1024, servers), is_plan ? BOUND_GANG_MS : -1);
+		show("tasks placed", servers, (double)tasks, "tasks", NO_BOUND);
+		show("memory of the policy", servers,
+		     (double)(mallinfo2().uordblks - before) / 1048576.0, "MB",
+		     is_plan ? 64 : NO_BOUND);
+		measure(p, servers, 1, is_plan ? BOUND_ONE_MS : NO_BOUND);
+		measure(p, servers, MIN(1024, servers), is_plan ? BOUND_GANG_MS : NO_BOUND);
 		talloc_free(p);
 	}
 	g_rand_free(rng);
-	printf("%d figures missed their bound\n", failures);
-	return failures ? 1 : 0;
+	printf("%d figures missed their bound\n", figures_failed);
+	return figures_failed ? 1 : 0;
 }
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "baseline.h"
+#include "figure.h"
 #include "policy/policy.h"
 
 #define CHECKPOINT_MS 2000
@@ -341,7 +342,7 @@
 
 	j->ended = s->now;
 	s->busy -= j->tasks * j->accelerators;
-	occupy(s, j, -1);
+	occupy(s, j, NO_BOUND);
 	if (s->engine == ENGINE_POLICY) {
 		policy_learn(s->p, "k", j->declared_ms, j->run_ms);
 		policy_job_remove(s->p, j->pj, s->now);
@@ -540,7 +541,7 @@
 			ended(&s, e.job);
 		} else {
 			s.busy -= s.jobs[e.job].tasks * s.jobs[e.job].accelerators;
-			occupy(&s, &s.jobs[e.job], -1);
+			occupy(&s, &s.jobs[e.job], NO_BOUND);
 			s.jobs[e.job].is_waiting = true;
 			policy_job_requeue(s.p, s.jobs[e.job].pj, s.now);
 		}
@@ -562,23 +563,6 @@
 
 /* ---- figures and bounds ---- */
 
-static int failures;
-
-static void figure(const char *setup, const char *name, double value, const char *unit,
-		   double bound)
-{
-	bool is_ok = bound < 0 || value <= bound;
-	char limit[32] = "-";
-
-	if (bound >= 0)
-		g_snprintf(limit, sizeof(limit), "%.3f", bound);
-	printf("%-14s %-44s %14.3f %-6s bound %-10s %s\n", setup, name, value, unit, limit,
-	       bound < 0 ? ""
-	       : is_ok	 ? "ok"
-			 : "FAIL");
-	failures += !is_ok;
-}
-
 /* no schedule ends earlier than the work divided by the fleet, or the longest critical job */
 static double lower_bound_ms(const struct setup *u)
 {
@@ -600,7 +584,7 @@
 
 #define SHOW(label, value, unit)                                         \
 	g_snprintf(name, sizeof(name), "%s %s", engine_names[e], label); \
-	figure(u->name, name, value, unit, -1)
+	figure(u->name, name, value, unit, NO_BOUND)
 	SHOW("urgent start p99", r->urgent_p99_start_ms / 1000, "s");
 	SHOW("urgent+guaranteed completion p99", r->firm_p99_ms / 1000, "s");
 	SHOW("other completion p50", r->rest_p50_ms / 1000, "s");
@@ -624,7 +608,7 @@
 		r[e] = run(u, (enum engine)e);
 		print_engine(u, (enum engine)e, &r[e]);
 	}
-	figure(u->name, "lower bound of the makespan", bound_ms / 1000, "s", -1);
+	figure(u->name, "lower bound of the makespan", bound_ms / 1000, "s", NO_BOUND);
 	figure(u->name, "lower bound of urgent+guaranteed p99", r[0].firm_alone_p99_ms / 1000, "s",
 	       -1);
 	figure(u->name, "jobs never finished", r[ENGINE_POLICY].unfinished, "jobs", 0);
@@ -660,6 +644,6 @@
 	measure(&urgent, false, false);
 	if (!is_quick)
 		measure(&plan, false, false);
-	printf("%d figures missed their bound\n", failures);
-	return failures ? 1 : 0;
+	printf("%d figures missed their bound\n", figures_failed);
+	return figures_failed ? 1 : 0;
 }
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -3,13 +3,10 @@
  */
 #include "entryd.h"
 
-#include <argtable2.h>
-#include <curl/curl.h>
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
-#include <sys/resource.h>
 
+#include "daemon/daemon.h"
 #include "version.h"
 
 #define DRAIN_MS 1500 /* time for the balancer to see that this VM is not ready */
@@ -225,55 +222,14 @@
 	return 0;
 }
 
-static void raise_file_limit(void)
-{
-	struct rlimit files;
-
-	if (!getrlimit(RLIMIT_NOFILE, &files)) {
-		files.rlim_cur = files.rlim_max;
-		setrlimit(RLIMIT_NOFILE, &files);
-	}
-}
-
 int main(int argc, char **argv)
 {
-	struct arg_file *path = arg_file0(NULL, "settings", "FILE", "settings of this VM (TOML)");
-	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_end *end = arg_end(8);
-	void *table[] = {path, check, version, help, end};
 	struct entryd *e = talloc_zero(NULL, struct entryd);
-	int errors = arg_parse(argc, argv, table);
-	char *faults;
+	int code;
 
-	if (version->count) {
-		printf("currantlane-entryd %s\n", CURRANTLANE_VERSION);
-		return 0;
-	}
-	if (help->count || errors || !path->count) {
-		printf("usage: currantlane-entryd");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-		return help->count ? 0 : 2;
-	}
-	e->settings = settings_load(e, path->filename[0], &faults);
-	if (!e->settings) {
-		fputs(faults, stderr);
-		return 2;
-	}
-	if (check->count) {
-		printf("%s: ok\n", path->filename[0]);
-		return 0;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	raise_file_limit();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
+	e->settings = daemon_start(e, "entryd", CURRANTLANE_VERSION, argc, argv, &code);
+	if (!e->settings)
+		return code;
 	snapshot_thread_register();
-	if (base_log_init("entryd", e->settings->vm, e->settings->log_file) ||
-	    trace_init(e->settings->vm, e->settings->trace_file)) {
-		fputs("cannot open the log or trace file\n", stderr);
-		return 2;
-	}
 	return entryd_run(e);
 }
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -3,12 +3,10 @@
  */
 #include "schedd.h"
 
-#include <argtable2.h>
-#include <curl/curl.h>
 #include <signal.h>
-#include <stdio.h>
 #include <string.h>
 
+#include "daemon/daemon.h"
 #include "version.h"
 
 #define TICK_MS 100
@@ -390,41 +388,11 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_file *path = arg_file0(NULL, "settings", "FILE", "settings of this VM (TOML)");
-	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version");
-	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
-	struct arg_end *end = arg_end(8);
-	void *table[] = {path, check, version, help, end};
 	struct schedd *s = talloc_zero(NULL, struct schedd);
-	int errors = arg_parse(argc, argv, table);
-	char *faults;
+	int code;
 
-	if (version->count) {
-		printf("currantlane-schedd %s\n", CURRANTLANE_VERSION);
-		return 0;
-	}
-	if (help->count || errors || !path->count) {
-		printf("usage: currantlane-schedd");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-		return help->count ? 0 : 2;
-	}
-	s->settings = settings_load(s, path->filename[0], &faults);
-	if (!s->settings) {
-		fputs(faults, stderr);
-		return 2;
-	}
-	if (check->count) {
-		printf("%s: ok\n", path->filename[0]);
-		return 0;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	if (base_log_init("schedd", s->settings->vm, s->settings->log_file) ||
-	    trace_init(s->settings->vm, s->settings->trace_file)) {
-		fputs("cannot open the log or trace file\n", stderr);
-		return 2;
-	}
+	s->settings = daemon_start(s, "schedd", CURRANTLANE_VERSION, argc, argv, &code);
+	if (!s->settings)
+		return code;
 	return schedd_run(s);
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/base.h"
+#include "runner.h"
 
 START_TEST(strings_compare_by_length_and_bytes)
 {
@@ -92,22 +93,16 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("base");
-	TCase *t = tcase_create("base");
-	SRunner *runner;
-	int failed;
-
 	tcase_add_test(t, strings_compare_by_length_and_bytes);
 	tcase_add_test(t, outcomes_are_a_closed_set);
 	tcase_add_test(t, deadlines_do_not_go_negative);
 	tcase_add_test(t, rendezvous_moves_only_the_lost_nodes_keys);
 	tcase_add_test(t, counters_of_all_threads_are_summed);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	return run_suite("base", add_tests);
 }
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "catalogue/catalogue.h"
+#include "runner.h"
 
 static char dir[] = "/tmp/currantlane-test-XXXXXX";
 
@@ -104,23 +105,17 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("catalogue");
-	TCase *t = tcase_create("catalogue");
-	SRunner *runner;
-	int failed;
-
-	if (!mkdtemp(dir))
-		return EXIT_FAILURE;
 	tcase_add_test(t, faults_name_file_line_and_key);
 	tcase_add_test(t, broken_toml_names_its_line);
 	tcase_add_test(t, a_difference_leads_from_old_to_new);
 	tcase_add_test(t, guarantees_that_do_not_fit_are_refused);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	if (!mkdtemp(dir))
+		return EXIT_FAILURE;
+	return run_suite("catalogue", add_tests);
 }
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "httpc/httpc.h"
+#include "runner.h"
 
 #define PORT 17903
 #define REPLY "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -125,21 +126,15 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("httpc");
-	TCase *t = tcase_create("httpc");
-	SRunner *runner;
-	int failed;
+	tcase_add_test(t, a_body_is_not_sent_again_on_another_connection);
+	tcase_add_test(t, a_dead_port_is_not_sent);
+}
 
+int main(void)
+{
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	tcase_add_test(t, a_body_is_not_sent_again_on_another_connection);
-	tcase_add_test(t, a_dead_port_is_not_sent);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_suite("httpc", add_tests);
 }
--- a/tests/test_onc.c
+++ b/tests/test_onc.c
@@ -11,6 +11,7 @@
 
 #include "onc/onc.h"
 #include "proto/proto.h"
+#include "runner.h"
 
 #define PORT 17901
 
@@ -175,23 +176,17 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("onc");
-	TCase *t = tcase_create("onc");
-	SRunner *runner;
-	int failed;
-
-	signal(SIGPIPE, SIG_IGN);
 	tcase_add_test(t, a_call_gets_its_result);
 	tcase_add_test(t, a_silent_peer_is_given_up_and_called_anew);
 	tcase_add_test(t, a_dead_port_is_not_sent);
 	tcase_add_test(t, foreign_networks_are_refused);
 	tcase_add_loop_test(t, random_bytes_do_no_harm, 0, 5);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	return run_suite("onc", add_tests);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -9,6 +9,7 @@
 
 #include "httpd/httpd.h"
 #include "platform/platform.h"
+#include "runner.h"
 
 #define PORT 17902
 
@@ -146,23 +147,17 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("platform");
-	TCase *t = tcase_create("platform");
-	SRunner *runner;
-	int failed;
-
-	signal(SIGPIPE, SIG_IGN);
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_test(t, a_lost_answer_is_settled_without_a_second_write);
 	tcase_add_test(t, a_conflict_with_another_writer_is_told);
 	tcase_add_test(t, an_outage_is_a_definite_refusal);
 	tcase_add_test(t, only_lost_answers_leave_it_open);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return run_suite("platform", add_tests);
 }
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "policy/policy.h"
+#include "runner.h"
 
 #define JOBS_MAX 200
 #define STEPS 4000
@@ -497,14 +498,8 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("policy");
-	TCase *t = tcase_create("policy");
-	SRunner *runner;
-	int failed;
-
-	tcase_set_timeout(t, 60);
 	tcase_add_test(t, gang_goes_into_one_rack);
 	tcase_add_test(t, small_tasks_fill_holes_first);
 	tcase_add_test(t, firm_work_stays_out_of_other_guarantees);
@@ -517,10 +512,9 @@
 	tcase_add_test(t, cells_of_a_lost_server_are_bound_elsewhere);
 	tcase_add_test(t, a_share_is_of_the_whole_fleet);
 	tcase_add_test(t, run_times_are_corrected_by_kind);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	return run_suite("policy", add_tests);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "settings/settings.h"
+#include "runner.h"
 
 static char path[] = "/tmp/currantlane-settings-XXXXXX";
 
@@ -65,23 +66,20 @@
 }
 END_TEST
 
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, defaults_fill_what_is_left_out);
+	tcase_add_test(t, all_faults_are_told_at_once);
+	tcase_add_test(t, addresses_are_ip_and_port);
+}
+
 int main(void)
 {
-	Suite *suite = suite_create("settings");
-	TCase *t = tcase_create("settings");
-	SRunner *runner;
-	int failed;
+	int code;
 
 	if (mkstemp(path) < 0)
 		return EXIT_FAILURE;
-	tcase_add_test(t, defaults_fill_what_is_left_out);
-	tcase_add_test(t, all_faults_are_told_at_once);
-	tcase_add_test(t, addresses_are_ip_and_port);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
+	code = run_suite("settings", add_tests);
 	unlink(path);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return code;
 }
--- a/tests/test_threads.c
+++ b/tests/test_threads.c
@@ -9,6 +9,7 @@
 
 #include "inbox/inbox.h"
 #include "snapshot/snapshot.h"
+#include "runner.h"
 
 #define MESSAGES 20000
 #define SENDERS 4
@@ -135,20 +136,13 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *t)
 {
-	Suite *suite = suite_create("threads");
-	TCase *t = tcase_create("threads");
-	SRunner *runner;
-	int failed;
-
-	tcase_set_timeout(t, 60);
 	tcase_add_test(t, every_message_arrives_once_and_in_order);
 	tcase_add_test(t, readers_see_whole_values_in_order);
-	suite_add_tcase(suite, t);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(void)
+{
+	return run_suite("threads", add_tests);
 }
