--- a/src/entryd_renew.c
+++ b/src/entryd_renew.c
@@ -12,6 +12,7 @@
 
 #define RENEWALS_PER_LEASE 3
 #define LOST_AFTER_FAILURES 3
+#define LAPSE_LEASES 3
 
 /* renewal of one backend server */
 struct renewal {
@@ -19,7 +20,9 @@
 	char *server;
 	unsigned int failures;
 	bool is_calling;
-	json_t *except; /* jobs whose gangs are not whole */
+	int64_t boot;		 /* run of its process that answered last */
+	int64_t restarted_until; /* its gangs of before are given time to lapse */
+	json_t *except;		 /* jobs whose gangs are not whole */
 };
 
 struct renewer {
@@ -54,6 +57,21 @@
 	}
 }
 
+/*
+ * A server that restarted has lost its members of every gang. A scheduler sees
+ * that; without one the server counts as lost until those gangs have lapsed.
+ */
+static enum cluster_note_state renewed_state(const struct renewal *r,
+					     const struct backend_reply *reply)
+{
+	struct entryd *e = r->entryd;
+
+	if (r->restarted_until > base_now() &&
+	    !cluster_has_scheduler(e->cluster, e->settings->lease_ms))
+		return NOTE_LOST;
+	return reply->is_leaving ? NOTE_LEAVING : NOTE_LIVE;
+}
+
 static void on_renewed(const struct backend_reply *reply, void *data)
 {
 	struct renewal *r = data;
@@ -69,9 +87,12 @@
 		return;
 	}
 	r->failures = 0;
+	if (r->boot && reply->boot != r->boot)
+		r->restarted_until = base_deadline_in(LAPSE_LEASES * e->settings->lease_ms);
+	r->boot = reply->boot;
 	view_note_boot(e, r->server, reply->boot);
 	counter_add(&e->counters, 0, COUNT_RENEWALS, 1);
-	cluster_note(e->cluster, r->server, reply->is_leaving ? NOTE_LEAVING : NOTE_LIVE);
+	cluster_note(e->cluster, r->server, renewed_state(r, reply));
 	take_tasks(r, json_object_get(reply->doc, "tasks"));
 }
 
@@ -111,7 +132,8 @@
 	json_t *args;
 
 	/* a server the scheduler gave up must not be kept running by anybody */
-	if (r->is_calling || (cluster_note_of(e->cluster, id) == NOTE_LOST && !r->failures))
+	if (r->is_calling || (cluster_note_of(e->cluster, id) == NOTE_LOST && !r->failures &&
+			      r->restarted_until <= base_now()))
 		return;
 	g_snprintf(base, sizeof(base), "http://%s", base_json_str(vm, "address", ""));
 	args = json_pack("{sI sb sO}", "lease_ms", (json_int_t)e->settings->lease_ms, "brief", 1,
--- a/tools/check.py
+++ b/tools/check.py
@@ -52,6 +52,7 @@
              ("bench_cost --quick", [BUILD + "/bench/bench_cost", "--quick"], 120),
              ("bad input", [sys.executable, "tools/bad_input.py"], 120),
              ("reclaim and urgent starts", [sys.executable, "tools/reclaim.py"], 120),
+             ("gangs lapse without a scheduler", [sys.executable, "tools/lapse.py"], 120),
              ("planned stop under load", [sys.executable, "tools/planned_stop.py"], 120),
              ("faults --seed 1", [sys.executable, "tools/faults.py", "--seed", "1", "--seconds", "45"], 240),
              ("faults --seed 2", [sys.executable, "tools/faults.py", "--seed", "2", "--seconds", "45"], 240)]
