Hand over when cut off from the backend servers

Change: when 80% of the servers have been silent for a lease, the row is emptied and this VM stays back for 30 s.

--- a/src/schedd.h
+++ b/src/schedd.h
@@ -165,6 +165,7 @@
 	int64_t seen_row_version;
 	int64_t seen_at;
 	int64_t renewed_at;
+	int64_t no_takeover_before; /* after handing over */
 	bool is_lead_calling;
 	bool is_stopping;
 	bool is_stopped;
@@ -198,6 +199,8 @@
 /* schedd_lead.c */
 void lead_start(struct schedd *s);
 void lead_release(struct schedd *s);
+/** lead_hand_over() - give up the row so that a scheduler on another VM takes over */
+void lead_hand_over(struct schedd *s);
 void lead_step_down(struct schedd *s, const char *why);
 
 /* schedd_jobs.c: admission, rows, outcomes */
--- a/src/schedd_lead.c
+++ b/src/schedd_lead.c
@@ -14,6 +14,7 @@
 #define RENEW_MS 1000
 #define LAPSE_MS 4000
 #define CALL_MS 900
+#define HAND_OVER_PAUSE_MS 30000 /* others come first for this long */
 
 static void lead_tick(struct schedd *s);
 
@@ -114,7 +115,8 @@
 	const char *holder = base_json_str(value, "holder", "");
 
 	s->is_lead_calling = false;
-	if (result != PLATFORM_OK || s->role != ROLE_STANDBY || s->is_stopping)
+	if (result != PLATFORM_OK || s->role != ROLE_STANDBY || s->is_stopping ||
+	    s->no_takeover_before > base_now())
 		return;
 	if (version != s->seen_row_version) {
 		s->seen_row_version = version;
@@ -128,6 +130,18 @@
 
 /* ---- giving up ---- */
 
+static void on_handed_over(enum platform_result result, const int64_t *versions G_GNUC_UNUSED,
+			   void *data)
+{
+	struct schedd *s = data;
+
+	s->is_lead_calling = false;
+	if (result != PLATFORM_OK)
+		return; /* still the holder, or found out by the next renewal */
+	s->no_takeover_before = base_deadline_in(HAND_OVER_PAUSE_MS);
+	lead_step_down(s, "the backend servers cannot be reached from here");
+}
+
 void lead_step_down(struct schedd *s, const char *why)
 {
 	if (s->role == ROLE_STANDBY)
@@ -142,6 +156,20 @@
 	servers_forget_epoch(s);
 }
 
+/* a scheduler that cannot reach the backend servers is of no use; another VM may reach them */
+void lead_hand_over(struct schedd *s)
+{
+	struct platform_write write = {TABLE_SCHED, s->settings->failure_domain,
+				       s->sched_row_version, NULL, false};
+
+	if (s->role != ROLE_ACTIVE || s->is_lead_calling)
+		return;
+	write.value = row_value(s, "");
+	s->is_lead_calling = true;
+	platform_tx(s->platform, &write, 1, base_deadline_in(CALL_MS), on_handed_over, s);
+	json_decref(write.value);
+}
+
 static void on_released(enum platform_result result G_GNUC_UNUSED,
 			const int64_t *versions G_GNUC_UNUSED, void *data)
 {
--- a/src/schedd_servers.c
+++ b/src/schedd_servers.c
@@ -9,6 +9,7 @@
 #define POLL_IDLE_MS 3000 /* ... that runs nothing */
 #define POLLS_PER_TICK 8  /* bounds the rate whatever the fleet's size */
 #define POLL_CALL_MS 1500
+#define CUT_OFF_PERCENT 80
 #define JOBS_TO_QUARANTINE 3 /* distinct jobs that fail there in a row */
 #define QUARANTINE_MS 15000
 #define QUARANTINE_DOUBLINGS 6
@@ -244,6 +245,25 @@
 	gang_server_given_up(s, b);
 }
 
+/* most servers have been silent for a lease; it is more likely that this VM is cut off */
+static bool is_cut_off(struct schedd *s, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned int listed = 0;
+	unsigned int silent = 0;
+
+	g_hash_table_iter_init(&iter, s->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend_server *b = value;
+
+		listed += b->is_listed_live;
+		silent += b->is_listed_live && b->unanswered_since &&
+			  now - b->unanswered_since > s->settings->lease_ms * BASE_NS_PER_MS;
+	}
+	return listed && silent * 100 >= listed * CUT_OFF_PERCENT;
+}
+
 void servers_poll(struct schedd *s, int64_t now)
 {
 	GHashTableIter iter;
@@ -255,6 +275,8 @@
 
 	if (!n)
 		return;
+	if (s->role == ROLE_ACTIVE && is_cut_off(s, now))
+		lead_hand_over(s);
 	s->poll_cursor = s->poll_cursor % n;
 	g_hash_table_iter_init(&iter, s->servers);
 	for (unsigned int round = 0; round < 2; round++) {
--- a/tools/check.py
+++ b/tools/check.py
@@ -53,6 +53,7 @@
              ("bad input", [sys.executable, "tools/bad_input.py"], 120),
              ("reclaim and urgent starts", [sys.executable, "tools/reclaim.py"], 120),
              ("gangs lapse without a scheduler", [sys.executable, "tools/lapse.py"], 120),
+             ("scheduler cut off from its servers", [sys.executable, "tools/handover.py"], 120),
              ("planned stop under load", [sys.executable, "tools/planned_stop.py"], 120),
              ("faults --seed 1", [sys.executable, "tools/faults.py", "--seed", "1", "--seconds", "45"], 240),
              ("faults --seed 2", [sys.executable, "tools/faults.py", "--seed", "2", "--seconds", "45"], 240)]
