Bind no cell twice on an overfull server

Change: room for a cell counts what is missing. Test: cells_are_not_bound_twice_on_an_overfull_server fails without it.

--- a/lib/policy/cells.c
+++ b/lib/policy/cells.c
@@ -58,7 +58,7 @@
 {
 	const struct holding *h = pol_holding_find(s, ws);
 
-	return MAX(pol_server_open(s), 0) + (h ? MAX(h->firm - h->reserved, 0) : 0);
+	return MAX(pol_server_open(s) + (h ? MAX(h->firm - h->reserved, 0) : 0), 0);
 }
 
 static bool bind_in_server(struct policy *p, struct cell *cell)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -508,6 +508,34 @@
 }
 END_TEST
 
+/* found by fault run seed 30400: a late find overfills a server until the other job is refused */
+START_TEST(cells_are_not_bound_twice_on_an_overfull_server)
+{
+	struct policy *p = new_policy(1, 2);
+	struct policy_cell cell = {8, true, 1};
+	struct policy_workspace list[2] = {{.name = "a", .cells = &cell, .cell_count = 1},
+					   {.name = "b", .cells = &cell, .cell_count = 1}};
+	struct policy_job *first = add(p, spec("first", "a", CLASS_NORMAL, 1, 8, false), 0);
+	struct policy_job *second = add(p, spec("second", "b", CLASS_NORMAL, 1, 8, false), 0);
+	struct policy_place place = {"r0-s1", 1};
+	int starts = 0;
+	int stops = 0;
+
+	policy_server_set(p, "r0-s0", "r0", 8, POLICY_SERVER_AWAY);
+	policy_job_adopt(p, first, &place, 1, 0);
+	policy_job_adopt(p, second, &place, 1, 0);
+	policy_workspaces_set(p, list, 2);
+	settle(p, 0, &starts, &stops);
+	policy_server_set(p, "r0-s0", "r0", 8, POLICY_SERVER_USABLE);
+	policy_job_remove(p, first, 1);
+	policy_job_remove(p, second, 1);
+	settle(p, 1, &starts, &stops);
+	check_policy(p);
+	ck_assert_int_eq(policy_unbound_cells(p, "a") + policy_unbound_cells(p, "b"), 0);
+	talloc_free(p);
+}
+END_TEST
+
 START_TEST(run_times_are_corrected_by_kind)
 {
 	struct policy *p = new_policy(1, 1);
@@ -534,6 +562,7 @@
 	tcase_add_test(t, cells_of_a_lost_server_are_bound_elsewhere);
 	tcase_add_test(t, a_share_is_of_the_whole_fleet);
 	tcase_add_test(t, work_found_running_moves_cells_away);
+	tcase_add_test(t, cells_are_not_bound_twice_on_an_overfull_server);
 	tcase_add_test(t, run_times_are_corrected_by_kind);
 }
 
