--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -4,14 +4,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_MS 1500	/* pause between reads of the platform */
-#define GOSSIP_MS 700	/* pause between exchanges with peers */
-#define GOSSIP_FANOUT 3 /* peers of the own failure domain a round */
-#define CALL_MS 1000	/* deadline of one exchange */
-#define HEARD_MS 4000	/* a peer silent for longer is not counted as live */
-#define NOTE_MS 20000	/* a note lapses unless it is renewed */
-#define DELTAS_KEPT 512 /* deltas held for peers */
-#define DELTAS_READ 64	/* deltas a read */
+#define POLL_MS 1500	   /* pause between reads of the platform */
+#define GOSSIP_MS 700	   /* pause between exchanges with peers */
+#define GOSSIP_FANOUT 3	   /* peers of the own failure domain a round */
+#define CALL_MS 1000	   /* deadline of one exchange */
+#define HEARD_MS 4000	   /* a peer silent for longer is not counted as live */
+#define HEARD_FAR_MS 30000 /* ... in another failure domain, which is seldom asked */
+#define NOTE_MS 20000	   /* a note lapses unless it is renewed */
+#define DELTAS_KEPT 512	   /* deltas held for peers */
+#define DELTAS_READ 64	   /* deltas a read */
 
 #define SCHED_PREFIX "sched:" /* a scheduler's name in exchanges, before its VM's id */
 
@@ -581,10 +582,13 @@
 
 bool cluster_is_live(const struct cluster *c, const struct cluster_peer *peer)
 {
+	bool is_near = !strcmp(peer->failure_domain, c->settings->failure_domain);
+	int64_t heard_ms = is_near ? HEARD_MS : HEARD_FAR_MS;
+
 	if (!peer->client)
 		return !c->is_draining;
 	return peer->heard_at && !peer->is_draining &&
-	       base_now() - peer->heard_at < HEARD_MS * BASE_NS_PER_MS;
+	       base_now() - peer->heard_at < heard_ms * BASE_NS_PER_MS;
 }
 
 bool cluster_is_gone(const struct cluster *c, const char *vm, int64_t incarnation)
