--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import subprocess
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -79,13 +80,18 @@
     def start(self, what="both"):
         path = self.write_settings()
         if self.draining and self.draining.poll() is None:
-            self.draining.wait()
+            threading.Thread(target=self.start_after_drain, args=(what,)).start()
+            return
         self.draining = None
         if what in ("both", "entryd") and not self.entryd:
             self.entryd = self.deployment.spawn("currantlane-entryd", "--settings", path)
         if what in ("both", "schedd") and not self.schedd:
             self.schedd = self.deployment.spawn("currantlane-schedd", "--settings", path)
 
+    def start_after_drain(self, what):
+        self.draining.wait()
+        self.start(what)
+
     def kill(self, what="both"):
         for name in ("entryd", "schedd"):
             process = getattr(self, name)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -16,7 +16,8 @@
 import promises
 from deployment import BUILD, DOMAINS, Deployment, http
 
-QUIET_S = 25  # longest wait for open work after the last fault has ended
+DRAIN_S = 25  # a daemon that is told to stop may need this long while the platform is away
+QUIET_S = 40  # longest wait for open work after the last fault has ended
 LEASE_MS = 4000
 # two leases and a margin until silent members have stopped for certain, and a takeover
 LAPSE_S = 2 * LEASE_MS / 1000 + 3
@@ -114,17 +115,11 @@
             return None
         start = time.time()
         vm.entryd.send_signal(signal.SIGTERM)
-        old, vm.entryd = vm.entryd, None
-        vm.draining = old
+        vm.draining, vm.entryd = vm.entryd, None
 
         def end():
-            try:
-                old.wait(timeout=20)
-            except subprocess.TimeoutExpired:
-                old.kill()
-                old.wait()
-            vm.start("entryd")
-            self.mark(vm.id, start)
+            vm.start("entryd")  # once the old one has finished its requests
+            self.mark(vm.id, start, time.time() + DRAIN_S)
         return end
 
     def platform(self, **fault):
