Declare the scheduler's procedures once; drop fields that nobody reads

entryd and schedd each held a table of the same RPC procedures, one with a call that nobody made; cluster has it for both ends now.

--- a/lib/cluster/cluster.c
+++ b/lib/cluster/cluster.c
@@ -56,6 +56,15 @@
 	 (xdrproc_t)xdr_cl_outcome_res},
 };
 
+const struct onc_proc sched_procs[SCHED_PROC_COUNT] = {
+	{CL_SCHED, CL_SCHED_V1, SCHED_SUBMIT, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
+	 (xdrproc_t)xdr_cl_job_res},
+	{CL_SCHED, CL_SCHED_V1, SCHED_STATE, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
+	 (xdrproc_t)xdr_cl_job_res},
+	{CL_SCHED, CL_SCHED_V1, SCHED_CANCEL, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
+	 (xdrproc_t)xdr_cl_job_res},
+};
+
 /* ---- catalogue ---- */
 
 static void keep_delta(struct cluster *c, json_t *delta)
--- a/lib/cluster/cluster.h
+++ b/lib/cluster/cluster.h
@@ -89,4 +89,12 @@
 #define CLUSTER_PROC_FORWARD 2
 #define CLUSTER_PROC_COUNT 3
 
+/* procedures of a scheduler's peers' port, used at both ends */
+extern const struct onc_proc sched_procs[];
+
+#define SCHED_PROC_SUBMIT 0
+#define SCHED_PROC_STATE 1
+#define SCHED_PROC_CANCEL 2
+#define SCHED_PROC_COUNT 3
+
 #endif
--- a/lib/policy/cells.c
+++ b/lib/policy/cells.c
@@ -200,13 +200,10 @@
 {
 	for (guint i = 0; i < p->cells->len; i++)
 		((struct cell *)g_ptr_array_index(p->cells, i))->wanted = false;
-	for (guint i = 0; i < p->workspaces->len; i++)
-		workspace_at(p, i)->exists = false;
 	for (unsigned int i = 0; i < count; i++) {
 		unsigned int index = pol_workspace_get(p, list[i].name);
 		struct workspace *ws = workspace_at(p, index);
 
-		ws->exists = true;
 		ws->quota = list[i].quota;
 		ws->precedence = list[i].precedence;
 		for (unsigned int k = 0; k < list[i].cell_count; k++)
--- a/lib/policy/fleet.c
+++ b/lib/policy/fleet.c
@@ -275,7 +275,6 @@
 	ratio = CLAMP(ratio, RATIO_MIN, RATIO_MAX);
 	kind->spread += LEARN_SHARE * (ABS(ratio - kind->ratio) - kind->spread);
 	kind->ratio += LEARN_SHARE * (ratio - kind->ratio);
-	kind->seen++;
 }
 
 int64_t pol_estimate(const struct kind *kind, int64_t declared_ms, double spreads)
--- a/lib/policy/internal.h
+++ b/lib/policy/internal.h
@@ -70,8 +70,7 @@
 	int64_t quota;
 	int64_t precedence;
 	int64_t used;
-	int64_t reserved; /* accelerators of its bound cells */
-	bool exists;
+	int64_t reserved;     /* accelerators of its bound cells */
 	GArray *cell_servers; /* of int: servers where it has a reservation */
 };
 
@@ -80,7 +79,6 @@
 	int64_t used;
 	double ratio; /* mean of actual to declared run time */
 	double spread;
-	unsigned int seen;
 };
 
 struct policy_job {
--- a/lib/policy/policy.c
+++ b/lib/policy/policy.c
@@ -467,11 +467,6 @@
 	return texts[wait];
 }
 
-int64_t policy_job_queued_at(const struct policy_job *job)
-{
-	return job->queued_at;
-}
-
 const struct policy_place *policy_job_places(const struct policy_job *job, unsigned int *count)
 {
 	*count = job->place_count;
--- a/lib/policy/policy.h
+++ b/lib/policy/policy.h
@@ -178,7 +178,6 @@
 enum policy_job_state policy_job_state(const struct policy_job *job);
 enum policy_wait policy_job_wait(const struct policy_job *job);
 const char *policy_wait_text(enum policy_wait wait);
-int64_t policy_job_queued_at(const struct policy_job *job);
 /** policy_job_places() - where a placed job is; valid until it is requeued or removed */
 const struct policy_place *policy_job_places(const struct policy_job *job, unsigned int *count);
 
--- a/src/entryd.h
+++ b/src/entryd.h
@@ -103,7 +103,6 @@
 	struct view_peer *peers; /* this VM included */
 	unsigned int peer_count;
 	bool is_ready;
-	int64_t vm_seen_ms;
 };
 
 struct entryd;
--- a/src/entryd_jobs.c
+++ b/src/entryd_jobs.c
@@ -17,19 +17,12 @@
 #define SCHEDS_MAX 64
 #define KEY_SEED 0x6a6f62ULL
 
-static const struct onc_proc sched_procs[] = {
-	{CL_SCHED, CL_SCHED_V1, SCHED_SUBMIT, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-	{CL_SCHED, CL_SCHED_V1, SCHED_STATE, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-	{CL_SCHED, CL_SCHED_V1, SCHED_CANCEL, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-	{CL_SCHED, CL_SCHED_V1, SCHED_STATUS, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
+enum job_op {
+	JOB_SUBMIT = SCHED_PROC_SUBMIT,
+	JOB_STATE = SCHED_PROC_STATE,
+	JOB_CANCEL = SCHED_PROC_CANCEL
 };
 
-enum job_op { JOB_SUBMIT, JOB_STATE, JOB_CANCEL, JOB_STATUS };
-
 /* a caller's operation on a job, until it is answered */
 struct job_call {
 	struct worker *worker;
@@ -141,7 +134,7 @@
 		call_pause(c, POLL_MS);
 		return;
 	}
-	call_finish(c, c->op == JOB_STATUS ? 200 : base_outcome_status(o), state);
+	call_finish(c, base_outcome_status(o), state);
 }
 
 static void on_answer(enum onc_result result, void *data_res, void *data)
--- a/src/entryd_requests.c
+++ b/src/entryd_requests.c
@@ -43,7 +43,6 @@
 	char *base;
 	struct backend_health *health;
 	bool holds_slot;
-	bool is_done; /* its call has returned */
 	int64_t sent_at;
 	int64_t boot; /* run of the server that it was sent to */
 	struct trace_span span;
@@ -444,7 +443,6 @@
 	struct request *r = a->request;
 	bool is_current = r->attempt == a && r->state != REQUEST_ENDED;
 
-	a->is_done = true;
 	if (reply->boot)
 		atomic_store(&a->health->boot, reply->boot);
 	r->calls--;
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -211,15 +211,6 @@
 
 /* ---- peers' port ---- */
 
-static const struct onc_proc procs[] = {
-	{CL_SCHED, CL_SCHED_V1, SCHED_SUBMIT, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-	{CL_SCHED, CL_SCHED_V1, SCHED_STATE, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-	{CL_SCHED, CL_SCHED_V1, SCHED_CANCEL, (xdrproc_t)xdr_cl_job_args, sizeof(cl_job_args),
-	 (xdrproc_t)xdr_cl_job_res},
-};
-
 static void on_rpc(struct onc_request *req)
 {
 	struct schedd *s = req->server_data;
@@ -249,8 +240,8 @@
 		.port = s->settings->sched_peers.port,
 		.allow = (const char *const *)s->settings->peer_networks,
 		.allow_count = s->settings->peer_network_count,
-		.procs = procs,
-		.proc_count = G_N_ELEMENTS(procs),
+		.procs = sched_procs,
+		.proc_count = SCHED_PROC_COUNT,
 	};
 
 	return onc_server_new(s, s->ev, &opt, on_rpc, s) ? 0 : -1;
--- a/src/schedd.h
+++ b/src/schedd.h
@@ -165,7 +165,6 @@
 	int64_t sched_row_version;
 	int64_t seen_row_version;
 	int64_t seen_at;
-	int64_t renewed_at;
 	int64_t no_takeover_before; /* after handing over */
 	bool is_lead_calling;
 	bool is_stopping;
--- a/src/schedd_lead.c
+++ b/src/schedd_lead.c
@@ -50,7 +50,6 @@
 	s->is_lead_calling = false;
 	if (result == PLATFORM_OK) {
 		s->sched_row_version = versions[0];
-		s->renewed_at = base_now();
 	} else if (result == PLATFORM_CONFLICT) {
 		s->is_lead_calling = true;
 		platform_read(s->platform, TABLE_SCHED, s->settings->failure_domain,
@@ -84,7 +83,6 @@
 	}
 	s->sched_row_version = versions[0];
 	s->epoch_row_version = 0; /* read back by the rebuild */
-	s->renewed_at = base_now();
 	sched_count(s, SCHED_TAKEOVERS);
 	log_info("takeover", "active with epoch %" PRId64, s->epoch);
 	rebuild_start(s);
