--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# currantlane: libraries in lib/, programs in src/, tests in tests/, benchmarks in bench/
+# currantlane: libraries in lib/, the users' platform in platform/, programs in src/, tests in tests/, benchmarks in bench/
 
 BUILD ?= build
 CC = gcc
@@ -7,17 +7,17 @@
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wstrict-prototypes
 OPT ?= -O2
 SAN ?=
-CFLAGS += -std=gnu11 -Itests -g $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -Ilib -pthread \
+CFLAGS += -std=gnu11 -Itests -g $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -Ilib -I. -pthread \
 	$(shell pkg-config --cflags $(PKGS))
 CXXFLAGS += -std=c++17 -g -O1 -Wall -Wextra $(SAN) -Ilib $(shell pkg-config --cflags jansson)
 LIBS = $(shell pkg-config --libs $(PKGS)) -largtable2 -lm -pthread
 CHECK_LIBS = $(shell pkg-config --libs check)
 
-LIB_C = $(filter-out lib/proto/proto.c,$(wildcard lib/*/*.c))
+LIB_C = $(filter-out lib/proto/proto.c,$(wildcard lib/*/*.c platform/*.c))
 LIB_O = $(LIB_C:%.c=$(BUILD)/%.o) $(BUILD)/lib/proto/proto.o $(BUILD)/lib/toml/toml.o
 LIB_A = $(BUILD)/libcurrantlane.a
 
-PROGRAMS = currantlane currantlane-entryd currantlane-schedd currantlane-load \
+PROGRAMS = currantlane currantlane-entryd currantlane-schedd currantlane-sited currantlane-load \
 	standin-platform standin-backend
 BINS = $(PROGRAMS:%=$(BUILD)/%)
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
@@ -48,6 +48,7 @@
 $(eval $(call program,currantlane,cli))
 $(eval $(call program,currantlane-entryd,entryd))
 $(eval $(call program,currantlane-schedd,schedd))
+$(eval $(call program,currantlane-sited,sited))
 $(eval $(call program,currantlane-load,load))
 $(eval $(call program,standin-platform,standin_platform))
 $(eval $(call program,standin-backend,standin_backend))
@@ -62,7 +63,7 @@
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 clean:
-	rm -rf $(BUILD) run
+	rm -rf $(BUILD) target run
 
 # ---- commands ----
 
@@ -109,7 +110,7 @@
 	@$(MAKE) --no-print-directory BUILD=build-asan OPT=-O1 SAN="-fsanitize=address,undefined" all
 	BUILD=build-asan python3 tools/sanitize.py address
 
-SOURCES = $(filter-out lib/proto/%,$(wildcard lib/*/*.[ch] src/*.[ch] tests/*.[ch] bench/*.[ch]))
+SOURCES = $(filter-out lib/proto/%,$(wildcard lib/*/*.[ch] platform/*.[ch] src/*.[ch] tests/*.[ch] bench/*.[ch]))
 
 format:
 	clang-format -i $(SOURCES)
--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -191,6 +191,84 @@
 	int fd;
 } log_state = {.fd = STDERR_FILENO};
 
+/* lines of one event in the present second */
+struct log_rate {
+	int64_t second;
+	unsigned int written;
+	uint64_t dropped; /* since the last line that was written */
+};
+
+static GMutex log_mutex;
+static GHashTable *log_rates;
+static uint64_t log_dropped;
+
+/* how many lines of @event were dropped before this one, or -1 to drop it too */
+static int64_t log_admit(const char *event)
+{
+	int64_t second = base_now() / (BASE_MS_PER_S * BASE_NS_PER_MS);
+	struct log_rate *rate;
+	int64_t dropped = -1;
+
+	g_mutex_lock(&log_mutex);
+	if (!log_rates)
+		log_rates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rate = g_hash_table_lookup(log_rates, event);
+	if (!rate) {
+		rate = g_new0(struct log_rate, 1);
+		g_hash_table_insert(log_rates, g_strdup(event), rate);
+	}
+	if (rate->second != second) {
+		rate->second = second;
+		rate->written = 0;
+	}
+	if (rate->written < BASE_LOG_PER_SECOND) {
+		rate->written++;
+		dropped = (int64_t)rate->dropped;
+		rate->dropped = 0;
+	} else {
+		rate->dropped++;
+		log_dropped++;
+	}
+	g_mutex_unlock(&log_mutex);
+	return dropped;
+}
+
+/* one write a line keeps the lines of threads apart; a full pipe drops the line */
+static void log_emit(json_t *line)
+{
+	char *raw = json_dumps(line, JSON_COMPACT);
+	size_t len = raw ? strlen(raw) : 0;
+
+	if (len > BASE_LOG_LINE_MAX) {
+		free(raw);
+		json_object_clear(line);
+		json_object_set_new(line, "event", json_string("log_line_too_long"));
+		json_object_set_new(line, "bytes", json_integer((json_int_t)len));
+		raw = json_dumps(line, JSON_COMPACT);
+		len = raw ? strlen(raw) : 0;
+	}
+	if (raw) {
+		raw[len] = '\n';
+		if (write(log_state.fd, raw, len + 1) < 0) {
+			g_mutex_lock(&log_mutex);
+			log_dropped++;
+			g_mutex_unlock(&log_mutex);
+		}
+	}
+	free(raw);
+	json_decref(line);
+}
+
+uint64_t base_log_dropped(void)
+{
+	uint64_t n;
+
+	g_mutex_lock(&log_mutex);
+	n = log_dropped;
+	g_mutex_unlock(&log_mutex);
+	return n;
+}
+
 static const char *log_field(const GLogField *fields, gsize n, const char *key)
 {
 	for (gsize i = 0; i < n; i++)
@@ -213,32 +291,49 @@
 	}
 }
 
+static json_t *log_line(GLogLevelFlags level, const char *event)
+{
+	return json_pack("{sI ss ss ss ss}", "time_us", (json_int_t)base_wall_us(), "level",
+			 log_level_name(level), "program", log_state.program, "vm", log_state.vm,
+			 "event", event);
+}
+
 static GLogWriterOutput log_writer(GLogLevelFlags level, const GLogField *fields, gsize n,
 				   gpointer data G_GNUC_UNUSED)
 {
-	json_t *line = json_pack("{sI ss ss ss ss ss}", "time_us", (json_int_t)base_wall_us(),
-				 "level", log_level_name(level), "program", log_state.program, "vm",
-				 log_state.vm, "event", log_field(fields, n, "EVENT"), "message",
-				 log_field(fields, n, "MESSAGE"));
-	char *raw = line ? json_dumps(line, JSON_COMPACT) : NULL;
+	json_t *line = log_line(level, log_field(fields, n, "EVENT"));
 
-	if (raw) {
-		size_t len = strlen(raw);
+	json_object_set_new(line, "message", json_string(log_field(fields, n, "MESSAGE")));
+	log_emit(line);
+	return G_LOG_WRITER_HANDLED;
+}
 
-		raw[len] = '\n'; /* one write a line keeps the lines of threads apart */
-		if (write(log_state.fd, raw, len + 1) < 0)
-			errno = 0;
+void base_log_event(GLogLevelFlags level, const char *event, json_t *fields)
+{
+	int64_t dropped = log_admit(event);
+	json_t *line;
+
+	if (dropped >= 0) {
+		line = log_line(level, event);
+		json_object_update(line, fields);
+		if (dropped)
+			json_object_set_new(line, "dropped_before", json_integer(dropped));
+		log_emit(line);
 	}
-	free(raw);
-	json_decref(line);
-	return G_LOG_WRITER_HANDLED;
+	json_decref(fields);
 }
 
 int base_log_init(const char *program, const char *vm, const char *path)
 {
 	g_strlcpy(log_state.program, program, sizeof(log_state.program));
 	g_strlcpy(log_state.vm, vm, sizeof(log_state.vm));
-	if (path && *path && strcmp(path, "-")) {
+	if (path && !strcmp(path, "stdout")) {
+		int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+		log_state.fd = STDOUT_FILENO;
+		if (flags >= 0)
+			fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	} else if (path && *path && strcmp(path, "-")) {
 		int fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 
 		if (fd < 0)
@@ -255,6 +350,8 @@
 	va_list ap;
 	GLogField fields[2] = {{"EVENT", event, -1}, {"MESSAGE", text, -1}};
 
+	if (log_admit(event) < 0)
+		return;
 	va_start(ap, fmt);
 	g_vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -105,11 +105,27 @@
 
 /* ---- logging: one JSON object a line ---- */
 
-/** base_log_init() - send GLib's log to @path ("-" for stderr) as JSON lines */
+#define BASE_LOG_LINE_MAX 4000	/* bytes; a pipe takes so much in one piece or not at all */
+#define BASE_LOG_PER_SECOND 200 /* lines of one event and second; more are counted, not written */
+
+/**
+ * base_log_init() - send GLib's log to @path as JSON lines
+ * @path: a file, "-" for stderr, or "stdout", which is then never waited for
+ */
 int base_log_init(const char *program, const char *vm, const char *path);
+/**
+ * base_log_event() - one line with fields
+ * @event: what happened; lines are counted and bounded by this name
+ * @fields: object whose members are added to the line; its reference is taken
+ */
+void base_log_event(GLogLevelFlags level, const char *event, json_t *fields);
+/** base_log_dropped() - lines not written because of the bound or a slow reader */
+uint64_t base_log_dropped(void);
 void base_log(GLogLevelFlags level, const char *event, const char *fmt, ...) G_GNUC_PRINTF(3, 4);
 #define log_info(event, ...) base_log(G_LOG_LEVEL_MESSAGE, event, __VA_ARGS__)
 #define log_warn(event, ...) base_log(G_LOG_LEVEL_WARNING, event, __VA_ARGS__)
+/* log_event("job_accepted", "{ss sI}", "id", id, "version", version): format of json_pack() */
+#define log_event(event, ...) base_log_event(G_LOG_LEVEL_MESSAGE, event, json_pack(__VA_ARGS__))
 
 /* ---- counters: one slot a thread, summed when read ---- */
 
--- /dev/null
+++ b/lib/fleet/fleet.c
@@ -0,0 +1,130 @@
+#include "fleet.h"
+
+#include <string.h>
+
+const char *fleet_presence_name(enum fleet_presence presence)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		FLEET_PRESENCES(X)
+#undef X
+	};
+
+	return names[presence];
+}
+
+static int fleet_destructor(struct fleet *f)
+{
+	for (guint i = 0; i < f->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(f->all, i);
+
+		g_ptr_array_free(sv->tasks, TRUE);
+	}
+	g_ptr_array_free(f->all, TRUE);
+	g_hash_table_destroy(f->by_id);
+	return 0;
+}
+
+struct fleet *fleet_new(TALLOC_CTX *ctx)
+{
+	struct fleet *f = talloc_zero(ctx, struct fleet);
+
+	f->all = g_ptr_array_new();
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(f, fleet_destructor);
+	return f;
+}
+
+struct fleet_server *fleet_find(const struct fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->by_id, id);
+}
+
+struct fleet_server *fleet_add(struct fleet *f, const char *id, int64_t born)
+{
+	struct fleet_server *old = fleet_find(f, id);
+	struct fleet_server *sv = talloc_zero(f, struct fleet_server);
+
+	if (old)
+		old->presence = FLEET_REPLACED;
+	sv->id = talloc_strdup(sv, id);
+	sv->born = born;
+	sv->address = talloc_strdup(sv, "");
+	sv->service = talloc_strdup(sv, "");
+	sv->failure_domain = talloc_strdup(sv, "");
+	sv->rack = talloc_strdup(sv, "");
+	sv->presence = FLEET_UNLISTED;
+	sv->is_reachable = true;
+	sv->tasks = g_ptr_array_new();
+	g_ptr_array_add(f->all, sv);
+	g_hash_table_replace(f->by_id, sv->id, sv);
+	return sv;
+}
+
+void fleet_prune(struct fleet *f, bool (*may_free)(struct fleet_server *sv))
+{
+	for (guint i = 0; i < f->all->len;) {
+		struct fleet_server *sv = g_ptr_array_index(f->all, i);
+
+		if (sv->tasks->len || sv->presence == FLEET_LISTED ||
+		    sv->presence == FLEET_DRAINING || !may_free(sv)) {
+			i++;
+			continue;
+		}
+		if (fleet_find(f, sv->id) == sv)
+			g_hash_table_remove(f->by_id, sv->id);
+		g_ptr_array_free(sv->tasks, TRUE);
+		g_ptr_array_remove_index(f->all, i);
+		talloc_free(sv);
+	}
+}
+
+bool fleet_takes_work(const struct fleet_server *sv, int64_t now)
+{
+	return sv->presence == FLEET_LISTED && sv->is_fenced && sv->is_reachable &&
+	       sv->suspect_until <= now;
+}
+
+struct fleet_amount fleet_room(const struct fleet_server *sv)
+{
+	struct fleet_amount room = sv->capacity;
+
+	fleet_amount_add(&room, &sv->used, -1);
+	fleet_amount_add(&room, &sv->promised, -1);
+	return room;
+}
+
+bool fleet_has_label(const struct fleet_server *sv, const char *label)
+{
+	for (unsigned int i = 0; i < sv->label_count; i++)
+		if (!strcmp(sv->labels[i], label))
+			return true;
+	return false;
+}
+
+void fleet_suspect(struct fleet_server *sv, int64_t now)
+{
+	sv->suspect_span = sv->suspect_span ? MIN(sv->suspect_span * 2, FLEET_SUSPECT_MAX_MS)
+					    : FLEET_SUSPECT_MS;
+	sv->suspect_until = now + sv->suspect_span;
+	sv->failures = 0;
+}
+
+bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now)
+{
+	if (sv->last_failed_job && !strcmp(sv->last_failed_job, job))
+		return false;
+	TALLOC_FREE(sv->last_failed_job);
+	sv->last_failed_job = talloc_strdup(sv, job);
+	if (++sv->failures < FLEET_FAILURES_MAX)
+		return false;
+	fleet_suspect(sv, now);
+	return true;
+}
+
+void fleet_note_success(struct fleet_server *sv)
+{
+	sv->failures = 0;
+	sv->suspect_span = 0;
+	TALLOC_FREE(sv->last_failed_job);
+}
--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -3,6 +3,8 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include "mtimer/mtimer.h"
+
 #define HTTPC_CONNECT_TIMEOUT_MS 1000
 #define HTTPC_ANSWER_MAX (16 * 1024 * 1024)
 #define HTTPC_IDLE_HANDLES_MAX 256
@@ -10,7 +12,7 @@
 struct httpc {
 	struct tevent_context *ev;
 	CURLM *multi;
-	struct tevent_timer *timer;
+	struct mtimer *timer;
 	unsigned int in_flight;
 	GPtrArray *idle; /* easy handles kept for reuse */
 };
@@ -150,8 +152,7 @@
 	return 0;
 }
 
-static void on_timer(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_timer *te G_GNUC_UNUSED,
-		     struct timeval now G_GNUC_UNUSED, void *data)
+static void on_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct httpc *client = data;
 	int running;
@@ -167,8 +168,8 @@
 
 	TALLOC_FREE(client->timer);
 	if (timeout_ms >= 0)
-		client->timer = tevent_add_timer(client->ev, client, base_timeval_in_ms(timeout_ms),
-						 on_timer, client);
+		client->timer = mtimer_add(client, client->ev, base_deadline_in(timeout_ms),
+					   on_timer, client);
 	return 0;
 }
 
--- a/lib/onc/onc.c
+++ b/lib/onc/onc.c
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "mtimer/mtimer.h"
+
 #define ONC_LAST_FRAGMENT 0x80000000U
 #define ONC_HEADER_ROOM 512 /* bytes of call or reply header, at most */
 #define ONC_CONNECTIONS_MAX 512
@@ -420,7 +422,7 @@
 	size_t res_size;
 	onc_done *done;
 	void *data;
-	struct tevent_timer *timer;
+	struct mtimer *timer;
 	struct tevent_immediate *im;
 	struct pending *next;
 	struct pending *prev;
@@ -451,9 +453,7 @@
 	talloc_free(p);
 }
 
-static void on_pending_deadline(struct tevent_context *ev G_GNUC_UNUSED,
-				struct tevent_timer *te G_GNUC_UNUSED,
-				struct timeval now G_GNUC_UNUSED, void *data)
+static void on_pending_deadline(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct pending *p = data;
 	struct onc_client *client = p->client;
@@ -605,6 +605,5 @@
 		tevent_schedule_immediate(p->im, client->ev, on_not_sent, p);
 		return;
 	}
-	p->timer = tevent_add_timer(client->ev, p, base_timeval_in_ms(base_remaining_ms(deadline)),
-				    on_pending_deadline, p);
+	p->timer = mtimer_add(p, client->ev, deadline, on_pending_deadline, p);
 }
--- /dev/null
+++ b/lib/plan/plan.h
@@ -0,0 +1,79 @@
+/**
+ * DOC: plan - the decisions: what comes next, where it runs, what stops for it
+ *
+ * Pure functions over work and fleet: state and time in, decisions out. They
+ * change nothing but scratch fields of their own; the caller carries a decision
+ * out through the functions of work.
+ */
+#ifndef PLAN_H
+#define PLAN_H
+
+#include "queues/queues.h"
+#include "work/work.h"
+
+/**
+ * struct plan_clock - the time of a decision
+ * @now: monotonic, in ms
+ * @wall: wall clock, in ms since 1970
+ */
+struct plan_clock {
+	int64_t now;
+	int64_t wall;
+};
+
+/* ---- order ---- */
+
+/**
+ * struct plan_rank - place of a group in the queue; see plan_order.c
+ * @tier: lower goes first
+ * @key: within a tier, lower goes first
+ */
+struct plan_rank {
+	int tier;
+	int64_t key;
+};
+
+struct plan_rank plan_rank(const struct work_group *group, const struct plan_clock *at);
+int plan_rank_compare(const struct plan_rank *a, const struct plan_rank *b);
+
+/* ---- placement ---- */
+
+struct plan_scratch;
+
+/** plan_scratch_new() - working memory of placements, reused from one to the next */
+struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx);
+
+/**
+ * plan_place() - servers for the waiting tasks of a group
+ * @out: one entry for each task of the group; NULL where there is no server
+ * Return: number of tasks placed; for a gang all or none.
+ */
+unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
+			const struct work_group *group, const struct plan_clock *at,
+			struct fleet_server **out);
+/** plan_fits_ever() - some listed server could hold one task, were it empty */
+bool plan_fits_ever(const struct fleet *fleet, const struct work_group *group);
+
+/* ---- reclaim ---- */
+
+/**
+ * plan_reclaim() - room for an urgent group that needs others to stop
+ * @out: one entry for each task of the group
+ * @victims: filled with struct work_task to stop; members of a victim's gang included
+ * Return: true when all waiting tasks of the group have a server.
+ */
+bool plan_reclaim(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at, struct fleet_server **out, GPtrArray *victims);
+
+/* ---- progress ---- */
+
+enum plan_progress {
+	PROGRESS_GOOD,
+	PROGRESS_STALLED, /* stands still */
+	PROGRESS_SLOW,	  /* so slow that a new start elsewhere ends sooner */
+};
+
+/** plan_progress() - judge a running task by what its server last reported */
+enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at);
+
+#endif
--- /dev/null
+++ b/lib/plan/plan_order.c
@@ -0,0 +1,43 @@
+/*
+ * Order of waiting work.
+ *
+ * Load pattern: bursts of urgent and of large jobs on a pool that is nearly
+ * full, so that a backlog builds up which can't all be done in time. Urgent
+ * work goes first. After that comes what can still be in time, then what can
+ * still be late but of use, then the rest, so that jobs which have missed their
+ * time don't make others miss theirs. Within a tier the latest possible start
+ * decides, which grows no older job stale: its latest start only comes nearer.
+ */
+#include "plan.h"
+
+#define TIERS_PER_PRIORITY 3
+
+struct plan_rank plan_rank(const struct work_group *group, const struct plan_clock *at)
+{
+	const struct work_job *job = group->job;
+	int64_t due = work_due_ms(job, group->occurrence);
+	int64_t objective = work_objective_ms(job);
+	int64_t ends = at->wall + group->step->tail_ms;
+	bool is_urgent = job->priority == QUEUES_URGENT_PRIORITY;
+	struct plan_rank rank = {.tier = is_urgent ? 0 : TIERS_PER_PRIORITY};
+
+	if (ends <= due + objective) {
+		rank.key = due + objective - group->step->tail_ms;
+	} else if (ends <= due + WORK_LATE_FACTOR * objective) {
+		rank.tier += 1;
+		rank.key = due + WORK_LATE_FACTOR * objective - group->step->tail_ms;
+	} else {
+		rank.tier += 2;
+		rank.key = due;
+	}
+	return rank;
+}
+
+int plan_rank_compare(const struct plan_rank *a, const struct plan_rank *b)
+{
+	if (a->tier != b->tier)
+		return a->tier < b->tier ? -1 : 1;
+	if (a->key != b->key)
+		return a->key < b->key ? -1 : 1;
+	return 0;
+}
--- /dev/null
+++ b/lib/plan/plan_reclaim.c
@@ -0,0 +1,224 @@
+/*
+ * What stops so that urgent work begins in time.
+ *
+ * Load pattern: a burst of urgent jobs meets a pool filled by work that may
+ * wait. The urgent job goes where the least work is lost: work that can go on
+ * from a checkpoint costs only its restart, other work costs all it has done,
+ * and a member of a gang costs its whole gang.
+ */
+#include "plan_scratch.h"
+
+#include <string.h>
+
+/* restart of a task: its stop, the wait for a new place and the restore, in ms of its resources */
+#define RESTART_COST_MS 800
+
+/* what is lost when the task alone stops, in ms times thousandths of a core */
+static int64_t own_cost(const struct work_task *t, int64_t now)
+{
+	const struct work_step *step = t->group->step;
+	int64_t lost = RESTART_COST_MS;
+
+	if (!step->checkpoints && t->started_at)
+		lost += now - t->started_at;
+	return lost * fleet_cores(&step->need);
+}
+
+static int64_t stop_cost(const struct work_task *t, int64_t now)
+{
+	const struct work_group *g = t->group;
+	int64_t sum = 0;
+
+	if (!g->step->is_gang)
+		return own_cost(t, now);
+	for (unsigned int i = 0; i < g->count; i++)
+		sum += own_cost(&g->task[i], now);
+	return sum;
+}
+
+static bool may_stop(const struct work_task *t, const struct work_group *group)
+{
+	return t->state == TASK_RUNNING && !t->group->step->is_endless &&
+	       t->group->job->priority > group->job->priority;
+}
+
+static bool is_chosen(const GPtrArray *victims, const struct work_task *t)
+{
+	for (guint i = 0; i < victims->len; i++)
+		if (g_ptr_array_index(victims, i) == t)
+			return true;
+	return false;
+}
+
+static struct plan_try *try_of(struct plan_scratch *s, const struct fleet_server *sv)
+{
+	for (unsigned int i = 0; i < s->count; i++)
+		if (s->tries[i].server == sv)
+			return &s->tries[i];
+	return NULL;
+}
+
+/* @t stops, and its gang with it */
+static void choose(struct plan_scratch *s, struct work_task *t, GPtrArray *victims)
+{
+	struct work_group *g = t->group;
+	unsigned int first = g->step->is_gang ? 0 : t->index;
+	unsigned int end = g->step->is_gang ? g->count : t->index + 1;
+
+	for (unsigned int i = first; i < end; i++) {
+		struct work_task *member = &g->task[i];
+		struct plan_try *at;
+
+		if (member->state != TASK_RUNNING && member->state != TASK_STARTING)
+			continue;
+		g_ptr_array_add(victims, member);
+		at = member->server ? try_of(s, member->server) : NULL;
+		if (at)
+			fleet_amount_add(&at->room, &g->step->need, 1);
+	}
+}
+
+/* cheapest task on the server whose stop brings the need nearer, or NULL */
+static struct work_task *cheapest(const struct plan_try *t, const struct work_group *group,
+				  const GPtrArray *victims, int64_t now, int64_t *cost)
+{
+	const struct fleet_amount *need = &group->step->need;
+	struct work_task *best = NULL;
+
+	for (guint i = 0; i < t->server->tasks->len; i++) {
+		struct work_task *c = g_ptr_array_index(t->server->tasks, i);
+		const struct fleet_amount *has = &c->group->step->need;
+		int64_t price;
+
+		if (!may_stop(c, group) || is_chosen(victims, c))
+			continue;
+		if (t->room.accelerators < need->accelerators && !has->accelerators)
+			continue;
+		price = stop_cost(c, now) / MAX(fleet_cores(has), 1);
+		if (!best || price < *cost) {
+			best = c;
+			*cost = price;
+		}
+	}
+	if (best)
+		*cost = stop_cost(best, now);
+	return best;
+}
+
+/* stop tasks on @t until one more task of the group fits; cost, or -1 when it can't */
+static int64_t clear_server(struct plan_scratch *s, struct plan_try *t,
+			    const struct work_group *group, int64_t now, GPtrArray *victims)
+{
+	int64_t sum = 0;
+
+	while (!fleet_amount_fits(&group->step->need, &t->room)) {
+		int64_t cost = 0;
+		struct work_task *c = cheapest(t, group, victims, now, &cost);
+
+		if (!c)
+			return -1;
+		choose(s, c, victims);
+		sum += cost;
+	}
+	return sum;
+}
+
+/* the server that is cleared at the least cost; it is cleared, cost or -1 */
+static int64_t clear_cheapest(struct plan_scratch *s, const struct work_group *group,
+			      unsigned int rack, int64_t now, GPtrArray *victims,
+			      struct plan_try **where)
+{
+	struct plan_try *before = talloc_array(s, struct plan_try, s->count);
+	guint had = victims->len;
+	struct plan_try *best = NULL;
+	int64_t best_cost = -1;
+
+	memcpy(before, s->tries, s->count * sizeof(*before));
+	for (unsigned int i = 0; i < s->count; i++) {
+		struct plan_try *t = &s->tries[i];
+		int64_t cost;
+
+		if (rack != PLAN_ANY_RACK && t->rack != rack)
+			continue;
+		if (group->step->per_server_max && t->mates >= group->step->per_server_max)
+			continue;
+		cost = clear_server(s, t, group, now, victims);
+		if (cost >= 0 && (!best || cost < best_cost)) {
+			best = t;
+			best_cost = cost;
+		}
+		g_ptr_array_set_size(victims, (gint)had);
+		memcpy(s->tries, before, s->count * sizeof(*before));
+	}
+	talloc_free(before);
+	if (best)
+		clear_server(s, best, group, now, victims);
+	*where = best;
+	return best_cost;
+}
+
+static int64_t reclaim_in(struct plan_scratch *s, const struct work_group *group, unsigned int rack,
+			  int64_t now, struct fleet_server **out, GPtrArray *victims)
+{
+	int64_t sum = 0;
+
+	g_ptr_array_set_size(victims, 0);
+	for (unsigned int i = 0; i < group->count; i++) {
+		struct plan_try *t;
+		int64_t cost;
+
+		out[i] = NULL;
+		if (group->task[i].state != TASK_WAITING)
+			continue;
+		t = plan_pick(s, group, &group->task[i], rack);
+		if (!t) {
+			cost = clear_cheapest(s, group, rack, now, victims, &t);
+			if (cost < 0)
+				return -1;
+			sum += cost;
+		}
+		plan_take(t, group);
+		out[i] = t->server;
+	}
+	return sum;
+}
+
+/* a rack whose whole capacity is too small is not worth a trial */
+static bool rack_is_large(const struct plan_scratch *s, const struct work_group *group,
+			  unsigned int rack)
+{
+	int64_t sum = 0;
+
+	for (unsigned int i = 0; i < s->count; i++)
+		if (s->tries[i].rack == rack)
+			sum += s->tries[i].server->capacity.accelerators;
+	return sum >= group->step->need.accelerators * group->count;
+}
+
+bool plan_reclaim(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at, struct fleet_server **out, GPtrArray *victims)
+{
+	unsigned int best = PLAN_ANY_RACK;
+	int64_t best_cost = -1;
+	struct plan_try *before;
+
+	plan_collect(s, fleet, group, at->now, true);
+	if (!group->step->same_rack || group->count < 2)
+		return reclaim_in(s, group, PLAN_ANY_RACK, at->now, out, victims) >= 0;
+	before = talloc_array(s, struct plan_try, s->count + 1);
+	memcpy(before, s->tries, s->count * sizeof(*before));
+	for (unsigned int rack = 0; rack < s->racks; rack++) {
+		int64_t cost = -1;
+
+		if (rack_is_large(s, group, rack))
+			cost = reclaim_in(s, group, rack, at->now, out, victims);
+		if (cost >= 0 && (best == PLAN_ANY_RACK || cost < best_cost)) {
+			best = rack;
+			best_cost = cost;
+		}
+		memcpy(s->tries, before, s->count * sizeof(*before));
+	}
+	talloc_free(before);
+	/* no rack can hold it: spread it, slower but in time to begin */
+	return reclaim_in(s, group, best, at->now, out, victims) >= 0;
+}
--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -87,6 +87,42 @@
 		cl_job_res SCHED_SUBMIT(cl_job_args) = 1;
 		cl_job_res SCHED_STATE(cl_job_args) = 2;
 		cl_job_res SCHED_CANCEL(cl_job_args) = 3;
-		cl_job_res SCHED_STATUS(cl_job_args) = 4;
 	} = 1;
 } = 0x20004c02;
+
+/* the entry VMs of one site: who leads, and what only the leader knows */
+
+struct cl_lead_ping_args {
+	string vm<CL_ID_MAX>;
+	hyper term;
+};
+
+struct cl_queue_pending {
+	string queue<CL_ID_MAX>;
+	hyper pending;
+};
+
+struct cl_lead_ping_res {
+	bool is_leading;
+	hyper term;
+	hyper store_failing_ms;
+	cl_queue_pending pending<CL_NOTES_MAX>;
+};
+
+struct cl_lead_state_args {
+	string id<CL_ID_MAX>;
+};
+
+struct cl_lead_state_res {
+	bool is_leading;
+	bool known;
+	string state<CL_ID_MAX>;
+	string workspace<CL_ID_MAX>;
+};
+
+program CL_LEAD {
+	version CL_LEAD_V1 {
+		cl_lead_ping_res LEAD_PING(cl_lead_ping_args) = 1;
+		cl_lead_state_res LEAD_STATE(cl_lead_state_args) = 2;
+	} = 1;
+} = 0x20004c03;
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -143,3 +143,70 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cl_lead_ping_args (XDR *xdrs, cl_lead_ping_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_queue_pending (XDR *xdrs, cl_queue_pending *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->queue, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pending))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_lead_ping_res (XDR *xdrs, cl_lead_ping_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_leading))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->store_failing_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pending.pending_val, (u_int *) &objp->pending.pending_len, CL_NOTES_MAX,
+		sizeof (cl_queue_pending), (xdrproc_t) xdr_cl_queue_pending))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_lead_state_args (XDR *xdrs, cl_lead_state_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, CL_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_lead_state_res (XDR *xdrs, cl_lead_state_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_leading))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->state, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, CL_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -94,6 +94,42 @@
 };
 typedef struct cl_job_res cl_job_res;
 
+struct cl_lead_ping_args {
+	char *vm;
+	quad_t term;
+};
+typedef struct cl_lead_ping_args cl_lead_ping_args;
+
+struct cl_queue_pending {
+	char *queue;
+	quad_t pending;
+};
+typedef struct cl_queue_pending cl_queue_pending;
+
+struct cl_lead_ping_res {
+	bool_t is_leading;
+	quad_t term;
+	quad_t store_failing_ms;
+	struct {
+		u_int pending_len;
+		cl_queue_pending *pending_val;
+	} pending;
+};
+typedef struct cl_lead_ping_res cl_lead_ping_res;
+
+struct cl_lead_state_args {
+	char *id;
+};
+typedef struct cl_lead_state_args cl_lead_state_args;
+
+struct cl_lead_state_res {
+	bool_t is_leading;
+	bool_t known;
+	char *state;
+	char *workspace;
+};
+typedef struct cl_lead_state_res cl_lead_state_res;
+
 #define CL_PEER 0x20004c01
 #define CL_PEER_V1 1
 
@@ -135,9 +171,6 @@
 #define SCHED_CANCEL 3
 extern  cl_job_res * sched_cancel_1(cl_job_args *, CLIENT *);
 extern  cl_job_res * sched_cancel_1_svc(cl_job_args *, struct svc_req *);
-#define SCHED_STATUS 4
-extern  cl_job_res * sched_status_1(cl_job_args *, CLIENT *);
-extern  cl_job_res * sched_status_1_svc(cl_job_args *, struct svc_req *);
 extern int cl_sched_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -150,12 +183,31 @@
 #define SCHED_CANCEL 3
 extern  cl_job_res * sched_cancel_1();
 extern  cl_job_res * sched_cancel_1_svc();
-#define SCHED_STATUS 4
-extern  cl_job_res * sched_status_1();
-extern  cl_job_res * sched_status_1_svc();
 extern int cl_sched_1_freeresult ();
 #endif /* K&R C */
 
+#define CL_LEAD 0x20004c03
+#define CL_LEAD_V1 1
+
+#if defined(__STDC__) || defined(__cplusplus)
+#define LEAD_PING 1
+extern  cl_lead_ping_res * lead_ping_1(cl_lead_ping_args *, CLIENT *);
+extern  cl_lead_ping_res * lead_ping_1_svc(cl_lead_ping_args *, struct svc_req *);
+#define LEAD_STATE 2
+extern  cl_lead_state_res * lead_state_1(cl_lead_state_args *, CLIENT *);
+extern  cl_lead_state_res * lead_state_1_svc(cl_lead_state_args *, struct svc_req *);
+extern int cl_lead_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+
+#else /* K&R C */
+#define LEAD_PING 1
+extern  cl_lead_ping_res * lead_ping_1();
+extern  cl_lead_ping_res * lead_ping_1_svc();
+#define LEAD_STATE 2
+extern  cl_lead_state_res * lead_state_1();
+extern  cl_lead_state_res * lead_state_1_svc();
+extern int cl_lead_1_freeresult ();
+#endif /* K&R C */
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -168,6 +220,11 @@
 extern  bool_t xdr_cl_job_args (XDR *, cl_job_args*);
 extern  bool_t xdr_cl_sched_status (XDR *, cl_sched_status*);
 extern  bool_t xdr_cl_job_res (XDR *, cl_job_res*);
+extern  bool_t xdr_cl_lead_ping_args (XDR *, cl_lead_ping_args*);
+extern  bool_t xdr_cl_queue_pending (XDR *, cl_queue_pending*);
+extern  bool_t xdr_cl_lead_ping_res (XDR *, cl_lead_ping_res*);
+extern  bool_t xdr_cl_lead_state_args (XDR *, cl_lead_state_args*);
+extern  bool_t xdr_cl_lead_state_res (XDR *, cl_lead_state_res*);
 
 #else /* K&R C */
 extern bool_t xdr_cl_note ();
@@ -179,6 +236,11 @@
 extern bool_t xdr_cl_job_args ();
 extern bool_t xdr_cl_sched_status ();
 extern bool_t xdr_cl_job_res ();
+extern bool_t xdr_cl_lead_ping_args ();
+extern bool_t xdr_cl_queue_pending ();
+extern bool_t xdr_cl_lead_ping_res ();
+extern bool_t xdr_cl_lead_state_args ();
+extern bool_t xdr_cl_lead_state_res ();
 
 #endif /* K&R C */
 
--- /dev/null
+++ b/lib/queues/queues.c
@@ -0,0 +1,42 @@
+#include "queues.h"
+
+#include <string.h>
+
+const struct queue *queues_match(const struct queues *q, struct str host, struct str path)
+{
+	const struct queue *best = NULL;
+	size_t best_len = 0;
+
+	for (unsigned int i = 0; i < q->queue_count; i++) {
+		const struct queue *c = &q->queue[i];
+		size_t len = strlen(c->prefix);
+
+		if (len < best_len || len > path.len || memcmp(path.ptr, c->prefix, len))
+			continue;
+		if (strlen(c->host) != host.len || strncasecmp(c->host, host.ptr, host.len))
+			continue;
+		best = c;
+		best_len = len;
+	}
+	return best;
+}
+
+const struct workspace *queues_workspace_of(const struct queues *q, struct str key)
+{
+	for (unsigned int i = 0; i < q->workspace_count; i++) {
+		const struct workspace *w = &q->workspace[i];
+
+		for (unsigned int k = 0; k < w->key_count; k++)
+			if (str_eq(str_from(w->keys[k]), key))
+				return w;
+	}
+	return NULL;
+}
+
+const struct workspace *queues_workspace(const struct queues *q, const char *name)
+{
+	for (unsigned int i = 0; i < q->workspace_count; i++)
+		if (!strcmp(q->workspace[i].name, name))
+			return &q->workspace[i];
+	return NULL;
+}
--- /dev/null
+++ b/lib/work/work.c
@@ -0,0 +1,582 @@
+#include "work.h"
+
+#include <string.h>
+
+const char *work_state_name(enum work_state state)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		WORK_STATES(X)
+#undef X
+	};
+
+	return names[state];
+}
+
+enum work_state work_state_parse(const char *name)
+{
+	for (int i = 0; i < WORK_STATE_COUNT; i++)
+		if (!strcmp(name, work_state_name((enum work_state)i)))
+			return (enum work_state)i;
+	return WORK_STATE_COUNT;
+}
+
+const char *work_task_state_name(enum work_task_state state)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		WORK_TASK_STATES(X)
+#undef X
+	};
+
+	return names[state];
+}
+
+bool work_id_is_valid(struct str id)
+{
+	if (id.len != WORK_ID_LEN)
+		return false;
+	for (size_t i = 0; i < id.len; i++)
+		if (!g_ascii_isxdigit(id.ptr[i]))
+			return false;
+	return true;
+}
+
+/* ---- jobs ---- */
+
+static int job_destructor(struct work_job *job)
+{
+	g_ptr_array_free(job->groups, TRUE);
+	return 0;
+}
+
+struct work_job *work_job_new(TALLOC_CTX *ctx, struct str id, unsigned int step_count)
+{
+	struct work_job *job = talloc_zero(ctx, struct work_job);
+
+	memcpy(job->id, id.ptr, MIN(id.len, WORK_ID_LEN));
+	job->groups = g_ptr_array_new();
+	job->step_count = step_count;
+	job->step = talloc_zero_array(job, struct work_step, step_count);
+	job->attempts = 1;
+	job->stretch = 1;
+	talloc_set_destructor(job, job_destructor);
+	return job;
+}
+
+static const char *check_step(const struct work_job *job, unsigned int index)
+{
+	const struct work_step *s = &job->step[index];
+
+	if (!s->count || s->count > WORK_TASKS_MAX)
+		return "the number of tasks of a step is out of range";
+	if (s->need.cpu < 0 || s->need.memory_mb < 0 || s->need.accelerators < 0)
+		return "a step needs less than nothing";
+	for (unsigned int i = 0; i < s->after_count; i++)
+		if (s->after[i] >= index)
+			return "a step comes after one that isn't before it";
+	return NULL;
+}
+
+const char *work_job_seal(struct work_job *job)
+{
+	if (!job->step_count || job->step_count > WORK_STEPS_MAX)
+		return "the number of steps is out of range";
+	if (job->times < 0 || job->times > WORK_TIMES_MAX || job->every_ms < 0)
+		return "the number of occurrences is out of range";
+	for (unsigned int i = 0; i < job->step_count; i++) {
+		const char *fault = check_step(job, i);
+
+		if (fault)
+			return fault;
+		job->step[i].tail_ms = job->step[i].estimate_ms;
+	}
+	/* steps only follow earlier ones, so going backwards sees followers first */
+	for (unsigned int i = job->step_count; i-- > 0;) {
+		const struct work_step *s = &job->step[i];
+
+		for (unsigned int a = 0; a < s->after_count; a++) {
+			struct work_step *before = &job->step[s->after[a]];
+
+			before->tail_ms = MAX(before->tail_ms, before->estimate_ms + s->tail_ms);
+		}
+	}
+	return NULL;
+}
+
+bool work_job_is_over(const struct work_job *job)
+{
+	return job->state >= WORK_COMPLETE;
+}
+
+static void begin_occurrence(struct work_job *job)
+{
+	for (unsigned int i = 0; i < job->step_count; i++) {
+		struct work_group *g = talloc_zero(job, struct work_group);
+
+		g->job = job;
+		g->step = &job->step[i];
+		g->step_index = i;
+		g->occurrence = job->occurrences;
+		g->count = job->step[i].count;
+		g->task = talloc_zero_array(g, struct work_task, g->count);
+		for (unsigned int k = 0; k < g->count; k++) {
+			g->task[k].group = g;
+			g->task[k].index = k;
+		}
+		g_ptr_array_add(job->groups, g);
+	}
+	job->occurrences++;
+}
+
+int64_t work_due_ms(const struct work_job *job, unsigned int occurrence)
+{
+	if (!job->times)
+		return job->accepted_ms;
+	return job->first_ms + (int64_t)occurrence * job->every_ms;
+}
+
+int64_t work_job_next_due(const struct work_job *job)
+{
+	if (work_job_is_over(job) || job->occurrences >= MAX(job->times, 1))
+		return 0;
+	return job->times ? work_due_ms(job, job->occurrences) : 1;
+}
+
+bool work_job_begin_due(struct work_job *job, int64_t wall_ms)
+{
+	bool begun = false;
+	int64_t due;
+
+	while ((due = work_job_next_due(job)) && due <= wall_ms) {
+		begin_occurrence(job);
+		begun = true;
+	}
+	return begun;
+}
+
+void work_job_begin(struct work_job *job, unsigned int occurrence)
+{
+	while (job->occurrences <= occurrence && job->occurrences < MAX(job->times, 1))
+		begin_occurrence(job);
+}
+
+bool work_job_is_done(const struct work_job *job)
+{
+	if (job->occurrences < MAX(job->times, 1))
+		return false;
+	for (guint i = 0; i < job->groups->len; i++) {
+		const struct work_group *g = g_ptr_array_index(job->groups, i);
+
+		if (g->done < g->count)
+			return false;
+	}
+	return true;
+}
+
+void work_job_set_state(struct work_job *job, enum work_state state, int64_t wall_ms)
+{
+	if (job->state == state || work_job_is_over(job))
+		return;
+	job->state = state;
+	if (work_job_is_over(job))
+		job->ended_ms = wall_ms;
+	job->row.changes++;
+}
+
+struct work_group *work_job_group(const struct work_job *job, unsigned int occurrence,
+				  unsigned int step)
+{
+	if (occurrence >= job->occurrences || step >= job->step_count)
+		return NULL;
+	return g_ptr_array_index(job->groups, occurrence * job->step_count + step);
+}
+
+int64_t work_objective_ms(const struct work_job *job)
+{
+	int64_t chain = 0;
+
+	for (unsigned int i = 0; i < job->step_count; i++)
+		chain = MAX(chain, job->step[i].tail_ms);
+	return (int64_t)(job->stretch * (double)chain) + job->slo_ms;
+}
+
+/* ---- groups ---- */
+
+void work_group_touch(struct work_group *group)
+{
+	group->row.changes++;
+}
+
+unsigned int work_group_waiting(const struct work_group *group)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 0; i < group->count; i++)
+		n += group->task[i].state == TASK_WAITING;
+	return n;
+}
+
+bool work_group_is_ready(const struct work_group *group)
+{
+	const struct work_step *s = group->step;
+	unsigned int waiting = work_group_waiting(group);
+
+	if (work_job_is_over(group->job) || !waiting)
+		return false;
+	if (s->is_gang && waiting < group->count)
+		return false;
+	for (unsigned int i = 0; i < s->after_count; i++) {
+		const struct work_group *before =
+			work_job_group(group->job, group->occurrence, s->after[i]);
+
+		if (before->done < before->count)
+			return false;
+	}
+	return true;
+}
+
+/* ---- tasks ---- */
+
+bool work_task_is_placed(const struct work_task *t)
+{
+	switch (t->state) {
+	case TASK_ASSIGNED:
+	case TASK_STARTING:
+	case TASK_RUNNING:
+	case TASK_STOPPING:
+	case TASK_UNSETTLED:
+		return true;
+	case TASK_WAITING:
+	case TASK_PROMISED:
+	case TASK_DONE:
+		break;
+	}
+	return false;
+}
+
+static void leave_server(struct work_task *t)
+{
+	if (!t->server)
+		return;
+	fleet_amount_add(t->state == TASK_PROMISED ? &t->server->promised : &t->server->used,
+			 &t->group->step->need, -1);
+	g_ptr_array_remove_fast(t->server->tasks, t);
+	t->server = NULL;
+}
+
+static void enter_server(struct work_task *t, struct fleet_server *sv, enum work_task_state state)
+{
+	t->server = sv;
+	t->state = state;
+	fleet_amount_add(state == TASK_PROMISED ? &sv->promised : &sv->used, &t->group->step->need,
+			 1);
+	g_ptr_array_add(sv->tasks, t);
+}
+
+void work_task_promise(struct work_task *t, struct fleet_server *sv)
+{
+	leave_server(t);
+	enter_server(t, sv, TASK_PROMISED);
+}
+
+static void assign_as(struct work_task *t, struct fleet_server *sv, uint32_t attempt)
+{
+	leave_server(t);
+	enter_server(t, sv, TASK_ASSIGNED);
+	t->attempt = attempt;
+	t->start_tries = 0;
+	t->started_at = 0;
+	t->stopped_at = 0;
+	t->percent = 0;
+	t->progress_percent = -1;
+	work_group_touch(t->group);
+	t->assigned_change = t->group->row.changes;
+}
+
+void work_task_assign(struct work_task *t, struct fleet_server *sv)
+{
+	assign_as(t, sv, t->attempt + 1);
+}
+
+void work_task_assign_gang(struct work_group *group, struct fleet_server *const *servers)
+{
+	uint32_t attempt = 0;
+	struct str snapshot = {NULL, 0};
+
+	for (unsigned int i = 0; i < group->count; i++) {
+		attempt = MAX(attempt, group->task[i].attempt);
+		if (group->task[i].snapshot)
+			snapshot = str_from(group->task[i].snapshot);
+	}
+	for (unsigned int i = 0; i < group->count; i++) {
+		work_task_set_snapshot(&group->task[i], snapshot);
+		assign_as(&group->task[i], servers[i], attempt + 1);
+	}
+}
+
+void work_task_release(struct work_task *t)
+{
+	leave_server(t);
+	t->state = TASK_WAITING;
+	work_group_touch(t->group);
+}
+
+void work_task_done(struct work_task *t)
+{
+	if (t->state == TASK_DONE)
+		return;
+	leave_server(t);
+	t->state = TASK_DONE;
+	TALLOC_FREE(t->snapshot);
+	t->group->done++;
+	work_group_touch(t->group);
+}
+
+bool work_task_failed(struct work_task *t)
+{
+	struct work_group *g = t->group;
+
+	work_group_touch(g);
+	TALLOC_FREE(t->avoid);
+	if (t->server)
+		t->avoid = talloc_strdup(g, t->server->id);
+	if (!g->step->is_gang)
+		return ++t->failures >= g->job->attempts && !g->step->is_endless;
+	/* a gang fails once an attempt, however many members report it */
+	if (g->failed_attempt == t->attempt)
+		return false;
+	g->failed_attempt = t->attempt;
+	for (unsigned int i = 0; i < g->count; i++)
+		g->task[i].failures++;
+	return t->failures >= g->job->attempts && !g->step->is_endless;
+}
+
+void work_task_set_snapshot(struct work_task *t, struct str snapshot)
+{
+	if (!snapshot.len || (t->snapshot && str_eq(str_from(t->snapshot), snapshot)))
+		return;
+	if (t->snapshot && snapshot.ptr == t->snapshot)
+		return;
+	talloc_free(t->snapshot);
+	t->snapshot = str_dup(t->group, snapshot);
+}
+
+/* ---- rows ---- */
+
+static json_t *encode_step(const struct work_step *s)
+{
+	json_t *after = json_array();
+	json_t *v;
+
+	for (unsigned int i = 0; i < s->after_count; i++)
+		json_array_append_new(after, json_integer(s->after[i]));
+	v = json_pack("{sI sI sI sI sI so sb sb sb sb sb sI}", "count", (json_int_t)s->count, "cpu",
+		      (json_int_t)s->need.cpu, "memory_mb", (json_int_t)s->need.memory_mb,
+		      "accelerators", (json_int_t)s->need.accelerators, "estimate_ms",
+		      (json_int_t)s->estimate_ms, "after", after, "gang", s->is_gang, "same_rack",
+		      s->same_rack, "checkpoints", s->checkpoints, "speculative", s->is_speculative,
+		      "endless", s->is_endless, "per_server_max", (json_int_t)s->per_server_max);
+	if (s->label)
+		json_object_set_new(v, "label", json_string(s->label));
+	if (s->data_rack)
+		json_object_set_new(v, "data_rack", json_string(s->data_rack));
+	return v;
+}
+
+char *work_job_encode(TALLOC_CTX *ctx, const struct work_job *job)
+{
+	json_t *steps = json_array();
+	json_t *v;
+	char *text;
+
+	for (unsigned int i = 0; i < job->step_count; i++)
+		json_array_append_new(steps, encode_step(&job->step[i]));
+	v = json_pack("{ss ss ss ss sI sI sf sI sI so sI sI sI ss sI}", "queue", job->queue,
+		      "service", job->service, "workspace", job->workspace, "payload", job->payload,
+		      "priority", (json_int_t)job->priority, "attempts", (json_int_t)job->attempts,
+		      "stretch", job->stretch, "slo_ms", (json_int_t)job->slo_ms, "accepted_ms",
+		      (json_int_t)job->accepted_ms, "steps", steps, "times", (json_int_t)job->times,
+		      "first_ms", (json_int_t)job->first_ms, "every_ms", (json_int_t)job->every_ms,
+		      "state", work_state_name(job->state), "ended_ms", (json_int_t)job->ended_ms);
+	text = base_json_text(ctx, v);
+	json_decref(v);
+	return text;
+}
+
+static void decode_step(TALLOC_CTX *ctx, const json_t *v, struct work_step *s)
+{
+	const json_t *after = json_object_get(v, "after");
+	const char *label = base_json_str(v, "label", NULL);
+	const char *rack = base_json_str(v, "data_rack", NULL);
+
+	s->count = (unsigned int)base_json_int(v, "count", 0);
+	s->need.cpu = base_json_int(v, "cpu", 0);
+	s->need.memory_mb = base_json_int(v, "memory_mb", 0);
+	s->need.accelerators = base_json_int(v, "accelerators", 0);
+	s->estimate_ms = base_json_int(v, "estimate_ms", 0);
+	s->after_count = (unsigned int)json_array_size(after);
+	s->after = talloc_array(ctx, unsigned int, s->after_count);
+	for (unsigned int i = 0; i < s->after_count; i++)
+		s->after[i] = (unsigned int)json_integer_value(json_array_get(after, i));
+	s->is_gang = base_json_bool(v, "gang", false);
+	s->same_rack = base_json_bool(v, "same_rack", false);
+	s->checkpoints = base_json_bool(v, "checkpoints", false);
+	s->is_speculative = base_json_bool(v, "speculative", false);
+	s->is_endless = base_json_bool(v, "endless", false);
+	s->per_server_max = (unsigned int)base_json_int(v, "per_server_max", 0);
+	s->label = label ? talloc_strdup(ctx, label) : NULL;
+	s->data_rack = rack ? talloc_strdup(ctx, rack) : NULL;
+}
+
+struct work_job *work_job_decode(TALLOC_CTX *ctx, struct str id, struct str value)
+{
+	json_t *v = json_loadb(value.ptr, value.len, 0, NULL);
+	const json_t *steps = json_object_get(v, "steps");
+	enum work_state state = work_state_parse(base_json_str(v, "state", ""));
+	struct work_job *job = NULL;
+
+	if (!work_id_is_valid(id) || !json_is_array(steps) || state == WORK_STATE_COUNT)
+		goto out;
+	job = work_job_new(ctx, id, (unsigned int)json_array_size(steps));
+	job->queue = talloc_strdup(job, base_json_str(v, "queue", ""));
+	job->service = talloc_strdup(job, base_json_str(v, "service", ""));
+	job->workspace = talloc_strdup(job, base_json_str(v, "workspace", ""));
+	job->payload = talloc_strdup(job, base_json_str(v, "payload", ""));
+	job->priority = base_json_int(v, "priority", 1);
+	job->attempts = base_json_int(v, "attempts", 1);
+	job->stretch = json_number_value(json_object_get(v, "stretch"));
+	job->slo_ms = base_json_int(v, "slo_ms", 0);
+	job->accepted_ms = base_json_int(v, "accepted_ms", 0);
+	job->times = base_json_int(v, "times", 0);
+	job->first_ms = base_json_int(v, "first_ms", 0);
+	job->every_ms = base_json_int(v, "every_ms", 0);
+	job->state = state;
+	job->ended_ms = base_json_int(v, "ended_ms", 0);
+	for (unsigned int i = 0; i < job->step_count; i++)
+		decode_step(job, json_array_get(steps, i), &job->step[i]);
+	if (work_job_seal(job))
+		TALLOC_FREE(job);
+out:
+	json_decref(v);
+	return job;
+}
+
+char *work_group_key(TALLOC_CTX *ctx, const struct work_group *group)
+{
+	return talloc_asprintf(ctx, "%s.%u.%u", group->job->id, group->occurrence,
+			       group->step_index);
+}
+
+bool work_key_split(const char *key, char id[WORK_ID_LEN + 1], unsigned int *occurrence,
+		    unsigned int *step)
+{
+	struct str head = {key, WORK_ID_LEN};
+
+	if (strlen(key) <= WORK_ID_LEN || !work_id_is_valid(head))
+		return false;
+	if (sscanf(key + WORK_ID_LEN, ".%u.%u", occurrence, step) != 2)
+		return false;
+	memcpy(id, key, WORK_ID_LEN);
+	id[WORK_ID_LEN] = 0;
+	return true;
+}
+
+/* index of the server in @list, added when it is new */
+static json_int_t server_index(json_t *list, const struct fleet_server *sv)
+{
+	json_t *entry;
+	size_t i;
+
+	if (!sv)
+		return -1;
+	json_array_foreach(list, i, entry)
+		if (!strcmp(json_string_value(json_array_get(entry, 0)), sv->id) &&
+		    json_integer_value(json_array_get(entry, 1)) == sv->born)
+			return (json_int_t)i;
+	json_array_append_new(list, json_pack("[sIs]", sv->id, (json_int_t)sv->born, sv->address));
+	return (json_int_t)json_array_size(list) - 1;
+}
+
+char *work_group_encode(TALLOC_CTX *ctx, const struct work_group *group)
+{
+	json_t *servers = json_array();
+	json_t *tasks = json_array();
+	json_t *v;
+	char *text;
+
+	for (unsigned int i = 0; i < group->count; i++) {
+		const struct work_task *t = &group->task[i];
+		const struct fleet_server *sv = work_task_is_placed(t) ? t->server : NULL;
+
+		json_array_append_new(tasks, json_pack("[IIIIs]", (json_int_t)t->attempt,
+						       (json_int_t)t->failures,
+						       (json_int_t)(t->state == TASK_DONE),
+						       server_index(servers, sv),
+						       t->snapshot ? t->snapshot : ""));
+	}
+	v = json_pack("{sososI}", "servers", servers, "tasks", tasks, "failed_attempt",
+		      (json_int_t)group->failed_attempt);
+	text = base_json_text(ctx, v);
+	json_decref(v);
+	return text;
+}
+
+static struct fleet_server *server_of(struct fleet *fleet, const json_t *entry)
+{
+	const char *id = json_string_value(json_array_get(entry, 0));
+	const char *address = json_string_value(json_array_get(entry, 2));
+	int64_t born = json_integer_value(json_array_get(entry, 1));
+	struct fleet_server *sv = id ? fleet_find(fleet, id) : NULL;
+
+	if (!id || (sv && sv->born > born))
+		return NULL; /* a newer incarnation knows nothing of it */
+	if (!sv || sv->born != born) {
+		sv = fleet_add(fleet, id, born);
+		sv->address = talloc_strdup(sv, address ? address : "");
+	}
+	return sv;
+}
+
+static void merge_task(struct work_task *t, const json_t *row, const json_t *servers,
+		       struct fleet *fleet, int64_t settle_at)
+{
+	uint32_t attempt = (uint32_t)json_integer_value(json_array_get(row, 0));
+	uint32_t failures = (uint32_t)json_integer_value(json_array_get(row, 1));
+	json_int_t at = json_integer_value(json_array_get(row, 3));
+	struct fleet_server *sv = NULL;
+
+	t->failures = MAX(t->failures, failures);
+	if (json_integer_value(json_array_get(row, 2))) {
+		work_task_done(t);
+		return;
+	}
+	if (attempt < t->attempt)
+		return;
+	t->attempt = attempt;
+	work_task_set_snapshot(t, str_from(json_string_value(json_array_get(row, 4))));
+	if (at >= 0)
+		sv = server_of(fleet, json_array_get(servers, (size_t)at));
+	if (sv && t->state == TASK_WAITING) {
+		enter_server(t, sv, TASK_UNSETTLED);
+		t->settle_at = settle_at;
+		t->progress_percent = -1;
+	}
+}
+
+bool work_group_merge(struct work_group *group, struct str value, struct fleet *fleet,
+		      int64_t settle_at)
+{
+	json_t *v = json_loadb(value.ptr, value.len, 0, NULL);
+	const json_t *servers = json_object_get(v, "servers");
+	const json_t *tasks = json_object_get(v, "tasks");
+	bool ok = json_is_array(servers) && json_array_size(tasks) == group->count;
+
+	for (unsigned int i = 0; ok && i < group->count; i++)
+		merge_task(&group->task[i], json_array_get(tasks, i), servers, fleet, settle_at);
+	if (ok)
+		group->failed_attempt =
+			MAX(group->failed_attempt, (uint32_t)base_json_int(v, "failed_attempt", 0));
+	json_decref(v);
+	return ok;
+}
--- /dev/null
+++ b/lib/work/work.h
@@ -0,0 +1,277 @@
+/**
+ * DOC: work - jobs, their steps and tasks, and the rows that keep them
+ *
+ * A job has steps; a step has tasks that are alike. A timed job runs its steps
+ * several times; each time is an occurrence. A struct work_group is one step
+ * of one occurrence and the unit of what is stored. Nothing here does input or
+ * output; wall-clock times are in ms since 1970.
+ *
+ * Every change of a task goes through a function of this module, which keeps
+ * the server's totals and marks the row as changed.
+ */
+#ifndef WORK_H
+#define WORK_H
+
+#include "fleet/fleet.h"
+
+#define WORK_ID_LEN 16 /* hexadecimal digits, chosen by the caller */
+#define WORK_STEPS_MAX 64
+#define WORK_TASKS_MAX 4096 /* of one step */
+#define WORK_TIMES_MAX 10000
+#define WORK_LATE_FACTOR 3 /* a job is worth something up to so many times its objective */
+
+#define WORK_STATES(X)               \
+	X(WORK_QUEUED, "queued")     \
+	X(WORK_RUNNING, "running")   \
+	X(WORK_COMPLETE, "complete") \
+	X(WORK_FAILED, "failed")     \
+	X(WORK_CANCELLED, "cancelled")
+
+enum work_state {
+#define X(id, name) id,
+	WORK_STATES(X)
+#undef X
+		WORK_STATE_COUNT
+};
+
+const char *work_state_name(enum work_state state);
+/** work_state_parse() - state of a name, or WORK_STATE_COUNT */
+enum work_state work_state_parse(const char *name);
+
+/**
+ * struct work_step - tasks that are alike
+ * @count: number of tasks
+ * @need: what one task takes
+ * @estimate_ms: declared run time of one task, rough, in ms
+ * @after: earlier steps whose tasks must all be done first
+ * @is_gang: the tasks only work together
+ * @same_rack: the tasks are much slower on more than one rack
+ * @checkpoints: a stopped task goes on from where it was
+ * @is_speculative: copies may run in parallel
+ * @is_endless: runs until the job is cancelled and is restarted however it ends
+ * @label: label that the server must have, or NULL
+ * @data_rack: rack where the data is; much slower elsewhere, or NULL
+ * @per_server_max: most tasks of the step on one server, 0 for no limit
+ * @tail_ms: estimate of the longest chain from this step on, this one included
+ */
+struct work_step {
+	unsigned int count;
+	struct fleet_amount need;
+	int64_t estimate_ms;
+	unsigned int *after;
+	unsigned int after_count;
+	bool is_gang;
+	bool same_rack;
+	bool checkpoints;
+	bool is_speculative;
+	bool is_endless;
+	char *label;
+	char *data_rack;
+	unsigned int per_server_max;
+	int64_t tail_ms;
+};
+
+/**
+ * struct work_row - how far the stored row follows what is in memory
+ * @version: version of the stored row, 0 when there is none
+ * @changes: counts changes in memory
+ * @stored: value of @changes that the stored row holds
+ */
+struct work_row {
+	int64_t version;
+	uint64_t changes;
+	uint64_t stored;
+};
+
+#define WORK_TASK_STATES(X)                                                                  \
+	X(TASK_WAITING, "waiting")     /* has no server */                                   \
+	X(TASK_PROMISED, "promised")   /* waits for others to stop on its server */          \
+	X(TASK_ASSIGNED, "assigned")   /* its server is being stored; no order yet */        \
+	X(TASK_STARTING, "starting")   /* the start was sent and not yet answered */         \
+	X(TASK_RUNNING, "running")     /* the server has confirmed it */                     \
+	X(TASK_STOPPING, "stopping")   /* a stop was decided; holds its room until listed */ \
+	X(TASK_UNSETTLED, "unsettled") /* stored as assigned by an earlier leader */         \
+	X(TASK_DONE, "done")
+
+enum work_task_state {
+#define X(id, name) id,
+	WORK_TASK_STATES(X)
+#undef X
+};
+
+const char *work_task_state_name(enum work_task_state state);
+
+/**
+ * struct work_task - one task
+ * @attempt: number of its newest start, 0 before the first
+ * @failures: starts that ended as failed
+ * @server: where it is, NULL when waiting or done
+ * @snapshot: newest checkpoint, or NULL
+ * @started_at: when the newest start was confirmed, monotonic ms; 0 before
+ * @stopped_at: when its stop was confirmed, monotonic ms; 0 before
+ * @listed_by: number of the look that listed it last
+ * @percent: progress last seen
+ * @progress_at: when the progress last changed, monotonic ms
+ * @progress_percent: the progress of the newest start when it was first seen
+ * @settle_at: when a task on a server that doesn't answer surely runs no more, monotonic ms
+ * @assigned_change: group change that must be stored before the start is sent
+ * @start_tries: starts sent without an answer
+ * @avoid: id of the server where it failed last, or NULL
+ */
+struct work_task {
+	struct work_group *group;
+	unsigned int index;
+	enum work_task_state state;
+	uint32_t attempt;
+	uint32_t failures;
+	struct fleet_server *server;
+	char *snapshot;
+	int64_t started_at;
+	int64_t stopped_at;
+	uint64_t listed_by;
+	int percent;
+	int64_t progress_at;
+	int progress_percent;
+	int64_t settle_at;
+	uint64_t assigned_change;
+	unsigned int start_tries;
+	char *avoid;
+};
+
+/**
+ * struct work_group - one step of one occurrence
+ * @occurrence: 0 for a job that isn't timed
+ * @ready_since: when its first task could have started, monotonic ms; 0 before
+ * @done: number of tasks done
+ * @failed_attempt: attempt of the gang whose failure was counted last
+ */
+struct work_group {
+	struct work_job *job;
+	const struct work_step *step;
+	unsigned int step_index;
+	unsigned int occurrence;
+	struct work_task *task;
+	unsigned int count;
+	unsigned int done;
+	uint32_t failed_attempt;
+	int64_t ready_since;
+	struct work_row row;
+};
+
+/**
+ * struct work_job - a job as declared and how far it is
+ * @id: chosen by the caller
+ * @queue: name of the queue it came through
+ * @service: pool of servers that runs it
+ * @workspace: whose job it is
+ * @payload: what its tasks are told, opaque
+ * @priority: 0 comes first
+ * @attempts: a task that failed this often fails the job
+ * @stretch: see struct queue
+ * @slo_ms: see struct queue
+ * @accepted_ms: wall clock when it was accepted
+ * @times: number of occurrences, 0 for a job that isn't timed
+ * @first_ms: wall clock when the first occurrence is due
+ * @every_ms: time between occurrences
+ * @ended_ms: wall clock when it reached a final state
+ * @groups: struct work_group of all occurrences begun, steps in order
+ * @occurrences: number of occurrences begun
+ */
+struct work_job {
+	char id[WORK_ID_LEN + 1];
+	char *queue;
+	char *service;
+	char *workspace;
+	char *payload;
+	int64_t priority;
+	int64_t attempts;
+	double stretch;
+	int64_t slo_ms;
+	int64_t accepted_ms;
+	struct work_step *step;
+	unsigned int step_count;
+	int64_t times;
+	int64_t first_ms;
+	int64_t every_ms;
+	enum work_state state;
+	int64_t ended_ms;
+	GPtrArray *groups;
+	unsigned int occurrences;
+	struct work_row row;
+};
+
+bool work_id_is_valid(struct str id);
+
+struct work_job *work_job_new(TALLOC_CTX *ctx, struct str id, unsigned int step_count);
+/** work_job_seal() - check the steps and work out chains; NULL, or what is wrong */
+const char *work_job_seal(struct work_job *job);
+/** work_job_is_over() - complete, failed or cancelled */
+bool work_job_is_over(const struct work_job *job);
+/** work_job_begin_due() - create the groups of occurrences due at wall clock @wall_ms */
+bool work_job_begin_due(struct work_job *job, int64_t wall_ms);
+/** work_job_begin() - create the groups of all occurrences up to this one, whatever the time */
+void work_job_begin(struct work_job *job, unsigned int occurrence);
+/** work_job_next_due() - wall clock of the next occurrence, 0 when there is none */
+int64_t work_job_next_due(const struct work_job *job);
+/** work_job_is_done() - every task of every occurrence is done */
+bool work_job_is_done(const struct work_job *job);
+void work_job_set_state(struct work_job *job, enum work_state state, int64_t wall_ms);
+struct work_group *work_job_group(const struct work_job *job, unsigned int occurrence,
+				  unsigned int step);
+
+/** work_due_ms() - wall clock from which an occurrence's time counts */
+int64_t work_due_ms(const struct work_job *job, unsigned int occurrence);
+/** work_objective_ms() - time that an occurrence may take and be in time, in ms */
+int64_t work_objective_ms(const struct work_job *job);
+
+/** work_group_is_ready() - has tasks to place, and nothing else must happen before */
+bool work_group_is_ready(const struct work_group *group);
+/** work_group_waiting() - number of tasks without a server */
+unsigned int work_group_waiting(const struct work_group *group);
+
+/* ---- changes of a task ---- */
+
+/** work_task_promise() - hold room at @sv, to be freed by others that stop */
+void work_task_promise(struct work_task *t, struct fleet_server *sv);
+/** work_task_assign() - next attempt, at @sv; a promise is turned into use */
+void work_task_assign(struct work_task *t, struct fleet_server *sv);
+/** work_task_assign_gang() - all members get the same attempt, above all earlier ones */
+void work_task_assign_gang(struct work_group *group, struct fleet_server *const *servers);
+/** work_task_release() - it surely does not run any more: give the room back and wait again */
+void work_task_release(struct work_task *t);
+/** work_task_done() - it ended well */
+void work_task_done(struct work_task *t);
+/** work_task_failed() - its present attempt failed; true when the attempts are used up */
+bool work_task_failed(struct work_task *t);
+/** work_task_set_snapshot() - newest checkpoint; empty strings are ignored */
+void work_task_set_snapshot(struct work_task *t, struct str snapshot);
+/** work_task_is_placed() - counts as used on its server */
+bool work_task_is_placed(const struct work_task *t);
+void work_group_touch(struct work_group *group);
+
+/* ---- rows ---- */
+
+/** work_job_encode() - value of the job's row, owned by @ctx */
+char *work_job_encode(TALLOC_CTX *ctx, const struct work_job *job);
+/** work_job_decode() - the job owned by @ctx, without groups, or NULL when it can't be read */
+struct work_job *work_job_decode(TALLOC_CTX *ctx, struct str id, struct str value);
+/** work_group_key() - key of the group's row, owned by @ctx */
+char *work_group_key(TALLOC_CTX *ctx, const struct work_group *group);
+char *work_group_encode(TALLOC_CTX *ctx, const struct work_group *group);
+/**
+ * work_group_merge() - take over what a stored row says
+ * @group: a new group, or one whose row somebody else has written
+ * @settle_at: when a task that its server doesn't list surely runs no more, monotonic ms
+ *
+ * What the row knows more than the group is added: ends, failures, higher
+ * attempts. A waiting task with a server becomes TASK_UNSETTLED; a server that
+ * is not known is added to the fleet as unlisted.
+ * Return: false when the row can't be read; the group is then unchanged.
+ */
+bool work_group_merge(struct work_group *group, struct str value, struct fleet *fleet,
+		      int64_t settle_at);
+/** work_key_split() - job id, occurrence and step of a group's key */
+bool work_key_split(const char *key, char id[WORK_ID_LEN + 1], unsigned int *occurrence,
+		    unsigned int *step);
+
+#endif
--- /dev/null
+++ b/src/sited.c
@@ -0,0 +1,210 @@
+/**
+ * DOC: sited - main program of currantlane-sited
+ */
+#include "sited_lead.h"
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+#include "version.h"
+
+#define EXIT_USAGE 2
+#define SETTINGS_VARIABLE "CURRANTLANE_CONFIG"
+#define FRONT_CONNECTIONS_MAX 2000 /* descriptors of the smallest entry VM, less those of others \
+				    */
+#define READY_CONNECTIONS_MAX 32
+#define IDLE_S 30
+#define SMALL_BODY_MAX 4096
+#define FRONT_BODY_MAX (1024 * 1024) /* the operator's limit is checked by the store's row size */
+#define SERVER_CONNECTIONS_MAX 3     /* one that waits for ends, two for orders */
+#define LINGER_MS 2600 /* after SIGTERM, so that the balancer has missed two readiness answers */
+#define LINGER_TICK_MS 50
+#define HAND_OVER_MS 400     /* after SIGTERM, so that orders in flight are answered */
+#define GRACE_RESERVE_MS 800 /* of the grace time, kept to end by ourselves */
+
+/* ---- stopping ---- */
+
+static void on_linger(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+	int64_t now = base_now();
+	int64_t latest =
+		d->stop_at + (d->site->grace_ms - LINGER_MS - GRACE_RESERVE_MS) * BASE_NS_PER_MS;
+
+	if (now < d->stop_at || (d->requests && now < latest)) {
+		mtimer_add(d, d->ev, base_deadline_in(LINGER_TICK_MS), on_linger, d);
+		return;
+	}
+	log_event("stopped", "{sI}", "requests_open", (json_int_t)d->requests);
+	exit(0);
+}
+
+static void on_hand_over(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	sited_hand_over(data);
+}
+
+static void on_term(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
+		    int signum, int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+
+	if (d->stop_at)
+		return;
+	d->stop_at = base_deadline_in(LINGER_MS);
+	log_event("stopping", "{si sb}", "signal", signum, "leading", d->lead != NULL);
+	if (d->lead)
+		d->lead->is_handing_over = true;
+	mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_MS), on_hand_over, d);
+	mtimer_add(d, d->ev, base_deadline_in(LINGER_TICK_MS), on_linger, d);
+}
+
+/* XXX: bounds are read again by the next start only; addresses can't change while running */
+static void on_hup(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
+		   int signum G_GNUC_UNUSED, int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED,
+		   void *data)
+{
+	struct sited *d = data;
+	char *error = NULL;
+	struct site *site = site_load(d, getenv(SETTINGS_VARIABLE), &error);
+
+	if (!site) {
+		log_warn("settings_unreadable", "%s; the former settings stay in force", error);
+		talloc_free(error);
+		return;
+	}
+	/* the old struct stays: others hold pointers into it */
+	d->site = site;
+	log_event("settings_reloaded", "{ss}", "vm", site->vm);
+}
+
+/* ---- metrics ---- */
+
+static void on_metrics(struct httpd_request *req)
+{
+	struct sited *d = req->server_data;
+	char *text = sited_metrics_text(d, &d->metrics);
+
+	text = talloc_asprintf_append_buffer(text,
+					     "currantlane_leading %d\ncurrantlane_term %" PRId64
+					     "\ncurrantlane_store_calls_total %" PRIu64
+					     "\ncurrantlane_config_version %" PRId64 "\n",
+					     d->lead != NULL, d->leader.term, store_calls(d->store),
+					     d->queues ? d->queues->version : 0);
+	httpd_reply(req, 200, str_from(text));
+	talloc_free(text);
+}
+
+/* ---- start ---- */
+
+static bool listen_all(struct sited *d, int metrics_port)
+{
+	struct httpd_options front = {.ip = d->site->callers.ip,
+				      .port = d->site->callers.port,
+				      .body_max = FRONT_BODY_MAX,
+				      .connections_max = FRONT_CONNECTIONS_MAX,
+				      .idle_s = IDLE_S};
+	struct httpd_options ready = {.ip = d->site->readiness.ip,
+				      .port = d->site->readiness.port,
+				      .body_max = SMALL_BODY_MAX,
+				      .connections_max = READY_CONNECTIONS_MAX,
+				      .idle_s = IDLE_S};
+	struct httpd_options metrics = ready;
+	static const char *const everybody[] = {"0.0.0.0/0"};
+	struct onc_server_options peers = {.ip = d->site->peers.ip,
+					   .port = d->site->peers.port,
+					   .allow = everybody,
+					   .allow_count = 1,
+					   .procs = sited_peer_procs,
+					   .proc_count = SITED_PROC_COUNT};
+
+	d->front = httpd_new(d, d->ev, &front, sited_on_request, d);
+	if (!d->front || !httpd_new(d, d->ev, &ready, sited_on_ready, d))
+		return false;
+	metrics.port = (uint16_t)metrics_port;
+	if (metrics_port && !httpd_new(d, d->ev, &metrics, on_metrics, d))
+		return false;
+	return onc_server_new(d, d->ev, &peers, sited_on_peer, d) != NULL;
+}
+
+static int run(const char *settings, int metrics_port, bool only_check)
+{
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct sited *d = talloc_zero(ev, struct sited);
+	char *error = NULL;
+	int code = EXIT_USAGE;
+
+	d->ev = ev;
+	d->site = site_load(d, settings, &error);
+	if (!d->site) {
+		fprintf(stderr, "%s\n", error);
+		goto out;
+	}
+	if (only_check) {
+		printf("%s: ok\n", settings);
+		code = 0;
+		goto out;
+	}
+	base_log_init("sited", d->site->vm, "stdout");
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	sited_metrics_init(&d->metrics);
+	d->store_http = httpc_new(d, ev, 0);
+	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX);
+	d->store = store_new(d, d->store_http, &d->site->store);
+	d->orders = orders_new(d, d->server_http);
+	if (!listen_all(d, metrics_port)) {
+		log_warn("not_listening", "cannot listen on %s:%u, %u, %u or %d",
+			 d->site->callers.ip, d->site->callers.port, d->site->readiness.port,
+			 d->site->peers.port, metrics_port);
+		code = 1;
+		goto out;
+	}
+	tevent_add_signal(ev, d, SIGTERM, 0, on_term, d);
+	tevent_add_signal(ev, d, SIGINT, 0, on_term, d);
+	tevent_add_signal(ev, d, SIGHUP, 0, on_hup, d);
+	log_event("started", "{ss ss si si}", "version", CURRANTLANE_VERSION, "failure_domain",
+		  d->site->failure_domain, "callers_port", d->site->callers.port, "peers_port",
+		  d->site->peers.port);
+	sited_config_start(d);
+	sited_elect_start(d);
+	tevent_loop_wait(ev);
+	code = 0;
+out:
+	talloc_free(ev);
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *settings =
+		arg_file0(NULL, "settings", "FILE",
+			  "settings; else the file that " SETTINGS_VARIABLE " names");
+	struct arg_int *metrics = arg_int0(NULL, "metrics-port", "PORT", "serve metrics there");
+	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
+	struct arg_lit *show = arg_lit0(NULL, "version", "print the version");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {settings, metrics, check, show, help, end};
+	int errors = arg_parse(argc, argv, table);
+	const char *path = settings->count ? settings->filename[0] : getenv(SETTINGS_VARIABLE);
+	int code = 0;
+
+	if (show->count) {
+		printf("currantlane-sited %s\n", CURRANTLANE_VERSION);
+	} else if (help->count || errors || !path) {
+		printf("usage: currantlane-sited");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		code = help->count ? 0 : EXIT_USAGE;
+	} else {
+		code = run(path, metrics->count ? metrics->ival[0] : 0, check->count > 0);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/src/sited.h
@@ -0,0 +1,134 @@
+/**
+ * DOC: sited - state of currantlane-sited, the daemon of an entry VM on the users' platform
+ *
+ * Every entry VM runs one. It accepts jobs for callers and stores them; one of
+ * them, elected through a row of the store, also places and runs them. One
+ * thread; the parts are
+ *
+ *   sited_front.c    callers' requests
+ *   sited_config.c   the operator's configuration
+ *   sited_elect.c    which VM leads
+ *   sited_lead.c     the leader's rounds: due work, placement, reclaim
+ *   sited_rows.c     what the leader loads and stores
+ *   sited_servers.c  list of backend servers, looks and leases
+ *   sited_tasks.c    orders, ends, and what follows from them
+ */
+#ifndef SITED_H
+#define SITED_H
+
+#include "onc/onc.h"
+#include "plan/plan.h"
+#include "proto/proto.h"
+#include "queues/queues.h"
+#include "sited_metrics.h"
+#include "platform/callers.h"
+#include "platform/members.h"
+#include "platform/operator.h"
+#include "platform/orders.h"
+#include "platform/site.h"
+#include "platform/store.h"
+
+#define SITED_JOBS_TABLE "jobs"
+#define SITED_GROUPS_TABLE "groups"
+#define SITED_LEAD_TABLE "lead"
+#define SITED_LEAD_KEY "scheduler"
+#define SITED_PARTS 8 /* a part takes one transaction after another, so jobs are spread over some \
+		       */
+
+#define SITED_CALL_MS 1500 /* a store that is 60 times slower than usual still answers in it */
+#define SITED_RETRY_MS 150 /* pause before a call that the store turned away is made again */
+
+struct lead;
+
+/**
+ * struct sited_leader - what a VM knows of the one that leads
+ * @vm: its name, empty when nobody leads
+ * @version: version of the row that says so, -1 while it is not known
+ * @client: RPC client to it, or NULL
+ * @heard_at: when it last answered as leader, on base_now()'s clock; 0 never
+ * @misses: pings in a row without an answer
+ * @pending: jobs not begun by queue, as it last said; name to int64_t
+ */
+struct sited_leader {
+	char vm[64];
+	struct site_address address;
+	int64_t term;
+	int64_t version;
+	struct onc_client *client;
+	int64_t heard_at;
+	unsigned int misses;
+	GHashTable *pending;
+};
+
+/**
+ * struct sited - the daemon
+ * @queues: configuration in force, NULL before the first
+ * @config_version: version of the store up to which the configuration is known
+ * @lead: set while this VM leads
+ * @lead_serial: counts terms of this process, so that late answers are recognised
+ * @is_contending: a transaction for the lead is in flight
+ * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
+ * @requests: callers' requests in progress
+ */
+struct sited {
+	struct tevent_context *ev;
+	struct site *site;
+	struct httpc *store_http;
+	struct httpc *server_http;
+	struct store *store;
+	struct orders *orders;
+	struct httpd *front;
+	struct queues *queues;
+	int64_t config_version;
+	struct lead *lead;
+	uint64_t lead_serial;
+	struct sited_leader leader;
+	bool is_contending;
+	int64_t stop_at;
+	unsigned int requests;
+	struct sited_metrics metrics;
+};
+
+static inline int64_t sited_now_ms(void)
+{
+	return base_now() / BASE_NS_PER_MS;
+}
+
+static inline int64_t sited_wall_ms(void)
+{
+	return base_wall_us() / 1000;
+}
+
+/** sited_part() - the part of the store that holds a job */
+const char *sited_part(const char *job_id);
+
+/* ---- sited_config.c ---- */
+
+/** sited_config_start() - read the configuration and follow it */
+void sited_config_start(struct sited *d);
+
+/* ---- sited_front.c ---- */
+
+void sited_on_request(struct httpd_request *req);
+/** sited_on_ready() - tell the balancer whether to send callers here */
+void sited_on_ready(struct httpd_request *req);
+
+/* ---- sited_elect.c ---- */
+
+void sited_elect_start(struct sited *d);
+/** sited_on_peer() - answer a call of another entry VM */
+void sited_on_peer(struct onc_request *req);
+extern const struct onc_proc sited_peer_procs[];
+#define SITED_PROC_PING 0
+#define SITED_PROC_STATE 1
+#define SITED_PROC_COUNT 2
+/** sited_doubt() - somebody else may lead: read the row and step down if so */
+void sited_doubt(struct sited *d, const char *why);
+/** sited_step_down() - another VM leads for certain */
+void sited_step_down(struct sited *d, const char *why);
+/** sited_hand_over() - planned stop: let another VM lead at once */
+void sited_hand_over(struct sited *d);
+/** sited_check_row() - another row than the one that made this VM lead: step down */
+void sited_check_row(struct sited *d, const struct store_row *row);
+
+#endif
--- /dev/null
+++ b/src/sited_elect.c
@@ -0,0 +1,345 @@
+/*
+ * Who leads. A row of the store names the leader and its term; it is replaced
+ * only by a transaction that expects its version, so one VM wins. Whether the
+ * leader lives is seen by calls between the VMs, not in the store: it would cost
+ * a write each time, and the store may be away while the leader works on.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define PING_EVERY_MS 200
+#define PING_ANSWER_MS 350 /* several times the way to another failure domain and back */
+#define MISSES_MAX 3 /* pings in a row without an answer; a refused connection counts double */
+#define CONTEND_SPREAD_MS 40   /* so that not all contend at the same moment */
+#define CLIENT_LINGER_MS 2000  /* longer than any call to a leader takes */
+#define LEADER_CUT_OFF_MS 1200 /* the leader's store is away for so long, but not this VM's */
+
+static void read_row(struct sited *d);
+static void contend(struct sited *d, const char *why);
+
+const struct onc_proc sited_peer_procs[] = {
+	{CL_LEAD, CL_LEAD_V1, LEAD_PING, (xdrproc_t)xdr_cl_lead_ping_args,
+	 sizeof(cl_lead_ping_args), (xdrproc_t)xdr_cl_lead_ping_res},
+	{CL_LEAD, CL_LEAD_V1, LEAD_STATE, (xdrproc_t)xdr_cl_lead_state_args,
+	 sizeof(cl_lead_state_args), (xdrproc_t)xdr_cl_lead_state_res},
+};
+
+/* ---- answers to peers ---- */
+
+static void answer_ping(struct sited *d, struct onc_request *req)
+{
+	cl_lead_ping_args *args = req->args;
+	cl_lead_ping_res res = {.is_leading = d->lead != NULL,
+				.term = d->lead ? d->lead->term : 0,
+				.store_failing_ms = store_failing_ms(d->store)};
+	GHashTable *pending = d->lead ? lead_pending(d->lead) : NULL;
+	cl_queue_pending *list = NULL;
+	GHashTableIter it;
+	gpointer name;
+	gpointer n;
+
+	if (d->lead && args->term > d->lead->term)
+		sited_doubt(d, "a peer knows a newer term");
+	if (pending) {
+		list = talloc_array(d, cl_queue_pending, g_hash_table_size(pending));
+		g_hash_table_iter_init(&it, pending);
+		while (g_hash_table_iter_next(&it, &name, &n)) {
+			list[res.pending.pending_len].queue = name;
+			list[res.pending.pending_len++].pending = *(int64_t *)n;
+		}
+		res.pending.pending_val = list;
+	}
+	onc_reply(req, &res);
+	talloc_free(list);
+	if (pending)
+		g_hash_table_destroy(pending);
+}
+
+static void answer_state(struct sited *d, struct onc_request *req)
+{
+	cl_lead_state_args *args = req->args;
+	const char *workspace = "";
+	enum work_state state =
+		d->lead ? lead_job_state(d->lead, args->id, &workspace) : WORK_STATE_COUNT;
+	cl_lead_state_res res = {.is_leading = d->lead != NULL,
+				 .known = state != WORK_STATE_COUNT,
+				 .state = "",
+				 .workspace = (char *)workspace};
+
+	if (res.known)
+		res.state = (char *)work_state_name(state);
+	onc_reply(req, &res);
+}
+
+void sited_on_peer(struct onc_request *req)
+{
+	struct sited *d = req->server_data;
+
+	if (req->proc == &sited_peer_procs[SITED_PROC_PING])
+		answer_ping(d, req);
+	else
+		answer_state(d, req);
+}
+
+/* ---- the row ---- */
+
+static char *encode_row(TALLOC_CTX *ctx, const struct sited *d, int64_t term, bool is_vacant)
+{
+	json_t *v =
+		json_pack("{ss ss si sI}", "vm", is_vacant ? "" : d->site->vm, "ip",
+			  d->site->peers.ip, "port", d->site->peers.port, "term", (json_int_t)term);
+	char *text = base_json_text(ctx, v);
+
+	json_decref(v);
+	return text;
+}
+
+static void on_client_idle(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	talloc_free(data);
+}
+
+/* freed later: one of its callbacks may be on the stack */
+static void drop_client(struct sited *d)
+{
+	struct onc_client *client = d->leader.client;
+
+	d->leader.client = NULL;
+	if (client)
+		mtimer_add(client, d->ev, base_deadline_in(CLIENT_LINGER_MS), on_client_idle,
+			   client);
+}
+
+static void take_row(struct sited *d, const struct store_row *row)
+{
+	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+	struct sited_leader *leader = &d->leader;
+	int64_t version = row->removed ? 0 : row->version;
+
+	if (version <= leader->version && leader->version >= 0) {
+		json_decref(v);
+		return;
+	}
+	drop_client(d);
+	g_strlcpy(leader->vm, base_json_str(v, "vm", ""), sizeof(leader->vm));
+	g_strlcpy(leader->address.ip, base_json_str(v, "ip", ""), sizeof(leader->address.ip));
+	leader->address.port = (uint16_t)base_json_int(v, "port", 0);
+	leader->term = MAX(leader->term, base_json_int(v, "term", 0));
+	leader->version = version;
+	leader->misses = 0;
+	if (leader->vm[0] && strcmp(leader->vm, d->site->vm))
+		leader->client = onc_client_new(d, d->ev, leader->address.ip, leader->address.port);
+	log_event("leader_known", "{ss sI sI}", "leader", leader->vm, "term",
+		  (json_int_t)leader->term, "row_version", (json_int_t)version);
+	json_decref(v);
+}
+
+static void on_row(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+	const struct store_row none = {.removed = true};
+	bool found = r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY);
+
+	if (r->status != STORE_OK)
+		return;
+	if (d->lead)
+		sited_check_row(d, found ? &r->rows[0] : &none);
+	else
+		take_row(d, found ? &r->rows[0] : &none);
+}
+
+static void read_row(struct sited *d)
+{
+	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+
+	store_read(d->store, &range, base_deadline_in(SITED_CALL_MS), on_row, d);
+}
+
+void sited_check_row(struct sited *d, const struct store_row *row)
+{
+	if (!d->lead || row->version <= d->lead->row_version)
+		return;
+	log_event("lead_lost", "{sI sI sI}", "term", (json_int_t)d->lead->term, "row_version",
+		  (json_int_t)d->lead->row_version, "newer", (json_int_t)row->version);
+	TALLOC_FREE(d->lead);
+	d->lead_serial++;
+	take_row(d, row);
+}
+
+void sited_step_down(struct sited *d, const char *why)
+{
+	if (!d->lead)
+		return;
+	log_event("lead_given_up", "{sI ss}", "term", (json_int_t)d->lead->term, "why", why);
+	TALLOC_FREE(d->lead);
+	d->lead_serial++;
+	d->leader.version = -1;
+}
+
+void sited_doubt(struct sited *d, const char *why)
+{
+	log_event("lead_doubted", "{sI ss}", "term", (json_int_t)(d->lead ? d->lead->term : 0),
+		  "why", why);
+	read_row(d);
+}
+
+/* ---- contending ---- */
+
+static void on_contended(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	d->is_contending = false;
+	if (r->status == STORE_CONFLICT) {
+		for (unsigned int i = 0; i < r->count; i++)
+			take_row(d, &r->rows[i]);
+		if (!r->count)
+			read_row(d);
+		return;
+	}
+	if (r->status != STORE_OK) {
+		/* if it was performed, the row names this VM, and it contends for the next term */
+		d->leader.version = -1;
+		return;
+	}
+	d->leader.version = r->version;
+	d->leader.term++;
+	drop_client(d);
+	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
+	if (!d->stop_at)
+		d->lead = lead_new(d, d->leader.term, r->version);
+}
+
+static void on_contend_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+	struct store_tx *tx;
+	char *value;
+
+	if (d->stop_at || d->lead || d->leader.version < 0) {
+		d->is_contending = false;
+		return;
+	}
+	tx = store_tx_new(d, "");
+	value = encode_row(tx, d, d->leader.term + 1, false);
+	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->leader.version);
+	store_tx_put(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, str_from(value));
+	store_commit(d->store, tx, base_deadline_in(SITED_CALL_MS), on_contended, d);
+	talloc_free(tx);
+}
+
+static void contend(struct sited *d, const char *why)
+{
+	if (d->is_contending || d->lead || d->stop_at)
+		return;
+	d->is_contending = true;
+	log_event("lead_contended", "{ss ss sI}", "why", why, "leader", d->leader.vm, "term",
+		  (json_int_t)d->leader.term);
+	mtimer_add(d, d->ev, base_deadline_in((int64_t)(base_random64() % CONTEND_SPREAD_MS)),
+		   on_contend_timer, d);
+}
+
+void sited_hand_over(struct sited *d)
+{
+	struct store_tx *tx;
+	char *value;
+
+	if (!d->lead)
+		return;
+	tx = store_tx_new(d, "");
+	value = encode_row(tx, d, d->lead->term, true);
+	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->lead->row_version);
+	store_tx_put(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, str_from(value));
+	log_event("lead_handed_over", "{sI}", "term", (json_int_t)d->lead->term);
+	TALLOC_FREE(d->lead);
+	d->lead_serial++;
+	d->leader.vm[0] = 0;
+	store_commit(d->store, tx, base_deadline_in(SITED_CALL_MS), on_row, d);
+	talloc_free(tx);
+}
+
+/* ---- following ---- */
+
+static void take_pending(struct sited *d, const cl_lead_ping_res *res)
+{
+	if (d->leader.pending)
+		g_hash_table_remove_all(d->leader.pending);
+	else
+		d->leader.pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (unsigned int i = 0; i < res->pending.pending_len; i++) {
+		int64_t *n = g_new(int64_t, 1);
+
+		*n = res->pending.pending_val[i].pending;
+		g_hash_table_insert(d->leader.pending, g_strdup(res->pending.pending_val[i].queue),
+				    n);
+	}
+}
+
+/* a ping and the row by which its receiver was the leader */
+struct ping {
+	struct sited *d;
+	int64_t version;
+};
+
+static void on_pinged(enum onc_result result, void *res, void *data)
+{
+	struct ping *ping = data;
+	struct sited *d = ping->d;
+	const cl_lead_ping_res *answer = res;
+	bool is_current = ping->version == d->leader.version;
+
+	talloc_free(ping);
+	if (d->lead || !is_current)
+		return;
+	if (result != ONC_OK) {
+		d->leader.misses += result == ONC_NOT_SENT ? 2 : 1;
+		if (d->leader.misses >= MISSES_MAX)
+			contend(d, "the leader does not answer");
+		return;
+	}
+	d->leader.misses = 0;
+	if (!answer->is_leading) {
+		contend(d, "the VM that should lead does not");
+		read_row(d);
+		return;
+	}
+	d->leader.heard_at = base_now();
+	take_pending(d, answer);
+	if (answer->store_failing_ms > LEADER_CUT_OFF_MS && !store_failing_ms(d->store))
+		contend(d, "the leader is cut off from the store");
+}
+
+static void ping_leader(struct sited *d)
+{
+	cl_lead_ping_args args = {d->site->vm, d->leader.term};
+	struct ping *ping = talloc_zero(d, struct ping);
+
+	ping->d = d;
+	ping->version = d->leader.version;
+	onc_call(d->leader.client, &sited_peer_procs[SITED_PROC_PING], &args,
+		 sizeof(cl_lead_ping_res), base_deadline_in(PING_ANSWER_MS), on_pinged, ping);
+}
+
+static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+
+	mtimer_add(d, d->ev, base_deadline_in(PING_EVERY_MS), on_tick, d);
+	if (d->lead)
+		return;
+	if (d->leader.version < 0)
+		read_row(d);
+	else if (d->leader.client)
+		ping_leader(d);
+	else
+		contend(d, d->leader.vm[0] ? "the row names this VM" : "nobody leads");
+}
+
+void sited_elect_start(struct sited *d)
+{
+	d->leader.version = -1;
+	mtimer_add(d, d->ev, base_now(), on_tick, d);
+}
--- /dev/null
+++ b/src/sited_lead.c
@@ -0,0 +1,345 @@
+/*
+ * The leader's rounds. A round is a function of what is in memory: it begins
+ * occurrences that are due, places what waits, in order of rank, and makes room
+ * for urgent work. Nothing is sent before it is stored, so a round ends with a
+ * flush.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define ROUND_DELAY_MS 2    /* events that come together are handled by one round */
+#define ROUND_EVERY_MS 100  /* time alone makes things due: occurrences, patience, promises */
+#define DUE_MARGIN_MS 15    /* clocks of VMs differ a little; a timed job must not be early */
+#define PROMISE_MAX_MS 1500 /* victims stop within 400 ms; then the promise is made anew */
+#define SWEEP_EVERY_MS 5000
+
+static void on_round(struct mtimer *timer, void *data);
+
+static gboolean free_job(gpointer key G_GNUC_UNUSED, gpointer job, gpointer data G_GNUC_UNUSED)
+{
+	talloc_free(job);
+	return TRUE;
+}
+
+static int lead_destructor(struct lead *l)
+{
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+		struct server_io *io = sv->user;
+
+		if (io)
+			g_queue_clear_full(&io->ends, g_free);
+	}
+	g_hash_table_foreach_remove(l->jobs, free_job, NULL);
+	g_hash_table_destroy(l->jobs);
+	g_ptr_array_free(l->active, TRUE);
+	return 0;
+}
+
+static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct lead *l = data;
+
+	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
+	if (!l->is_loaded)
+		return;
+	lead_servers_tick(l);
+	lead_kick(l);
+}
+
+static void on_sweep(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct lead *l = data;
+
+	mtimer_add(l, l->d->ev, base_deadline_in(SWEEP_EVERY_MS), on_sweep, l);
+	if (l->is_loaded)
+		lead_rows_sweep(l);
+}
+
+struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version)
+{
+	struct lead *l = talloc_zero(d, struct lead);
+
+	l->d = d;
+	l->serial = ++d->lead_serial;
+	l->term = term;
+	l->started_at = base_now();
+	l->row_version = row_version;
+	l->confirmed_at = sited_now_ms();
+	l->jobs_version = row_version;
+	l->list_version = row_version;
+	l->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	l->active = g_ptr_array_new();
+	l->fleet = fleet_new(l);
+	l->scratch = plan_scratch_new(l);
+	talloc_set_destructor(l, lead_destructor);
+	sited_count(&d->metrics, COUNT_TERMS);
+	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
+		  (json_int_t)row_version);
+	lead_servers_load(l);
+	mtimer_add(l, d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
+	mtimer_add(l, d->ev, base_deadline_in(SWEEP_EVERY_MS), on_sweep, l);
+	return l;
+}
+
+void lead_kick(struct lead *l)
+{
+	if (l->round || !l->is_loaded)
+		return;
+	l->round = mtimer_add(l, l->d->ev, base_deadline_in(ROUND_DELAY_MS), on_round, l);
+}
+
+GHashTable *lead_pending(const struct lead *l)
+{
+	GHashTable *pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (guint i = 0; i < l->active->len; i++) {
+		const struct work_job *job = g_ptr_array_index(l->active, i);
+		int64_t *n;
+
+		if (job->state != WORK_QUEUED)
+			continue;
+		n = g_hash_table_lookup(pending, job->queue);
+		if (!n) {
+			n = g_new0(int64_t, 1);
+			g_hash_table_insert(pending, g_strdup(job->queue), n);
+		}
+		(*n)++;
+	}
+	return pending;
+}
+
+enum work_state lead_job_state(const struct lead *l, const char *id, const char **workspace)
+{
+	const struct work_job *job = l->is_loaded ? g_hash_table_lookup(l->jobs, id) : NULL;
+
+	if (!job)
+		return WORK_STATE_COUNT;
+	*workspace = job->workspace;
+	/* a final state is told only when it is stored, so that no later leader takes it back */
+	if (work_job_is_over(job) && job->row.stored < job->row.changes)
+		return WORK_RUNNING;
+	return job->state;
+}
+
+/* ---- placing ---- */
+
+struct ranked {
+	struct work_group *group;
+	struct plan_rank rank;
+};
+
+static gint compare_ranked(gconstpointer a, gconstpointer b)
+{
+	const struct ranked *x = a;
+	const struct ranked *y = b;
+
+	return plan_rank_compare(&x->rank, &y->rank);
+}
+
+static void begin_due(struct lead *l, int64_t wall_ms)
+{
+	for (guint i = 0; i < l->active->len; i++)
+		work_job_begin_due(g_ptr_array_index(l->active, i), wall_ms - DUE_MARGIN_MS);
+}
+
+static GArray *collect_ready(struct lead *l, const struct plan_clock *at)
+{
+	GArray *ready = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+
+	for (guint i = 0; i < l->active->len; i++) {
+		const struct work_job *job = g_ptr_array_index(l->active, i);
+
+		if (work_job_is_over(job))
+			continue;
+		for (guint k = 0; k < job->groups->len; k++) {
+			struct ranked r = {.group = g_ptr_array_index(job->groups, k)};
+
+			if (!work_group_is_ready(r.group))
+				continue;
+			if (!r.group->ready_since)
+				r.group->ready_since = at->now;
+			r.rank = plan_rank(r.group, at);
+			g_array_append_val(ready, r);
+		}
+	}
+	g_array_sort(ready, compare_ranked);
+	return ready;
+}
+
+static void note_begun(struct lead *l, struct work_group *g)
+{
+	struct work_job *job = g->job;
+
+	if (job->state == WORK_QUEUED)
+		work_job_set_state(job, WORK_RUNNING, sited_wall_ms());
+	log_event("placed", "{ss si si sI sI sI}", "id", job->id, "occurrence", (int)g->occurrence,
+		  "step", (int)g->step_index, "waited_ms",
+		  (json_int_t)(sited_now_ms() - g->ready_since), "attempt",
+		  (json_int_t)g->task[0].attempt, "list_version", (json_int_t)l->list_version);
+}
+
+static void assign(struct lead *l, struct work_group *g, struct fleet_server **servers)
+{
+	if (g->step->is_gang) {
+		work_task_assign_gang(g, servers);
+	} else {
+		for (unsigned int i = 0; i < g->count; i++)
+			if (servers[i])
+				work_task_assign(&g->task[i], servers[i]);
+	}
+	note_begun(l, g);
+}
+
+static void reclaim(struct lead *l, struct work_group *g, const struct plan_clock *at,
+		    struct fleet_server **servers)
+{
+	GPtrArray *victims = g_ptr_array_new();
+
+	if (!plan_reclaim(l->scratch, l->fleet, g, at, servers, victims))
+		goto out;
+	log_event("reclaimed", "{ss si si sI sI}", "id", g->job->id, "step", (int)g->step_index,
+		  "victims", (int)victims->len, "waited_ms", (json_int_t)(at->now - g->ready_since),
+		  "list_version", (json_int_t)l->list_version);
+	for (guint i = 0; i < victims->len; i++) {
+		sited_count(&l->d->metrics, COUNT_RECLAIMS);
+		lead_task_stop(l, g_ptr_array_index(victims, i), "reclaimed for urgent work");
+	}
+	for (unsigned int i = 0; i < g->count; i++) {
+		if (g->task[i].state != TASK_WAITING)
+			continue;
+		work_task_promise(&g->task[i], servers[i]);
+		g->task[i].settle_at = at->now + PROMISE_MAX_MS;
+	}
+out:
+	g_ptr_array_free(victims, TRUE);
+}
+
+static void place_group(struct lead *l, struct work_group *g, const struct plan_clock *at)
+{
+	struct fleet_server **servers = talloc_zero_array(l, struct fleet_server *, g->count);
+
+	if (plan_place(l->scratch, l->fleet, g, at, servers))
+		assign(l, g, servers);
+	else if (g->job->priority == QUEUES_URGENT_PRIORITY)
+		reclaim(l, g, at, servers);
+	talloc_free(servers);
+}
+
+/* ---- promises ---- */
+
+static bool promise_is_kept(const struct work_task *t, int64_t now)
+{
+	struct fleet_amount room = t->server->capacity;
+
+	if (!fleet_takes_work(t->server, now))
+		return false;
+	fleet_amount_add(&room, &t->server->used, -1);
+	return fleet_amount_fits(&t->group->step->need, &room);
+}
+
+/* several members may be promised room of one server, so they are counted together */
+static bool all_promises_kept(struct work_group *g, int64_t now)
+{
+	bool kept = true;
+	unsigned int i;
+
+	for (i = 0; i < g->count && kept; i++) {
+		if (g->task[i].state != TASK_PROMISED)
+			continue;
+		kept = promise_is_kept(&g->task[i], now);
+		fleet_amount_add(&g->task[i].server->used, &g->step->need, 1);
+	}
+	while (i-- > 0)
+		if (g->task[i].state == TASK_PROMISED)
+			fleet_amount_add(&g->task[i].server->used, &g->step->need, -1);
+	return kept;
+}
+
+static void drop_promises(struct work_group *g)
+{
+	for (unsigned int i = 0; i < g->count; i++)
+		if (g->task[i].state == TASK_PROMISED)
+			work_task_release(&g->task[i]);
+}
+
+static void redeem_gang(struct lead *l, struct work_group *g)
+{
+	struct fleet_server **servers = talloc_zero_array(l, struct fleet_server *, g->count);
+
+	for (unsigned int i = 0; i < g->count; i++)
+		servers[i] = g->task[i].server;
+	work_task_assign_gang(g, servers);
+	talloc_free(servers);
+	note_begun(l, g);
+}
+
+static void redeem(struct lead *l, struct work_group *g, const struct plan_clock *at)
+{
+	bool has_promise = false;
+	bool is_overdue = false;
+	bool has_begun = false;
+
+	for (unsigned int i = 0; i < g->count; i++) {
+		has_promise |= g->task[i].state == TASK_PROMISED;
+		is_overdue |= g->task[i].state == TASK_PROMISED && g->task[i].settle_at < at->now;
+	}
+	if (!has_promise)
+		return;
+	if (g->step->is_gang) {
+		if (all_promises_kept(g, at->now))
+			redeem_gang(l, g);
+		else if (is_overdue)
+			drop_promises(g);
+		return;
+	}
+	for (unsigned int i = 0; i < g->count; i++) {
+		struct work_task *t = &g->task[i];
+
+		if (t->state != TASK_PROMISED)
+			continue;
+		if (promise_is_kept(t, at->now)) {
+			work_task_assign(t, t->server);
+			has_begun = true;
+		} else if (t->settle_at < at->now) {
+			work_task_release(t);
+		}
+	}
+	if (has_begun)
+		note_begun(l, g);
+}
+
+static void redeem_all(struct lead *l, const struct plan_clock *at)
+{
+	for (guint i = 0; i < l->active->len; i++) {
+		const struct work_job *job = g_ptr_array_index(l->active, i);
+
+		if (work_job_is_over(job) || job->priority != QUEUES_URGENT_PRIORITY)
+			continue;
+		for (guint k = 0; k < job->groups->len; k++)
+			redeem(l, g_ptr_array_index(job->groups, k), at);
+	}
+}
+
+/* ---- the round ---- */
+
+static void on_round(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct lead *l = data;
+	struct plan_clock at = {sited_now_ms(), sited_wall_ms()};
+	GArray *ready;
+
+	l->round = NULL;
+	begin_due(l, at.wall);
+	if (!l->is_handing_over) {
+		redeem_all(l, &at);
+		ready = collect_ready(l, &at);
+		for (guint i = 0; i < ready->len; i++)
+			place_group(l, g_array_index(ready, struct ranked, i).group, &at);
+		g_array_free(ready, TRUE);
+	}
+	lead_rows_flush(l);
+}
--- /dev/null
+++ b/src/sited_lead.h
@@ -0,0 +1,154 @@
+/**
+ * DOC: sited_lead - state of the VM that leads: all jobs, all servers, what is being stored
+ */
+#ifndef SITED_LEAD_H
+#define SITED_LEAD_H
+
+#include "sited.h"
+
+/*
+ * A leader that the store did not confirm for so long stops renewing leases, so
+ * that the next one knows when work on servers that it can't reach has lapsed.
+ */
+#define LEAD_UNCONFIRMED_MAX_MS 10000
+
+struct commit;
+
+/**
+ * struct lead - one term of this VM as leader
+ * @serial: of struct sited when the term began
+ * @started_at: when the lead was won, on base_now()'s clock
+ * @row_version: version of the row that made this VM lead
+ * @confirmed_at: the store said at that time that this VM still leads, ms
+ * @is_loaded: all rows have been read; before, nothing is placed
+ * @loads: reads still under way
+ * @jobs: id to struct work_job, all that are stored
+ * @active: struct work_job that are not over, or still hold servers or unstored changes
+ * @commits: transaction in flight of each part, or NULL
+ * @commit_after: no transaction of the part before, ms
+ * @jobs_version: the feed of jobs has been followed up to this version
+ * @list_version: the same for the list of servers
+ * @list_seen: counts readings of the whole list, to find what is missing
+ * @round: pending call of the next round, or NULL
+ * @is_handing_over: planned stop; nothing new is placed
+ */
+struct lead {
+	struct sited *d;
+	uint64_t serial;
+	int64_t term;
+	int64_t started_at;
+	int64_t row_version;
+	int64_t confirmed_at;
+	bool is_loaded;
+	unsigned int loads;
+	GHashTable *jobs;
+	GPtrArray *active;
+	struct fleet *fleet;
+	struct plan_scratch *scratch;
+	struct commit *commits[SITED_PARTS];
+	int64_t commit_after[SITED_PARTS];
+	int64_t jobs_version;
+	int64_t list_version;
+	struct mtimer *round;
+	bool is_handing_over;
+};
+
+/**
+ * struct server_io - calls to one backend server
+ * @clock_ms: its clock, when it last said so
+ * @clock_at: our monotonic ms at that moment
+ * @lease_until: the latest lease ever asked for, on its clock
+ * @seen: ends up to this number have been taken into account
+ * @acknowledged: ends up to this number are stored with all that follows from them
+ * @told: ends up to this number are forgotten there
+ * @ends: struct end_note, taken into account and not yet acknowledged
+ * @look_in_flight: a look is under way
+ * @orders_in_flight: starts and stops under way
+ * @looks: counts looks
+ * @misses: looks in a row without an answer
+ * @next_look: no look before, monotonic ms
+ * @last_look: when the newest look was sent, monotonic ms
+ * @timer: pending call for the next look, or NULL
+ */
+struct server_io {
+	struct lead *lead;
+	struct fleet_server *sv;
+	int64_t clock_ms;
+	int64_t clock_at;
+	int64_t lease_until;
+	int64_t seen;
+	int64_t acknowledged;
+	int64_t told;
+	GQueue ends;
+	bool look_in_flight;
+	unsigned int orders_in_flight;
+	uint64_t looks;
+	unsigned int misses;
+	int64_t next_look;
+	int64_t last_look;
+	struct mtimer *timer;
+};
+
+static inline int64_t lead_now(const struct lead *l G_GNUC_UNUSED)
+{
+	return sited_now_ms();
+}
+
+/** lead_new() - begin a term; the row has been written */
+struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
+/** lead_kick() - have a round soon */
+void lead_kick(struct lead *l);
+/** lead_pending() - jobs not begun, by queue; name to int64_t, owned by the caller */
+GHashTable *lead_pending(const struct lead *l);
+/** lead_job_state() - what a caller may be told of a job, WORK_STATE_COUNT when not known */
+enum work_state lead_job_state(const struct lead *l, const char *id, const char **workspace);
+
+/* ---- sited_rows.c ---- */
+
+void lead_rows_load(struct lead *l);
+/** lead_rows_flush() - store what has changed, one transaction a part at a time */
+void lead_rows_flush(struct lead *l);
+void lead_job_activate(struct lead *l, struct work_job *job);
+/** lead_rows_sweep() - drop rows of jobs that ended long ago */
+void lead_rows_sweep(struct lead *l);
+/** lead_rows_are_stored() - nothing waits to be stored */
+bool lead_rows_are_stored(const struct lead *l);
+
+/* ---- sited_servers.c ---- */
+
+/** lead_servers_load() - read the list, then follow it */
+void lead_servers_load(struct lead *l);
+struct server_io *lead_io(struct lead *l, struct fleet_server *sv);
+/** lead_server_look() - look at the server now if there is a reason */
+void lead_server_look(struct lead *l, struct fleet_server *sv);
+/** lead_server_answered() - take over clock and incarnation from any answer */
+void lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r);
+/** lead_server_lost() - this incarnation runs nothing any more */
+void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why);
+/** lead_server_lease() - lease to ask for, on the server's clock */
+int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
+/** lead_servers_tick() - looks that are due, leases that are over, servers that leave */
+void lead_servers_tick(struct lead *l);
+/** lead_servers_stored() - rows were stored: acknowledge what follows from them */
+void lead_servers_stored(struct lead *l);
+
+/* ---- sited_tasks.c ---- */
+
+/** lead_task_start() - send the start of a stored assignment */
+void lead_task_start(struct lead *l, struct work_task *t);
+/** lead_task_stop() - stop it wherever it is; it waits again once that is certain */
+void lead_task_stop(struct lead *l, struct work_task *t, const char *why);
+/** lead_task_released() - it surely does not run; @why for the log */
+void lead_task_released(struct lead *l, struct work_task *t, const char *why);
+void lead_group_stop(struct lead *l, struct work_group *g, const char *why);
+void lead_job_stop(struct lead *l, struct work_job *job, const char *why);
+/** lead_task_ended() - an end that a server lists; the group it changed, or NULL */
+struct work_group *lead_task_ended(struct lead *l, struct fleet_server *sv,
+				   const struct order_ended *e);
+/** lead_task_listed() - a run that a server lists */
+void lead_task_listed(struct lead *l, struct fleet_server *sv, const struct order_run *run,
+		      uint64_t look);
+/** lead_job_check() - is it complete? */
+void lead_job_check(struct lead *l, struct work_job *job);
+
+#endif
--- /dev/null
+++ b/src/sited_metrics.h
@@ -0,0 +1,62 @@
+/**
+ * DOC: sited_metrics - counters and latency histograms of currantlane-sited
+ */
+#ifndef SITED_METRICS_H
+#define SITED_METRICS_H
+
+#include "base/base.h"
+
+#define SITED_COUNTERS(X)                                     \
+	X(COUNT_ACCEPTED, "jobs_accepted_total")              \
+	X(COUNT_REFUSED, "jobs_refused_total")                \
+	X(COUNT_CANCELLED, "jobs_cancelled_total")            \
+	X(COUNT_COMPLETED, "jobs_completed_total")            \
+	X(COUNT_FAILED, "jobs_failed_total")                  \
+	X(COUNT_UNANSWERED, "requests_unknown_outcome_total") \
+	X(COUNT_STARTS, "task_starts_total")                  \
+	X(COUNT_STOPS, "task_stops_total")                    \
+	X(COUNT_RECLAIMS, "task_reclaims_total")              \
+	X(COUNT_LOOKS, "looks_total")                         \
+	X(COUNT_TERMS, "terms_total")                         \
+	X(COUNT_CONFLICTS, "store_conflicts_total")
+
+enum sited_counter {
+#define X(id, name) id,
+	SITED_COUNTERS(X)
+#undef X
+		SITED_COUNTER_COUNT
+};
+
+#define SITED_HISTOGRAMS(X)                    \
+	X(HIST_ACCEPT, "accept_seconds")       \
+	X(HIST_START, "first_start_seconds")   \
+	X(HIST_COMMIT, "store_commit_seconds") \
+	X(HIST_LOAD, "takeover_seconds")
+
+enum sited_histogram {
+#define X(id, name) id,
+	SITED_HISTOGRAMS(X)
+#undef X
+		SITED_HISTOGRAM_COUNT
+};
+
+#define SITED_BUCKETS 12 /* upper bounds in ms: 1, 2, 5, 10, ... 5000, and all above */
+
+/**
+ * struct sited_metrics - all figures of the process; one thread
+ * @bucket: observations of each histogram, not cumulated
+ */
+struct sited_metrics {
+	struct counter_set counters;
+	uint64_t bucket[SITED_HISTOGRAM_COUNT][SITED_BUCKETS + 1];
+	uint64_t sum_us[SITED_HISTOGRAM_COUNT];
+};
+
+void sited_metrics_init(struct sited_metrics *m);
+void sited_count(struct sited_metrics *m, enum sited_counter id);
+/** sited_observe() - time since @started_at on base_now()'s clock */
+void sited_observe(struct sited_metrics *m, enum sited_histogram id, int64_t started_at);
+/** sited_metrics_text() - common text format, owned by @ctx */
+char *sited_metrics_text(TALLOC_CTX *ctx, struct sited_metrics *m);
+
+#endif
--- /dev/null
+++ b/src/sited_rows.c
@@ -0,0 +1,687 @@
+/*
+ * What the leader loads and stores.
+ *
+ * A job has a row, written when it is accepted and when its state changes, and
+ * one row for each group that has begun. Rows are written only under the
+ * condition that nobody else has written them since: that, and not the lead,
+ * keeps two leaders from placing one task twice. A start is sent only after the
+ * row that names its server is stored.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define ENTRIES_MAX 90 /* conditions and puts of one transaction; the store takes 100 */
+#define FEED_WAIT_MS 1000
+#define FEED_ANSWER_MS 600  /* on top of the wait */
+#define UNKNOWN_PAUSE_MS 80 /* before a transaction without an answer is sent again */
+#define INVALID_PAUSE_MS 1000
+#define SWEEP_MARGIN_MS 30000 /* a job's row stays so much longer than its state must be told */
+#define SWEEP_JOBS_MAX 20     /* removed at a time */
+
+const char *sited_part(const char *job_id)
+{
+	static const char *const names[SITED_PARTS] = {"p0", "p1", "p2", "p3",
+						       "p4", "p5", "p6", "p7"};
+
+	return names[base_hash(job_id, strlen(job_id), 0) % SITED_PARTS];
+}
+
+static unsigned int part_index(const char *job_id)
+{
+	return (unsigned int)(sited_part(job_id)[1] - '0');
+}
+
+/* ---- what is in memory ---- */
+
+void lead_job_activate(struct lead *l, struct work_job *job)
+{
+	g_ptr_array_add(l->active, job);
+}
+
+static void add_job(struct lead *l, const struct store_row *row)
+{
+	struct work_job *job = work_job_decode(l, str_from(row->key), row->value);
+
+	if (!job) {
+		log_warn("row_unreadable", "row %s of version %" PRId64 " holds no job", row->key,
+			 row->version);
+		return;
+	}
+	job->row.version = row->version;
+	g_hash_table_insert(l->jobs, job->id, job);
+	if (!work_job_is_over(job))
+		lead_job_activate(l, job);
+	log_event("job_known", "{ss ss ss sI sI}", "id", job->id, "queue", job->queue, "state",
+		  work_state_name(job->state), "row_version", (json_int_t)row->version, "age_ms",
+		  (json_int_t)(sited_wall_ms() - job->accepted_ms));
+}
+
+/* a newer row of a known job: our own write come back, a cancellation, or another leader's write */
+static void take_job_row(struct lead *l, struct work_job *job, const struct store_row *row)
+{
+	struct work_job *read;
+
+	if (row->version <= job->row.version)
+		return;
+	read = work_job_decode(l, str_from(row->key), row->value);
+	if (!read)
+		return;
+	job->row.version = row->version;
+	if (work_job_is_over(read) && read->state != job->state) {
+		job->state = read->state;
+		job->ended_ms = read->ended_ms;
+		job->row.stored = job->row.changes;
+		log_event("job_ended_elsewhere", "{ss ss sI}", "id", job->id, "state",
+			  work_state_name(job->state), "row_version", (json_int_t)row->version);
+		lead_job_stop(l, job, "the stored job is over");
+	}
+	talloc_free(read);
+}
+
+static void take_job(struct lead *l, const struct store_row *row)
+{
+	struct work_job *job = g_hash_table_lookup(l->jobs, row->key);
+
+	if (row->removed)
+		return;
+	if (job)
+		take_job_row(l, job, row);
+	else
+		add_job(l, row);
+}
+
+static int64_t settle_deadline(const struct lead *l)
+{
+	/* an earlier leader may have renewed for a while, and a server's clock may be slow */
+	return sited_now_ms() + LEAD_UNCONFIRMED_MAX_MS + l->d->site->lease_max_ms * 103 / 100 +
+	       l->d->site->stop_ms;
+}
+
+static void take_group(struct lead *l, const struct store_row *row)
+{
+	char id[WORK_ID_LEN + 1];
+	unsigned int occurrence;
+	unsigned int step;
+	struct work_job *job;
+	struct work_group *g;
+
+	if (!work_key_split(row->key, id, &occurrence, &step))
+		return;
+	job = g_hash_table_lookup(l->jobs, id);
+	if (!job || work_job_is_over(job))
+		return;
+	work_job_begin(job, occurrence);
+	g = work_job_group(job, occurrence, step);
+	if (!g || !work_group_merge(g, row->value, l->fleet, settle_deadline(l))) {
+		log_warn("row_unreadable", "row %s of version %" PRId64 " holds no progress",
+			 row->key, row->version);
+		return;
+	}
+	g->row.version = row->version;
+	g->row.stored = g->row.changes;
+}
+
+/* ---- loading ---- */
+
+/* one range being read, page by page */
+struct load {
+	struct sited *d;
+	uint64_t serial;
+	const char *table;
+	const char *part;
+	char *from;
+};
+
+static struct lead *current(struct sited *d, uint64_t serial)
+{
+	return d->lead && d->lead->serial == serial ? d->lead : NULL;
+}
+
+static void follow_jobs(struct lead *l);
+static void send_load(struct load *load);
+
+static void on_load_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	send_load(data);
+}
+
+static void loads_are_done(struct lead *l)
+{
+	bool is_first = !l->is_loaded;
+
+	l->is_loaded = true;
+	if (!is_first) {
+		/* all was read again; the feed goes on from the oldest of these reads */
+		follow_jobs(l);
+		lead_kick(l);
+		return;
+	}
+	sited_observe(&l->d->metrics, HIST_LOAD, l->started_at);
+	log_event("lead_loaded", "{sI si si si sI}", "term", (json_int_t)l->term, "jobs",
+		  (int)g_hash_table_size(l->jobs), "active", (int)l->active->len, "servers",
+		  (int)l->fleet->all->len, "took_ms",
+		  (json_int_t)((base_now() - l->started_at) / BASE_NS_PER_MS));
+	for (guint i = 0; i < l->active->len; i++)
+		lead_job_check(l, g_ptr_array_index(l->active, i));
+	for (guint i = 0; i < l->fleet->all->len; i++)
+		lead_server_look(l, g_ptr_array_index(l->fleet->all, i));
+	lead_kick(l);
+}
+
+static void on_loaded(const struct store_result *r, void *data)
+{
+	struct load *load = data;
+	struct lead *l = current(load->d, load->serial);
+
+	if (!l) {
+		talloc_free(load);
+		return;
+	}
+	if (r->status != STORE_OK) {
+		mtimer_add(load, load->d->ev, base_deadline_in(SITED_RETRY_MS), on_load_timer,
+			   load);
+		return;
+	}
+	if (l->is_loaded)
+		l->jobs_version = MIN(l->jobs_version, r->version);
+	for (unsigned int i = 0; i < r->count; i++) {
+		if (!strcmp(load->table, SITED_JOBS_TABLE))
+			take_job(l, &r->rows[i]);
+		else
+			take_group(l, &r->rows[i]);
+	}
+	if (r->has_more && r->count) {
+		/* the range begins with @from, which was read already and is taken twice */
+		talloc_free(load->from);
+		load->from = talloc_strdup(load, r->rows[r->count - 1].key);
+		send_load(load);
+		return;
+	}
+	if (!strcmp(load->table, SITED_JOBS_TABLE) && !l->is_loaded) {
+		load->table = SITED_GROUPS_TABLE;
+		TALLOC_FREE(load->from);
+		send_load(load);
+		return;
+	}
+	talloc_free(load);
+	if (!--l->loads)
+		loads_are_done(l);
+}
+
+static void send_load(struct load *load)
+{
+	struct store_range range = {load->table, load->part, load->from, 0};
+
+	if (!current(load->d, load->serial)) {
+		talloc_free(load);
+		return;
+	}
+	store_read(load->d->store, &range, base_deadline_in(SITED_CALL_MS), on_loaded, load);
+}
+
+static void load_parts(struct lead *l)
+{
+	static const char *const parts[SITED_PARTS] = {"p0", "p1", "p2", "p3",
+						       "p4", "p5", "p6", "p7"};
+
+	for (unsigned int i = 0; i < SITED_PARTS; i++) {
+		struct load *load = talloc_zero(l->d, struct load);
+
+		load->d = l->d;
+		load->serial = l->serial;
+		load->table = SITED_JOBS_TABLE;
+		load->part = parts[i];
+		l->loads++;
+		send_load(load);
+	}
+}
+
+void lead_rows_load(struct lead *l)
+{
+	load_parts(l);
+	follow_jobs(l);
+}
+
+/* ---- following what callers write ---- */
+
+/* a feed, recognised when its answer comes late */
+struct feed {
+	struct sited *d;
+	uint64_t serial;
+};
+
+static void on_follow_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	follow_jobs(data);
+}
+
+static void on_jobs(const struct store_result *r, void *data)
+{
+	struct feed *feed = data;
+	struct lead *l = current(feed->d, feed->serial);
+
+	talloc_free(feed);
+	if (!l)
+		return;
+	switch (r->status) {
+	case STORE_OK:
+		for (unsigned int i = 0; i < r->count; i++)
+			take_job(l, &r->rows[i]);
+		l->jobs_version = MAX(l->jobs_version, r->version);
+		if (r->count)
+			lead_kick(l);
+		follow_jobs(l);
+		break;
+	case STORE_HISTORY_GONE:
+		log_event("feed_history_gone", "{ss sI}", "table", SITED_JOBS_TABLE, "after",
+			  (json_int_t)l->jobs_version);
+		l->jobs_version = INT64_MAX;
+		load_parts(l);
+		break;
+	default:
+		mtimer_add(l, l->d->ev, base_deadline_in(SITED_RETRY_MS), on_follow_timer, l);
+		break;
+	}
+}
+
+static void follow_jobs(struct lead *l)
+{
+	struct feed *feed = talloc_zero(l->d, struct feed);
+
+	feed->d = l->d;
+	feed->serial = l->serial;
+	store_feed(l->d->store, SITED_JOBS_TABLE, l->jobs_version, FEED_WAIT_MS,
+		   base_deadline_in(FEED_WAIT_MS + FEED_ANSWER_MS), on_jobs, feed);
+}
+
+/* ---- storing ---- */
+
+/* one row of a transaction */
+struct entry {
+	struct work_job *job;
+	struct work_group *group; /* NULL for the job's own row */
+	uint64_t changes;
+	char *value;
+};
+
+/**
+ * struct commit - a transaction in flight
+ * @is_unsure: an earlier sending of it got no answer
+ */
+struct commit {
+	struct sited *d;
+	uint64_t serial;
+	unsigned int part;
+	struct store_tx *tx;
+	struct entry entry[ENTRIES_MAX];
+	unsigned int count;
+	unsigned int conditions;
+	int64_t started_at;
+	bool is_unsure;
+};
+
+static void send_commit(struct commit *c);
+
+static struct work_row *row_of(const struct entry *e)
+{
+	return e->group ? &e->group->row : &e->job->row;
+}
+
+static void put(struct commit *c, struct work_job *job, struct work_group *g)
+{
+	struct entry *e = &c->entry[c->count++];
+	struct work_row *row = g ? &g->row : &job->row;
+	const char *table = g ? SITED_GROUPS_TABLE : SITED_JOBS_TABLE;
+	char *key = g ? work_group_key(c, g) : job->id;
+
+	e->job = job;
+	e->group = g;
+	e->changes = row->changes;
+	e->value = g ? work_group_encode(c, g) : work_job_encode(c, job);
+	store_tx_put(c->tx, table, key, str_from(e->value));
+	store_tx_expect(c->tx, table, key, row->version);
+	c->conditions++;
+}
+
+static bool has_space(const struct commit *c, unsigned int rows)
+{
+	return c->count + c->conditions + 2 * rows <= ENTRIES_MAX;
+}
+
+/* rows of one job; its own row is a condition too, so that a cancellation is noticed */
+static void put_job(struct commit *c, struct work_job *job)
+{
+	bool has_put = false;
+
+	if (job->row.changes > job->row.stored && has_space(c, 1)) {
+		put(c, job, NULL);
+		has_put = true;
+	}
+	if (work_job_is_over(job))
+		return;
+	for (guint i = 0; i < job->groups->len && has_space(c, 2); i++) {
+		struct work_group *g = g_ptr_array_index(job->groups, i);
+
+		if (g->row.changes <= g->row.stored)
+			continue;
+		if (!has_put) {
+			store_tx_expect(c->tx, SITED_JOBS_TABLE, job->id, job->row.version);
+			c->conditions++;
+			has_put = true;
+		}
+		put(c, job, g);
+	}
+}
+
+static void send_starts(struct lead *l, struct work_group *g)
+{
+	for (unsigned int i = 0; i < g->count; i++) {
+		struct work_task *t = &g->task[i];
+
+		if (t->state == TASK_ASSIGNED && t->assigned_change <= g->row.stored)
+			lead_task_start(l, t);
+	}
+}
+
+static void commit_is_stored(struct lead *l, struct commit *c, const int64_t *versions)
+{
+	for (unsigned int i = 0; i < c->count; i++) {
+		struct entry *e = &c->entry[i];
+		struct work_row *row = row_of(e);
+
+		row->version = MAX(row->version, versions[i]);
+		row->stored = MAX(row->stored, e->changes);
+		if (!e->group && work_job_is_over(e->job))
+			log_event("job_ended", "{ss ss sI sI}", "id", e->job->id, "state",
+				  work_state_name(e->job->state), "took_ms",
+				  (json_int_t)(e->job->ended_ms - e->job->accepted_ms),
+				  "row_version", (json_int_t)row->version);
+	}
+	for (unsigned int i = 0; i < c->count; i++)
+		if (c->entry[i].group)
+			send_starts(l, c->entry[i].group);
+	lead_servers_stored(l);
+}
+
+static const struct store_row *find_row(const struct store_result *r, const char *table,
+					const char *key)
+{
+	for (unsigned int i = 0; i < r->count; i++)
+		if (!strcmp(r->rows[i].table, table) && !strcmp(r->rows[i].key, key))
+			return &r->rows[i];
+	return NULL;
+}
+
+static const struct store_row *row_in_way(const struct store_result *r, const struct entry *e)
+{
+	char *key;
+	const struct store_row *row;
+
+	if (!e->group)
+		return find_row(r, SITED_JOBS_TABLE, e->job->id);
+	key = work_group_key(NULL, e->group);
+	row = find_row(r, SITED_GROUPS_TABLE, key);
+	talloc_free(key);
+	return row;
+}
+
+/* an earlier sending was performed, if every row holds what this one would write */
+static bool was_performed(const struct commit *c, const struct store_result *r, int64_t *versions)
+{
+	for (unsigned int i = 0; i < c->count; i++) {
+		const struct store_row *row = row_in_way(r, &c->entry[i]);
+
+		if (!row || !str_eq(row->value, str_from(c->entry[i].value)))
+			return false;
+		versions[i] = row->version;
+	}
+	return true;
+}
+
+/* another leader wrote the group's row: nothing of ours was sent on its old version */
+static void take_foreign_group(struct lead *l, struct work_group *g, const struct store_row *row)
+{
+	log_event("row_foreign", "{ss sI sI}", "row", row->key, "version", (json_int_t)row->version,
+		  "known", (json_int_t)g->row.version);
+	for (unsigned int i = 0; i < g->count; i++)
+		if (g->task[i].state == TASK_ASSIGNED || g->task[i].state == TASK_PROMISED)
+			work_task_release(&g->task[i]);
+	work_group_merge(g, row->value, l->fleet, settle_deadline(l));
+	g->row.version = row->version;
+	sited_doubt(l->d, "a row was written by somebody else");
+}
+
+static void commit_conflicts(struct lead *l, struct commit *c, const struct store_result *r)
+{
+	sited_count(&l->d->metrics, COUNT_CONFLICTS);
+	for (unsigned int i = 0; i < r->count; i++) {
+		struct work_job *job = NULL;
+
+		if (!strcmp(r->rows[i].table, SITED_JOBS_TABLE))
+			job = g_hash_table_lookup(l->jobs, r->rows[i].key);
+		if (job)
+			take_job_row(l, job, &r->rows[i]);
+	}
+	for (unsigned int i = 0; i < c->count; i++) {
+		struct work_group *g = c->entry[i].group;
+		const struct store_row *row = g ? row_in_way(r, &c->entry[i]) : NULL;
+
+		if (row && row->version > g->row.version)
+			take_foreign_group(l, g, row);
+	}
+}
+
+static void on_commit_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	send_commit(data);
+}
+
+static void on_committed(const struct store_result *r, void *data)
+{
+	struct commit *c = data;
+	struct lead *l = current(c->d, c->serial);
+	int64_t versions[ENTRIES_MAX];
+
+	if (!l)
+		goto out;
+	switch (r->status) {
+	case STORE_OK:
+		for (unsigned int i = 0; i < c->count; i++)
+			versions[i] = r->version;
+		l->commits[c->part] = NULL;
+		sited_observe(&c->d->metrics, HIST_COMMIT, c->started_at);
+		commit_is_stored(l, c, versions);
+		break;
+	case STORE_CONFLICT:
+		l->commits[c->part] = NULL;
+		if (was_performed(c, r, versions))
+			commit_is_stored(l, c, versions);
+		else
+			commit_conflicts(l, c, r);
+		break;
+	case STORE_REFUSED:
+		if (c->is_unsure) {
+			mtimer_add(c, c->d->ev, base_deadline_in(SITED_RETRY_MS), on_commit_timer,
+				   c);
+			return;
+		}
+		l->commits[c->part] = NULL;
+		l->commit_after[c->part] = sited_now_ms() + SITED_RETRY_MS;
+		break;
+	case STORE_UNKNOWN:
+		c->is_unsure = true;
+		mtimer_add(c, c->d->ev, base_deadline_in(UNKNOWN_PAUSE_MS), on_commit_timer, c);
+		return;
+	case STORE_HISTORY_GONE:
+	case STORE_INVALID:
+		l->commits[c->part] = NULL;
+		l->commit_after[c->part] = sited_now_ms() + INVALID_PAUSE_MS;
+		break;
+	}
+	lead_kick(l);
+out:
+	talloc_free(c);
+}
+
+static void send_commit(struct commit *c)
+{
+	if (!current(c->d, c->serial)) {
+		talloc_free(c);
+		return;
+	}
+	store_commit(c->d->store, c->tx, base_deadline_in(SITED_CALL_MS), on_committed, c);
+}
+
+/* an ended job's groups need no rows of their own: its row says all */
+static void settle_groups(struct lead *l, struct work_job *job)
+{
+	bool changed = false;
+
+	for (guint i = 0; i < job->groups->len; i++) {
+		struct work_group *g = g_ptr_array_index(job->groups, i);
+
+		changed |= g->row.stored < g->row.changes;
+		g->row.stored = g->row.changes;
+	}
+	if (changed)
+		lead_servers_stored(l);
+}
+
+static bool holds_servers(const struct work_job *job)
+{
+	for (guint i = 0; i < job->groups->len; i++) {
+		const struct work_group *g = g_ptr_array_index(job->groups, i);
+
+		for (unsigned int k = 0; k < g->count; k++)
+			if (g->task[k].server)
+				return true;
+	}
+	return false;
+}
+
+static void drop_ended(struct lead *l)
+{
+	for (guint i = 0; i < l->active->len;) {
+		struct work_job *job = g_ptr_array_index(l->active, i);
+
+		if (!work_job_is_over(job) || job->row.stored < job->row.changes) {
+			i++;
+			continue;
+		}
+		settle_groups(l, job);
+		if (holds_servers(job))
+			i++;
+		else
+			g_ptr_array_remove_index_fast(l->active, i);
+	}
+}
+
+static bool is_dirty(const struct work_job *job)
+{
+	if (job->row.changes > job->row.stored)
+		return true;
+	if (work_job_is_over(job))
+		return false;
+	for (guint i = 0; i < job->groups->len; i++) {
+		const struct work_group *g = g_ptr_array_index(job->groups, i);
+
+		if (g->row.changes > g->row.stored)
+			return true;
+	}
+	return false;
+}
+
+void lead_rows_flush(struct lead *l)
+{
+	int64_t now = sited_now_ms();
+
+	drop_ended(l);
+	for (guint i = 0; i < l->active->len; i++) {
+		struct work_job *job = g_ptr_array_index(l->active, i);
+		unsigned int part = part_index(job->id);
+		struct commit *c = l->commits[part];
+
+		if (!is_dirty(job) || now < l->commit_after[part])
+			continue;
+		if (!c) {
+			c = talloc_zero(l->d, struct commit);
+			c->d = l->d;
+			c->serial = l->serial;
+			c->part = part;
+			c->tx = store_tx_new(c, sited_part(job->id));
+			l->commits[part] = c;
+		} else if (c->started_at) {
+			continue; /* in flight */
+		}
+		put_job(c, job);
+	}
+	for (unsigned int part = 0; part < SITED_PARTS; part++) {
+		struct commit *c = l->commits[part];
+
+		if (!c || c->started_at)
+			continue;
+		c->started_at = base_now();
+		send_commit(c);
+	}
+}
+
+bool lead_rows_are_stored(const struct lead *l)
+{
+	for (guint i = 0; i < l->active->len; i++)
+		if (is_dirty(g_ptr_array_index(l->active, i)))
+			return false;
+	return true;
+}
+
+/* ---- sweeping ---- */
+
+static void on_swept(const struct store_result *r, void *data G_GNUC_UNUSED)
+{
+	if (r->status != STORE_OK)
+		log_warn("sweep_failed", "rows of ended jobs stay in the store: %s",
+			 store_status_name(r->status));
+}
+
+static void remove_rows(struct lead *l, struct work_job *job)
+{
+	struct store_tx *tx = store_tx_new(l, sited_part(job->id));
+	unsigned int groups = MIN((unsigned int)MAX(job->times, 1) * job->step_count, ENTRIES_MAX);
+
+	for (unsigned int i = 0; i < groups; i++) {
+		char *key = talloc_asprintf(tx, "%s.%u.%u", job->id, i / job->step_count,
+					    i % job->step_count);
+
+		store_tx_remove(tx, SITED_GROUPS_TABLE, key);
+	}
+	store_tx_remove(tx, SITED_JOBS_TABLE, job->id);
+	store_commit(l->d->store, tx, base_deadline_in(SITED_CALL_MS), on_swept, NULL);
+	talloc_free(tx);
+}
+
+/* XXX: of a timed job only the first ENTRIES_MAX groups are removed */
+void lead_rows_sweep(struct lead *l)
+{
+	int64_t before = sited_wall_ms() - l->d->site->status_ms - SWEEP_MARGIN_MS;
+	struct work_job *old[SWEEP_JOBS_MAX];
+	unsigned int count = 0;
+	GHashTableIter it;
+	gpointer job;
+
+	g_hash_table_iter_init(&it, l->jobs);
+	while (count < SWEEP_JOBS_MAX && g_hash_table_iter_next(&it, NULL, &job)) {
+		const struct work_job *j = job;
+
+		if (work_job_is_over(j) && j->ended_ms < before && !holds_servers(j) &&
+		    j->row.stored == j->row.changes)
+			old[count++] = job;
+	}
+	for (unsigned int i = 0; i < count; i++) {
+		remove_rows(l, old[i]);
+		g_ptr_array_remove_fast(l->active, old[i]);
+		g_hash_table_remove(l->jobs, old[i]->id);
+		talloc_free(old[i]);
+	}
+}
--- /dev/null
+++ b/src/sited_servers.c
@@ -0,0 +1,657 @@
+/*
+ * Backend servers: the list, looks and leases.
+ *
+ * A look renews the leases of all that runs on a server and waits for the next
+ * end. Only servers that run something, or whose ends are not acknowledged, are
+ * looked at. After a takeover each server is looked at once: from then on it
+ * rejects orders of earlier leaders, and what it lists is all that runs there.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define LIST_WAIT_MS 1000
+#define LIST_ANSWER_MS 600  /* on top of the wait */
+#define LIST_LAPSE_MS 2500  /* after an outage, entries of live servers are back in 2 s */
+#define LOOK_ANSWER_MS 500  /* on top of the wait; the way there and back takes 3 ms at most */
+#define LOOK_RETRY_MS 250   /* to a server that does not answer */
+#define MISSES_MAX 2	    /* looks in a row without an answer, before it gets no new work */
+#define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
+#define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
+#define CLOCK_SLOW_PERCENT 103 /* a server's clock may be 2 % slow */
+#define LEASE_MARGIN_MS 60
+#define EVACUATE_RESERVE_MS \
+	700		   /* a stop takes 400 ms at most, and must be listed before it leaves */
+#define LEAVE_SLACK_MS 500 /* a server that leaves stays at least as long as it says */
+
+/* an end that was taken into account; to be acknowledged once the group is stored */
+struct end_note {
+	int64_t number;
+	struct work_group *group; /* NULL when nothing follows from it */
+	uint64_t changes;
+};
+
+/* an order or look, recognised when its answer comes late */
+struct look {
+	struct sited *d;
+	uint64_t serial;
+	struct fleet_server *sv;
+	int64_t sent_at;
+	int64_t acknowledged;
+};
+
+static struct lead *current(struct sited *d, uint64_t serial)
+{
+	return d->lead && d->lead->serial == serial ? d->lead : NULL;
+}
+
+struct server_io *lead_io(struct lead *l, struct fleet_server *sv)
+{
+	struct server_io *io = sv->user;
+
+	if (io)
+		return io;
+	io = talloc_zero(sv, struct server_io);
+	io->lead = l;
+	io->sv = sv;
+	g_queue_init(&io->ends);
+	sv->user = io;
+	return io;
+}
+
+/* ---- clock and leases ---- */
+
+static int64_t server_clock(const struct server_io *io)
+{
+	return io->clock_ms + sited_now_ms() - io->clock_at;
+}
+
+int64_t lead_server_lease(struct lead *l, struct fleet_server *sv)
+{
+	struct server_io *io = lead_io(l, sv);
+
+	if (!io->clock_at)
+		return 0;
+	io->lease_until = MAX(io->lease_until, server_clock(io) + l->d->site->lease_max_ms);
+	return io->lease_until;
+}
+
+/* when every lease there is over for certain, on our clock */
+static int64_t lapsed_at(const struct server_io *io)
+{
+	return io->clock_at + (io->lease_until - io->clock_ms) * CLOCK_SLOW_PERCENT / 100 +
+	       LEASE_MARGIN_MS;
+}
+
+void lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r)
+{
+	struct server_io *io = lead_io(l, sv);
+
+	if (r->born && r->born > sv->born) {
+		/* its entry in the list will follow */
+		lead_server_lost(l, sv, "it was started again");
+		return;
+	}
+	if (r->clock_ms) {
+		io->clock_ms = r->clock_ms;
+		io->clock_at = sited_now_ms();
+	}
+}
+
+void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why)
+{
+	sv->presence = FLEET_REPLACED;
+	log_event("server_lost", "{ss sI ss si}", "server", sv->id, "born", (json_int_t)sv->born,
+		  "why", why, "tasks", (int)sv->tasks->len);
+	while (sv->tasks->len)
+		lead_task_released(l, g_ptr_array_index(sv->tasks, 0), why);
+	lead_kick(l);
+}
+
+/* ---- acknowledging ends ---- */
+
+static void advance(struct server_io *io)
+{
+	struct end_note *n;
+
+	while ((n = g_queue_peek_head(&io->ends)) &&
+	       (!n->group || n->group->row.stored >= n->changes)) {
+		io->acknowledged = n->number;
+		g_free(g_queue_pop_head(&io->ends));
+	}
+}
+
+void lead_servers_stored(struct lead *l)
+{
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+		struct server_io *io = sv->user;
+
+		if (!io || g_queue_is_empty(&io->ends))
+			continue;
+		advance(io);
+		lead_server_look(l, sv);
+	}
+}
+
+static void take_ends(struct lead *l, struct fleet_server *sv, const struct order_result *r)
+{
+	struct server_io *io = lead_io(l, sv);
+
+	for (unsigned int i = 0; i < r->ended_count; i++) {
+		const struct order_ended *e = &r->ended[i];
+		struct end_note *n;
+
+		if (e->number <= io->seen)
+			continue;
+		io->seen = e->number;
+		n = g_new0(struct end_note, 1);
+		n->number = e->number;
+		n->group = lead_task_ended(l, sv, e);
+		n->changes = n->group ? n->group->row.changes : 0;
+		g_queue_push_tail(&io->ends, n);
+	}
+	advance(io);
+}
+
+/* ---- looks ---- */
+
+static bool is_running_something(const struct fleet_server *sv)
+{
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		if (t->state != TASK_ASSIGNED && t->state != TASK_PROMISED)
+			return true;
+	}
+	return false;
+}
+
+/* what the server should list and doesn't is not there */
+static void take_missing(struct lead *l, struct fleet_server *sv, const struct look *look,
+			 uint64_t number)
+{
+	GPtrArray *tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+
+	for (guint i = 0; i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+		bool gone = false;
+
+		if (t->server != sv || t->listed_by == number)
+			continue;
+		switch (t->state) {
+		case TASK_UNSETTLED:
+			gone = true;
+			break;
+		case TASK_RUNNING:
+			gone = t->started_at < look->sent_at;
+			break;
+		case TASK_STOPPING:
+			gone = t->stopped_at && t->stopped_at < look->sent_at;
+			break;
+		default:
+			break;
+		}
+		if (gone)
+			lead_task_released(l, t, "the server does not list it");
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
+static void look_answered(struct lead *l, const struct look *look, const struct order_result *r)
+{
+	struct fleet_server *sv = look->sv;
+	struct server_io *io = lead_io(l, sv);
+	uint64_t number = ++io->looks;
+
+	if (!sv->is_fenced || !sv->is_reachable)
+		log_event("server_reached", "{ss sI si si sI}", "server", sv->id, "term",
+			  (json_int_t)l->term, "running", (int)r->run_count, "ended",
+			  (int)r->ended_count, "misses", (json_int_t)io->misses);
+	sv->is_fenced = true;
+	sv->is_reachable = true;
+	io->misses = 0;
+	io->told = MAX(io->told, look->acknowledged);
+	take_ends(l, sv, r);
+	for (unsigned int i = 0; i < r->run_count; i++)
+		lead_task_listed(l, sv, &r->runs[i], number);
+	if (r->ended_count < 500)
+		take_missing(l, sv, look, number);
+	io->next_look = 0;
+	lead_kick(l);
+}
+
+static void look_missed(struct lead *l, struct fleet_server *sv, enum order_status status)
+{
+	struct server_io *io = lead_io(l, sv);
+
+	io->misses++;
+	io->next_look = sited_now_ms() + (io->misses > 1 ? LOOK_RETRY_MS : 0);
+	if (io->misses >= MISSES_MAX && sv->is_reachable) {
+		sv->is_reachable = false;
+		log_event("server_unreachable", "{ss ss si si}", "server", sv->id, "status",
+			  order_status_name(status), "misses", (int)io->misses, "tasks",
+			  (int)sv->tasks->len);
+	}
+}
+
+static void on_looked(const struct order_result *r, void *data)
+{
+	struct look *look = data;
+	struct lead *l = current(look->d, look->serial);
+	struct fleet_server *sv = look->sv;
+
+	if (!l)
+		goto out;
+	lead_io(l, sv)->look_in_flight = false;
+	if (r->status == ORDER_FENCED) {
+		sited_step_down(l->d, "a backend server has seen a newer term");
+		goto out;
+	}
+	lead_server_answered(l, sv, r);
+	if (sv->presence == FLEET_REPLACED)
+		goto out;
+	switch (r->status) {
+	case ORDER_DONE:
+		look_answered(l, look, r);
+		break;
+	case ORDER_OTHER_SERVER:
+		lead_server_lost(l, sv, "another server answers at its address");
+		break;
+	default:
+		look_missed(l, sv, r->status);
+		break;
+	}
+	lead_server_look(l, sv);
+out:
+	talloc_free(look);
+}
+
+static void on_look_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct server_io *io = data;
+
+	io->timer = NULL;
+	lead_server_look(io->lead, io->sv);
+}
+
+static void look_at(struct server_io *io, int64_t when)
+{
+	TALLOC_FREE(io->timer);
+	io->timer = mtimer_add(io, io->lead->d->ev,
+			       base_now() + (when - sited_now_ms()) * BASE_NS_PER_MS, on_look_timer,
+			       io);
+}
+
+static void send_look(struct lead *l, struct fleet_server *sv, int64_t wait_ms)
+{
+	struct server_io *io = lead_io(l, sv);
+	struct look *look = talloc_zero(l->d, struct look);
+	struct order_look order = {.acknowledged = io->acknowledged,
+				   .lease_until = lead_server_lease(l, sv),
+				   .wait_ms = wait_ms};
+	struct order_target to = {.server = sv,
+				  .term = l->term,
+				  .deadline = base_deadline_in(wait_ms + LOOK_ANSWER_MS),
+				  .fresh = io->misses > 0};
+
+	look->d = l->d;
+	look->serial = l->serial;
+	look->sv = sv;
+	look->sent_at = sited_now_ms();
+	look->acknowledged = io->acknowledged;
+	io->look_in_flight = true;
+	io->last_look = look->sent_at;
+	sited_count(&l->d->metrics, COUNT_LOOKS);
+	TALLOC_FREE(io->timer);
+	orders_look(l->d->orders, &to, &order, on_looked, look);
+}
+
+/* a look that only renews or acknowledges */
+static void look_no_sooner(struct lead *l, struct fleet_server *sv, int64_t when)
+{
+	if (when <= sited_now_ms())
+		send_look(l, sv, 0);
+	else
+		look_at(lead_io(l, sv), when);
+}
+
+/* this leader may be replaced without knowing it, so it must not renew for ever */
+static bool may_renew(const struct lead *l)
+{
+	return sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
+}
+
+void lead_server_look(struct lead *l, struct fleet_server *sv)
+{
+	struct server_io *io = lead_io(l, sv);
+	int64_t now = sited_now_ms();
+	bool busy = is_running_something(sv);
+
+	if (io->look_in_flight || sv->presence == FLEET_REPLACED || !l->is_loaded ||
+	    !sv->address[0])
+		return;
+	if (!may_renew(l)) {
+		look_at(io, now + LOOK_RETRY_MS);
+		return;
+	}
+	if (io->next_look > now) {
+		look_at(io, io->next_look);
+		return;
+	}
+	if (!sv->is_fenced || io->misses) {
+		send_look(l, sv, 0);
+	} else if (busy && io->acknowledged < io->seen) {
+		/* the server would answer at once with the same ends: wait until they are stored */
+		look_no_sooner(l, sv, io->last_look + RENEW_EVERY_MS);
+	} else if (busy) {
+		send_look(l, sv, ORDERS_LOOK_WAIT_MAX_MS);
+	} else if (io->told < io->acknowledged) {
+		look_no_sooner(l, sv, io->last_look + ACK_LATER_MS);
+	}
+}
+
+/* ---- the list ---- */
+
+struct feed {
+	struct sited *d;
+	uint64_t serial;
+	GHashTable *found; /* ids read so far, when the whole list is read */
+	char *from;
+	int64_t version;
+};
+
+static void follow_list(struct lead *l);
+static void read_list(struct feed *feed);
+
+static int feed_destructor(struct feed *feed)
+{
+	if (feed->found)
+		g_hash_table_destroy(feed->found);
+	return 0;
+}
+
+static struct feed *feed_new(struct lead *l)
+{
+	struct feed *feed = talloc_zero(l->d, struct feed);
+
+	feed->d = l->d;
+	feed->serial = l->serial;
+	talloc_set_destructor(feed, feed_destructor);
+	return feed;
+}
+
+static void note_presence(struct lead *l, const struct fleet_server *sv, int64_t version)
+{
+	log_event("server_listed", "{ss ss sI ss sI si}", "server", sv->id, "presence",
+		  fleet_presence_name(sv->presence), "born", (json_int_t)sv->born, "rack", sv->rack,
+		  "row_version", (json_int_t)version, "tasks", (int)sv->tasks->len);
+}
+
+static void take_entry(struct lead *l, const struct store_row *row)
+{
+	struct fleet_server *before = fleet_find(l->fleet, row->key);
+	enum fleet_presence was = before ? before->presence : FLEET_UNLISTED;
+	const char *fault = NULL;
+	struct fleet_server *sv;
+
+	if (row->removed) {
+		if (before && before->presence != FLEET_REPLACED) {
+			before->presence = FLEET_UNLISTED;
+			note_presence(l, before, row->version);
+		}
+		return;
+	}
+	sv = members_apply(l->fleet, row->key, row->value, sited_now_ms(), &fault);
+	if (!sv) {
+		log_event("server_entry_unusable", "{ss ss sI}", "server", row->key, "fault", fault,
+			  "row_version", (json_int_t)row->version);
+		return;
+	}
+	if (before && before != sv)
+		lead_server_lost(l, before, "it was started again");
+	if (sv != before || sv->presence != was)
+		note_presence(l, sv, row->version);
+	if (!sv->is_fenced)
+		lead_server_look(l, sv);
+	lead_kick(l);
+}
+
+static void on_list_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	follow_list(data);
+}
+
+static void on_read_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	read_list(data);
+}
+
+static void on_list_change(const struct store_result *r, void *data)
+{
+	struct feed *feed = data;
+	struct lead *l = current(feed->d, feed->serial);
+
+	talloc_free(feed);
+	if (!l)
+		return;
+	switch (r->status) {
+	case STORE_OK:
+		for (unsigned int i = 0; i < r->count; i++)
+			take_entry(l, &r->rows[i]);
+		l->list_version = MAX(l->list_version, r->version);
+		follow_list(l);
+		break;
+	case STORE_HISTORY_GONE:
+		log_event("feed_history_gone", "{ss sI}", "table", MEMBERS_TABLE, "after",
+			  (json_int_t)l->list_version);
+		read_list(feed_new(l));
+		break;
+	default:
+		mtimer_add(l, l->d->ev, base_deadline_in(SITED_RETRY_MS), on_list_timer, l);
+		break;
+	}
+}
+
+static void follow_list(struct lead *l)
+{
+	store_feed(l->d->store, MEMBERS_TABLE, l->list_version, LIST_WAIT_MS,
+		   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_list_change, feed_new(l));
+}
+
+/* the whole list was read: what it does not name has left it */
+static void unlist_missing(struct lead *l, const struct feed *feed)
+{
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+
+		if (sv->presence == FLEET_REPLACED || sv->presence == FLEET_UNLISTED ||
+		    g_hash_table_contains(feed->found, sv->id))
+			continue;
+		sv->presence = FLEET_UNLISTED;
+		note_presence(l, sv, feed->version);
+	}
+}
+
+static void on_list_read(const struct store_result *r, void *data)
+{
+	struct feed *feed = data;
+	struct lead *l = current(feed->d, feed->serial);
+	bool is_first;
+
+	if (!l) {
+		talloc_free(feed);
+		return;
+	}
+	if (r->status != STORE_OK) {
+		mtimer_add(feed, feed->d->ev, base_deadline_in(SITED_RETRY_MS), on_read_timer,
+			   feed);
+		return;
+	}
+	if (!feed->version)
+		feed->version = r->version;
+	for (unsigned int i = 0; i < r->count; i++) {
+		g_hash_table_add(feed->found, g_strdup(r->rows[i].key));
+		take_entry(l, &r->rows[i]);
+	}
+	if (r->has_more && r->count) {
+		talloc_free(feed->from);
+		feed->from = talloc_strdup(feed, r->rows[r->count - 1].key);
+		read_list(feed);
+		return;
+	}
+	is_first = !l->is_loaded;
+	unlist_missing(l, feed);
+	l->list_version = feed->version;
+	talloc_free(feed);
+	follow_list(l);
+	if (is_first)
+		lead_rows_load(l);
+}
+
+static void read_list(struct feed *feed)
+{
+	struct store_range range = {MEMBERS_TABLE, "", feed->from, 0};
+
+	if (!feed->found)
+		feed->found = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store_read(feed->d->store, &range, base_deadline_in(SITED_CALL_MS), on_list_read, feed);
+}
+
+/* ---- who leads, as the store says: it bounds how long leases are renewed ---- */
+
+struct confirm {
+	struct sited *d;
+	uint64_t serial;
+	int64_t sent_at;
+};
+
+static void confirm_lead(struct lead *l);
+
+static void on_confirm_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	confirm_lead(data);
+}
+
+static void on_confirmed(const struct store_result *r, void *data)
+{
+	struct confirm *c = data;
+	struct sited *d = c->d;
+	struct lead *l = current(d, c->serial);
+	int64_t sent_at = c->sent_at;
+
+	talloc_free(c);
+	if (!l)
+		return;
+	if (r->status != STORE_OK) {
+		if (r->status == STORE_HISTORY_GONE)
+			sited_doubt(d, "the store forgot its history");
+		mtimer_add(l, d->ev, base_deadline_in(SITED_RETRY_MS), on_confirm_timer, l);
+		return;
+	}
+	l->confirmed_at = sent_at;
+	for (unsigned int i = 0; i < r->count && d->lead == l; i++)
+		sited_check_row(d, &r->rows[i]);
+	if (d->lead == l)
+		confirm_lead(l);
+}
+
+static void confirm_lead(struct lead *l)
+{
+	struct confirm *c = talloc_zero(l->d, struct confirm);
+
+	c->d = l->d;
+	c->serial = l->serial;
+	c->sent_at = sited_now_ms();
+	store_feed(l->d->store, SITED_LEAD_TABLE, l->row_version, LIST_WAIT_MS,
+		   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_confirmed, c);
+}
+
+void lead_servers_load(struct lead *l)
+{
+	read_list(feed_new(l));
+	confirm_lead(l);
+}
+
+/* ---- what time alone brings ---- */
+
+static void lapse(struct lead *l, struct fleet_server *sv, int64_t now)
+{
+	struct server_io *io = lead_io(l, sv);
+	GPtrArray *tasks;
+
+	if (!sv->tasks->len || (sv->is_reachable && sv->presence != FLEET_UNLISTED))
+		return;
+	tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+	for (guint i = 0; i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+		bool over = t->state == TASK_UNSETTLED ? t->settle_at <= now
+						       : io->misses && lapsed_at(io) <= now;
+
+		if (t->server == sv && work_task_is_placed(t) && over)
+			lead_task_released(l, t, "its lease is over");
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
+static int64_t rest_ms(const struct work_task *t, int64_t now)
+{
+	int64_t estimate = t->group->step->estimate_ms;
+
+	if (t->percent > 0)
+		return estimate * (100 - t->percent) / 100;
+	return MAX(estimate - (now - t->started_at), 0);
+}
+
+/* tasks that won't end before their server leaves go on elsewhere */
+static void evacuate(struct lead *l, struct fleet_server *sv, int64_t now)
+{
+	int64_t left = sv->leaves_at - now;
+	GPtrArray *tasks;
+
+	if (sv->presence != FLEET_DRAINING || !sv->tasks->len)
+		return;
+	tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+	for (guint i = 0; i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+
+		if (t->server != sv || t->state != TASK_RUNNING ||
+		    rest_ms(t, now) <= left + LEAVE_SLACK_MS)
+			continue;
+		/* what can be saved runs on until the last moment */
+		if (!t->group->step->checkpoints || left <= EVACUATE_RESERVE_MS)
+			lead_task_stop(l, t, "its server leaves");
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
+static bool may_free(struct fleet_server *sv)
+{
+	struct server_io *io = sv->user;
+
+	if (!io)
+		return true;
+	if (io->look_in_flight || io->orders_in_flight)
+		return false;
+	if (sv->presence != FLEET_REPLACED && !io->misses)
+		return false; /* it has left the list and answers: it may come back */
+	g_queue_clear_full(&io->ends, g_free);
+	return true;
+}
+
+void lead_servers_tick(struct lead *l)
+{
+	int64_t now = sited_now_ms();
+
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+
+		lapse(l, sv, now);
+		evacuate(l, sv, now);
+		if (sv->presence != FLEET_REPLACED && !lead_io(l, sv)->timer)
+			lead_server_look(l, sv);
+	}
+	fleet_prune(l->fleet, may_free);
+}
--- /dev/null
+++ b/src/sited_tasks.c
@@ -0,0 +1,459 @@
+/*
+ * Orders for tasks, their ends, and what follows.
+ *
+ * A start without an answer is sent again: the server takes the same attempt
+ * once. If it stays without an answer, the attempt is stopped, which bars it
+ * for good even if the start arrives later, and the task waits until the server
+ * no longer lists it or its lease is over.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define START_ANSWER_MS \
+	400 /* the way there and back takes 3 ms at most; the rest is for slow servers */
+#define START_TRIES_MAX 3
+#define STOP_ANSWER_MS 400
+#define STOP_RETRY_MS 150
+#define ROOM_SUSPECT_MS \
+	500 /* a server that has less room than thought is asked again after so long */
+
+/* an order, recognised when its answer comes late */
+struct order {
+	struct sited *d;
+	uint64_t serial;
+	struct fleet_server *sv;
+	struct work_task *task; /* NULL for a run that no task answers for */
+	uint32_t attempt;
+	int64_t sent_at;
+	char *name;
+};
+
+static struct lead *current(struct sited *d, uint64_t serial)
+{
+	return d->lead && d->lead->serial == serial ? d->lead : NULL;
+}
+
+static void send_stop(struct order *o);
+static void send_start(struct order *o);
+
+static struct order *order_new(struct lead *l, struct fleet_server *sv, struct work_task *t)
+{
+	struct order *o = talloc_zero(l->d, struct order);
+
+	o->d = l->d;
+	o->serial = l->serial;
+	o->sv = sv;
+	o->task = t;
+	o->attempt = t ? t->attempt : 0;
+	lead_io(l, sv)->orders_in_flight++;
+	return o;
+}
+
+static void order_free(struct order *o)
+{
+	struct lead *l = current(o->d, o->serial);
+
+	if (l)
+		lead_io(l, o->sv)->orders_in_flight--;
+	talloc_free(o);
+}
+
+/* the order still concerns what it was sent for */
+static bool is_current(const struct order *o)
+{
+	return o->task && o->task->server == o->sv && o->task->attempt == o->attempt &&
+	       o->task->state != TASK_WAITING;
+}
+
+static void note_task(const char *event, const struct work_task *t, const struct fleet_server *sv,
+		      const char *why)
+{
+	log_event(event, "{ss si si si sI ss ss ss sI}", "id", t->group->job->id, "occurrence",
+		  (int)t->group->occurrence, "step", (int)t->group->step_index, "task",
+		  (int)t->index, "attempt", (json_int_t)t->attempt, "state",
+		  work_task_state_name(t->state), "server", sv ? sv->id : "", "why", why, "percent",
+		  (json_int_t)t->percent);
+}
+
+/* ---- leaving a server ---- */
+
+void lead_task_released(struct lead *l, struct work_task *t, const char *why)
+{
+	struct work_group *g = t->group;
+	bool was_placed = work_task_is_placed(t);
+
+	if (!t->server)
+		return;
+	note_task("task_released", t, t->server, why);
+	work_task_release(t);
+	/* a gang that lost a member can't go on */
+	if (g->step->is_gang && was_placed && !work_job_is_over(g->job))
+		lead_group_stop(l, g, "a member of its gang is gone");
+	lead_kick(l);
+}
+
+void lead_group_stop(struct lead *l, struct work_group *g, const char *why)
+{
+	for (unsigned int i = 0; i < g->count; i++)
+		lead_task_stop(l, &g->task[i], why);
+}
+
+void lead_job_stop(struct lead *l, struct work_job *job, const char *why)
+{
+	for (guint i = 0; i < job->groups->len; i++)
+		lead_group_stop(l, g_ptr_array_index(job->groups, i), why);
+	lead_kick(l);
+}
+
+/* ---- start ---- */
+
+static void on_started(const struct order_result *r, void *data);
+
+static void send_start(struct order *o)
+{
+	struct lead *l = current(o->d, o->serial);
+	struct order_target to = {.server = o->sv,
+				  .term = l->term,
+				  .deadline = base_deadline_in(START_ANSWER_MS),
+				  .fresh = o->task->start_tries > 0};
+
+	o->sent_at = sited_now_ms();
+	orders_start(l->d->orders, &to, o->task, lead_server_lease(l, o->sv), on_started, o);
+}
+
+void lead_task_start(struct lead *l, struct work_task *t)
+{
+	struct fleet_server *sv = t->server;
+
+	if (work_job_is_over(t->group->job) || sv->presence != FLEET_LISTED || !sv->is_reachable) {
+		lead_task_released(l, t, "its server or job went away before the start");
+		return;
+	}
+	t->state = TASK_STARTING;
+	t->start_tries = 0;
+	sited_count(&l->d->metrics, COUNT_STARTS);
+	send_start(order_new(l, sv, t));
+	if (t->attempt == 1)
+		note_task("task_start", t, sv, "first start");
+	else
+		note_task("task_start", t, sv, "started again");
+}
+
+static void confirm_start(struct lead *l, struct work_task *t)
+{
+	struct work_job *job = t->group->job;
+
+	if (t->state == TASK_STARTING)
+		t->state = TASK_RUNNING;
+	if (!t->started_at) {
+		t->started_at = sited_now_ms();
+		t->progress_at = t->started_at;
+	}
+	if (t->attempt == 1 && t->index == 0 && !job->times)
+		sited_observe(&l->d->metrics, HIST_START,
+			      base_now() - (sited_wall_ms() - job->accepted_ms) * BASE_NS_PER_MS);
+	lead_server_look(l, t->server);
+}
+
+/* nothing runs, or it can't be known: the room is given back when that is certain */
+static void start_failed(struct lead *l, struct order *o, enum order_status status)
+{
+	struct work_task *t = o->task;
+	bool is_certain = t->start_tries == 0;
+
+	if (status == ORDER_REFUSED || status == ORDER_INVALID)
+		fleet_suspect(o->sv, sited_now_ms());
+	if (status == ORDER_NO_ROOM)
+		o->sv->suspect_until = sited_now_ms() + ROOM_SUSPECT_MS;
+	if (status == ORDER_INVALID && work_task_failed(t)) {
+		work_job_set_state(t->group->job, WORK_FAILED, sited_wall_ms());
+		lead_job_stop(l, t->group->job, "the server does not accept the task");
+		return;
+	}
+	if (is_certain)
+		lead_task_released(l, t, order_status_name(status));
+	else
+		lead_task_stop(l, t, "the start was not confirmed");
+}
+
+static void on_started(const struct order_result *r, void *data)
+{
+	struct order *o = data;
+	struct lead *l = current(o->d, o->serial);
+
+	if (!l)
+		goto out;
+	if (r->status == ORDER_FENCED) {
+		sited_step_down(l->d, "a backend server has seen a newer term");
+		goto out;
+	}
+	lead_server_answered(l, o->sv, r);
+	if (!is_current(o))
+		goto out;
+	if (r->status == ORDER_DONE) {
+		confirm_start(l, o->task);
+		goto out;
+	}
+	note_task("task_start_failed", o->task, o->sv, order_status_name(r->status));
+	if (o->task->state != TASK_STARTING)
+		goto out;
+	if (r->status == ORDER_OTHER_SERVER) {
+		lead_server_lost(l, o->sv, "another server answers at its address");
+		goto out;
+	}
+	if (r->status == ORDER_UNKNOWN && ++o->task->start_tries < START_TRIES_MAX) {
+		send_start(o);
+		return;
+	}
+	start_failed(l, o, r->status);
+out:
+	order_free(o);
+}
+
+/* ---- stop ---- */
+
+static void on_stop_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct order *o = data;
+
+	if (current(o->d, o->serial) && (!o->task || is_current(o)))
+		send_stop(o);
+	else
+		order_free(o);
+}
+
+static void on_stopped(const struct order_result *r, void *data)
+{
+	struct order *o = data;
+	struct lead *l = current(o->d, o->serial);
+
+	if (!l)
+		goto out;
+	if (r->status == ORDER_FENCED) {
+		sited_step_down(l->d, "a backend server has seen a newer term");
+		goto out;
+	}
+	lead_server_answered(l, o->sv, r);
+	if (!o->task || !is_current(o))
+		goto out;
+	switch (r->status) {
+	case ORDER_UNKNOWN:
+	case ORDER_REFUSED:
+		mtimer_add(o, l->d->ev, base_deadline_in(STOP_RETRY_MS), on_stop_timer, o);
+		return;
+	case ORDER_OTHER_SERVER:
+		lead_server_lost(l, o->sv, "another server answers at its address");
+		break;
+	default:
+		/* from now on the attempt can't start there; a later look says whether it is gone
+		 */
+		o->task->stopped_at = sited_now_ms();
+		lead_server_look(l, o->sv);
+		break;
+	}
+out:
+	order_free(o);
+}
+
+static void send_stop(struct order *o)
+{
+	struct lead *l = current(o->d, o->serial);
+	struct order_target to = {.server = o->sv,
+				  .term = l->term,
+				  .deadline = base_deadline_in(STOP_ANSWER_MS),
+				  .fresh = o->sent_at != 0};
+
+	o->sent_at = sited_now_ms();
+	orders_stop(l->d->orders, &to, o->name, o->attempt, on_stopped, o);
+}
+
+void lead_task_stop(struct lead *l, struct work_task *t, const char *why)
+{
+	struct order *o;
+
+	switch (t->state) {
+	case TASK_WAITING:
+	case TASK_DONE:
+	case TASK_STOPPING:
+		return;
+	case TASK_PROMISED:
+	case TASK_ASSIGNED:
+		/* no start was sent */
+		note_task("task_released", t, t->server, why);
+		work_task_release(t);
+		return;
+	case TASK_STARTING:
+	case TASK_RUNNING:
+	case TASK_UNSETTLED:
+		break;
+	}
+	note_task("task_stop", t, t->server, why);
+	sited_count(&l->d->metrics, COUNT_STOPS);
+	if (t->state == TASK_UNSETTLED) {
+		/* the first look at the server settles it; what still runs then is stopped */
+		return;
+	}
+	t->state = TASK_STOPPING;
+	t->stopped_at = 0;
+	o = order_new(l, t->server, t);
+	o->name = orders_task_name(o, t);
+	send_stop(o);
+}
+
+static void stop_orphan(struct lead *l, struct fleet_server *sv, const struct order_run *run)
+{
+	struct order *o = order_new(l, sv, NULL);
+
+	o->name = str_dup(o, run->task);
+	o->attempt = run->attempt;
+	log_event("orphan_stopped", "{ss sI ss}", "task", o->name, "attempt",
+		  (json_int_t)run->attempt, "server", sv->id);
+	send_stop(o);
+}
+
+/* ---- what servers list ---- */
+
+static struct work_task *find_task(struct lead *l, struct str name)
+{
+	char id[WORK_ID_LEN + 1];
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int index;
+	struct work_job *job;
+	struct work_group *g;
+
+	if (!orders_parse_name(name, id, &occurrence, &step, &index))
+		return NULL;
+	job = g_hash_table_lookup(l->jobs, id);
+	g = job ? work_job_group(job, occurrence, step) : NULL;
+	return g && index < g->count ? &g->task[index] : NULL;
+}
+
+static void check_progress(struct lead *l, struct work_task *t)
+{
+	struct plan_clock at = {sited_now_ms(), sited_wall_ms()};
+
+	switch (plan_progress(t, &at)) {
+	case PROGRESS_GOOD:
+		return;
+	case PROGRESS_STALLED:
+		note_task("task_stalled", t, t->server, "no progress");
+		break;
+	case PROGRESS_SLOW:
+		note_task("task_slow", t, t->server, "a new start elsewhere ends sooner");
+		break;
+	}
+	if (!t->group->step->is_gang) {
+		fleet_suspect(t->server, at.now);
+		lead_task_stop(l, t, "it does not get on");
+		return;
+	}
+	/* any of the members' servers may be the cause */
+	for (unsigned int i = 0; i < t->group->count; i++)
+		if (t->group->task[i].server)
+			fleet_note_failure(t->group->task[i].server, t->group->job->id, at.now);
+	lead_group_stop(l, t->group, "its gang does not get on");
+}
+
+void lead_task_listed(struct lead *l, struct fleet_server *sv, const struct order_run *run,
+		      uint64_t look)
+{
+	struct work_task *t = find_task(l, run->task);
+
+	if (!t || t->server != sv || t->attempt != run->attempt || t->state == TASK_ASSIGNED) {
+		stop_orphan(l, sv, run);
+		return;
+	}
+	t->listed_by = look;
+	work_task_set_snapshot(t, run->snapshot);
+	if (t->state == TASK_UNSETTLED) {
+		t->state = TASK_RUNNING;
+		t->started_at = sited_now_ms();
+		t->progress_at = t->started_at;
+		note_task("task_adopted", t, sv, "an earlier leader started it");
+		if (work_job_is_over(t->group->job))
+			lead_task_stop(l, t, "its job is over");
+	} else if (t->state == TASK_STARTING) {
+		confirm_start(l, t);
+	}
+	if (t->progress_percent < 0)
+		t->progress_percent = run->percent;
+	if (run->percent != t->percent) {
+		t->percent = run->percent;
+		t->progress_at = sited_now_ms();
+	}
+	if (t->state == TASK_RUNNING)
+		check_progress(l, t);
+}
+
+static void end_done(struct lead *l, struct work_task *t, struct fleet_server *sv)
+{
+	struct work_group *g = t->group;
+
+	fleet_note_success(sv);
+	work_task_done(t);
+	/* the members of a gang end together, and one such end speaks for all */
+	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
+		if (g->task[i].attempt == t->attempt)
+			work_task_done(&g->task[i]);
+	lead_job_check(l, g->job);
+}
+
+static void end_failed(struct lead *l, struct work_task *t, struct fleet_server *sv)
+{
+	struct work_job *job = t->group->job;
+	bool is_final = work_task_failed(t);
+
+	if (fleet_note_failure(sv, job->id, sited_now_ms()))
+		log_event("server_suspected", "{ss ss sI}", "server", sv->id, "why",
+			  "tasks of different jobs failed there", "for_ms",
+			  (json_int_t)sv->suspect_span);
+	if (!is_final || work_job_is_over(job))
+		return;
+	log_event("job_failed", "{ss si si sI sI}", "id", job->id, "step",
+		  (int)t->group->step_index, "task", (int)t->index, "failures",
+		  (json_int_t)t->failures, "attempts", (json_int_t)job->attempts);
+	sited_count(&l->d->metrics, COUNT_FAILED);
+	work_job_set_state(job, WORK_FAILED, sited_wall_ms());
+	lead_job_stop(l, job, "its job has failed");
+}
+
+struct work_group *lead_task_ended(struct lead *l, struct fleet_server *sv,
+				   const struct order_ended *e)
+{
+	struct work_task *t = find_task(l, e->task);
+	bool is_newest;
+
+	if (!t || t->state == TASK_DONE || work_job_is_over(t->group->job)) {
+		if (t && t->server == sv && t->attempt == e->attempt)
+			lead_task_released(l, t, order_end_name(e->how));
+		return NULL;
+	}
+	is_newest = t->server == sv && t->attempt == e->attempt;
+	note_task(is_newest ? "task_ended" : "task_ended_late", t, sv, order_end_name(e->how));
+	work_task_set_snapshot(t, e->snapshot);
+	if (e->how == END_DONE) {
+		if (!is_newest)
+			lead_group_stop(l, t->group, "an earlier attempt is done");
+		end_done(l, t, sv);
+		return t->group;
+	}
+	if (!is_newest)
+		return NULL;
+	if (e->how == END_FAILED)
+		end_failed(l, t, sv);
+	lead_task_released(l, t, order_end_name(e->how));
+	return t->group;
+}
+
+void lead_job_check(struct lead *l, struct work_job *job)
+{
+	if (work_job_is_over(job) || !work_job_is_done(job))
+		return;
+	sited_count(&l->d->metrics, COUNT_COMPLETED);
+	work_job_set_state(job, WORK_COMPLETE, sited_wall_ms());
+	lead_kick(l);
+}
