Settle contention by row, hold a gang's room until each end is listed, count orphans

Cause: a VM contended with the version that it had read after it decided to, and so replaced a leader that had just won, for ever. Now what it saw holds for one row only. A gang's first end freed the room of members whose ends were not listed yet, and runs that no task answers for took no room: starts went over a server's capacity.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -85,11 +85,19 @@
 	       sv->suspect_until <= now;
 }
 
-struct fleet_amount fleet_room(const struct fleet_server *sv)
+struct fleet_amount fleet_unused(const struct fleet_server *sv)
 {
 	struct fleet_amount room = sv->capacity;
 
 	fleet_amount_add(&room, &sv->used, -1);
+	fleet_amount_add(&room, &sv->unclaimed, -1);
+	return room;
+}
+
+struct fleet_amount fleet_room(const struct fleet_server *sv)
+{
+	struct fleet_amount room = fleet_unused(sv);
+
 	fleet_amount_add(&room, &sv->promised, -1);
 	return room;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -69,6 +69,7 @@
  * @capacity: all that it has
  * @used: taken by tasks that run, start, stop or may run
  * @promised: taken by tasks that wait for others to stop
+ * @unclaimed: taken by runs that it lists and no task answers for, until they are gone
  * @presence: what the list says
  * @leaves_at: it may be gone from then on, in ms; 0 unless draining
  * @is_fenced: it has seen this leader's term, so older orders are void
@@ -92,6 +93,7 @@
 	struct fleet_amount capacity;
 	struct fleet_amount used;
 	struct fleet_amount promised;
+	struct fleet_amount unclaimed;
 	enum fleet_presence presence;
 	int64_t leaves_at;
 	bool is_fenced;
@@ -123,6 +125,8 @@
 
 /** fleet_takes_work() - new tasks may be sent there now */
 bool fleet_takes_work(const struct fleet_server *sv, int64_t now);
+/** fleet_unused() - what nothing that runs there takes; some of it may be promised */
+struct fleet_amount fleet_unused(const struct fleet_server *sv);
 /** fleet_room() - what is neither used nor promised */
 struct fleet_amount fleet_room(const struct fleet_server *sv);
 bool fleet_has_label(const struct fleet_server *sv, const char *label);
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -246,6 +246,7 @@
 	case TASK_RUNNING:
 	case TASK_STOPPING:
 	case TASK_UNSETTLED:
+	case TASK_ENDING:
 		return true;
 	case TASK_WAITING:
 	case TASK_PROMISED:
@@ -327,8 +328,23 @@
 	if (t->state == TASK_DONE)
 		return;
 	leave_server(t);
+	if (t->state != TASK_ENDING) {
+		t->group->done++;
+		work_group_touch(t->group);
+	}
 	t->state = TASK_DONE;
 	TALLOC_FREE(t->snapshot);
+}
+
+void work_task_ending(struct work_task *t)
+{
+	if (!work_task_is_placed(t) || t->state == TASK_ASSIGNED) {
+		work_task_done(t);
+		return;
+	}
+	if (t->state == TASK_ENDING)
+		return;
+	t->state = TASK_ENDING;
 	t->group->done++;
 	work_group_touch(t->group);
 }
@@ -507,11 +523,12 @@
 
 	for (unsigned int i = 0; i < group->count; i++) {
 		const struct work_task *t = &group->task[i];
-		const struct fleet_server *sv = work_task_is_placed(t) ? t->server : NULL;
+		bool is_done = t->state == TASK_DONE || t->state == TASK_ENDING;
+		const struct fleet_server *sv =
+			work_task_is_placed(t) && !is_done ? t->server : NULL;
 
 		json_array_append_new(tasks, json_pack("[IIIIs]", (json_int_t)t->attempt,
-						       (json_int_t)t->failures,
-						       (json_int_t)(t->state == TASK_DONE),
+						       (json_int_t)t->failures, (json_int_t)is_done,
 						       server_index(servers, sv),
 						       t->snapshot ? t->snapshot : ""));
 	}
@@ -548,7 +565,7 @@
 
 	t->failures = MAX(t->failures, failures);
 	if (json_integer_value(json_array_get(row, 2))) {
-		work_task_done(t);
+		work_task_ending(t);
 		return;
 	}
 	if (attempt < t->attempt)
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -83,14 +83,15 @@
 	uint64_t stored;
 };
 
-#define WORK_TASK_STATES(X)                                                                  \
-	X(TASK_WAITING, "waiting")     /* has no server */                                   \
-	X(TASK_PROMISED, "promised")   /* waits for others to stop on its server */          \
-	X(TASK_ASSIGNED, "assigned")   /* its server is being stored; no order yet */        \
-	X(TASK_STARTING, "starting")   /* the start was sent and not yet answered */         \
-	X(TASK_RUNNING, "running")     /* the server has confirmed it */                     \
-	X(TASK_STOPPING, "stopping")   /* a stop was decided; holds its room until listed */ \
-	X(TASK_UNSETTLED, "unsettled") /* stored as assigned by an earlier leader */         \
+#define WORK_TASK_STATES(X)                                                                      \
+	X(TASK_WAITING, "waiting")     /* has no server */                                       \
+	X(TASK_PROMISED, "promised")   /* waits for others to stop on its server */              \
+	X(TASK_ASSIGNED, "assigned")   /* its server is being stored; no order yet */            \
+	X(TASK_STARTING, "starting")   /* the start was sent and not yet answered */             \
+	X(TASK_RUNNING, "running")     /* the server has confirmed it */                         \
+	X(TASK_STOPPING, "stopping")   /* a stop was decided; holds its room until listed */     \
+	X(TASK_UNSETTLED, "unsettled") /* stored as assigned by an earlier leader */             \
+	X(TASK_ENDING, "ending")       /* its gang is done; its server has not listed its end */ \
 	X(TASK_DONE, "done")
 
 enum work_task_state {
@@ -241,6 +242,8 @@
 void work_task_release(struct work_task *t);
 /** work_task_done() - it ended well */
 void work_task_done(struct work_task *t);
+/** work_task_ending() - its gang ended well; it holds its room until work_task_done() */
+void work_task_ending(struct work_task *t);
 /** work_task_failed() - its present attempt failed; true when the attempts are used up */
 bool work_task_failed(struct work_task *t);
 /** work_task_set_snapshot() - newest checkpoint; empty strings are ignored */
--- a/src/sited.h
+++ b/src/sited.h
@@ -32,8 +32,9 @@
 #define SITED_GROUPS_TABLE "groups"
 #define SITED_LEAD_TABLE "lead"
 #define SITED_LEAD_KEY "scheduler"
-#define SITED_PARTS 8 /* a part takes one transaction after another, so jobs are spread over some \
-		       */
+#define SITED_PARTS                                                                   \
+	8 /* a part takes one transaction after another, so jobs are spread over some \
+	   */
 
 #define SITED_CALL_MS 1500 /* a store that is 60 times slower than usual still answers in it */
 #define SITED_RETRY_MS 150 /* pause before a call that the store turned away is made again */
@@ -67,6 +68,7 @@
  * @lead: set while this VM leads
  * @lead_serial: counts terms of this process, so that late answers are recognised
  * @is_contending: a transaction for the lead is in flight
+ * @contended_version: version of the row that it would replace
  * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
  * @requests: callers' requests in progress
  */
@@ -84,6 +86,7 @@
 	uint64_t lead_serial;
 	struct sited_leader leader;
 	bool is_contending;
+	int64_t contended_version;
 	int64_t stop_at;
 	unsigned int requests;
 	struct sited_metrics metrics;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -219,7 +219,8 @@
 	struct store_tx *tx;
 	char *value;
 
-	if (d->stop_at || d->lead || d->leader.version < 0) {
+	/* what made this VM contend holds for one row only */
+	if (d->stop_at || d->lead || d->leader.version != d->contended_version) {
 		d->is_contending = false;
 		return;
 	}
@@ -233,9 +234,10 @@
 
 static void contend(struct sited *d, const char *why)
 {
-	if (d->is_contending || d->lead || d->stop_at)
+	if (d->is_contending || d->lead || d->stop_at || d->leader.version < 0)
 		return;
 	d->is_contending = true;
+	d->contended_version = d->leader.version;
 	log_event("lead_contended", "{ss ss sI}", "why", why, "leader", d->leader.vm, "term",
 		  (json_int_t)d->leader.term);
 	mtimer_add(d, d->ev, base_deadline_in((int64_t)(base_random64() % CONTEND_SPREAD_MS)),
@@ -303,7 +305,6 @@
 	d->leader.misses = 0;
 	if (!answer->is_leading) {
 		contend(d, "the VM that should lead does not");
-		read_row(d);
 		return;
 	}
 	d->leader.heard_at = base_now();
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -14,8 +14,9 @@
 #define CONFIRM_RESERVE_MS 250 /* of the caller's time, kept to answer */
 #define SETTLE_PAUSE_MS 60     /* before a transaction without an answer is sent again */
 #define STATE_CALL_MS 300      /* the leader answers from memory */
-#define READY_FAILING_MAX_MS 1500 /* a VM whose store is away for longer sends callers elsewhere \
-				   */
+#define READY_FAILING_MAX_MS                                                \
+	1500 /* a VM whose store is away for longer sends callers elsewhere \
+	      */
 
 enum front_kind { FRONT_SUBMIT, FRONT_STATE, FRONT_CANCEL };
 
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -233,11 +233,10 @@
 
 static bool promise_is_kept(const struct work_task *t, int64_t now)
 {
-	struct fleet_amount room = t->server->capacity;
+	struct fleet_amount room = fleet_unused(t->server);
 
 	if (!fleet_takes_work(t->server, now))
 		return false;
-	fleet_amount_add(&room, &t->server->used, -1);
 	return fleet_amount_fits(&t->group->step->need, &room);
 }
 
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -160,6 +160,8 @@
 
 static bool is_running_something(const struct fleet_server *sv)
 {
+	if (sv->unclaimed.cpu || sv->unclaimed.memory_mb || sv->unclaimed.accelerators)
+		return true;
 	for (guint i = 0; i < sv->tasks->len; i++) {
 		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
 
@@ -185,6 +187,7 @@
 		case TASK_UNSETTLED:
 			gone = true;
 			break;
+		case TASK_ENDING:
 		case TASK_RUNNING:
 			gone = t->started_at < look->sent_at;
 			break;
@@ -215,6 +218,7 @@
 	io->misses = 0;
 	io->told = MAX(io->told, look->acknowledged);
 	take_ends(l, sv, r);
+	memset(&sv->unclaimed, 0, sizeof(sv->unclaimed));
 	for (unsigned int i = 0; i < r->run_count; i++)
 		lead_task_listed(l, sv, &r->runs[i], number);
 	if (r->ended_count < 500)
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -87,6 +87,11 @@
 
 	if (!t->server)
 		return;
+	if (t->state == TASK_ENDING) {
+		work_task_done(t);
+		lead_kick(l);
+		return;
+	}
 	note_task("task_released", t, t->server, why);
 	work_task_release(t);
 	/* a gang that lost a member can't go on */
@@ -277,6 +282,7 @@
 	switch (t->state) {
 	case TASK_WAITING:
 	case TASK_DONE:
+	case TASK_ENDING:
 	case TASK_STOPPING:
 		return;
 	case TASK_PROMISED:
@@ -303,10 +309,27 @@
 	send_stop(o);
 }
 
+/* what a run takes that no task answers for; all of the server when nothing is known of it */
+static struct fleet_amount orphan_need(struct lead *l, const struct fleet_server *sv,
+				       const struct order_run *run)
+{
+	char id[WORK_ID_LEN + 1];
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int index;
+	const struct work_job *job = NULL;
+
+	if (orders_parse_name(run->task, id, &occurrence, &step, &index))
+		job = g_hash_table_lookup(l->jobs, id);
+	return job && step < job->step_count ? job->step[step].need : sv->capacity;
+}
+
 static void stop_orphan(struct lead *l, struct fleet_server *sv, const struct order_run *run)
 {
 	struct order *o = order_new(l, sv, NULL);
+	struct fleet_amount need = orphan_need(l, sv, run);
 
+	fleet_amount_add(&sv->unclaimed, &need, 1);
 	o->name = str_dup(o, run->task);
 	o->attempt = run->attempt;
 	log_event("orphan_stopped", "{ss sI ss}", "task", o->name, "attempt",
@@ -368,6 +391,8 @@
 		return;
 	}
 	t->listed_by = look;
+	if (t->state == TASK_ENDING)
+		return;
 	work_task_set_snapshot(t, run->snapshot);
 	if (t->state == TASK_UNSETTLED) {
 		t->state = TASK_RUNNING;
@@ -398,7 +423,7 @@
 	/* the members of a gang end together, and one such end speaks for all */
 	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
 		if (g->task[i].attempt == t->attempt)
-			work_task_done(&g->task[i]);
+			work_task_ending(&g->task[i]);
 	lead_job_check(l, g->job);
 }
 
@@ -427,7 +452,7 @@
 	struct work_task *t = find_task(l, e->task);
 	bool is_newest;
 
-	if (!t || t->state == TASK_DONE || work_job_is_over(t->group->job)) {
+	if (!t || t->group->done == t->group->count || work_job_is_over(t->group->job)) {
 		if (t && t->server == sv && t->attempt == e->attempt)
 			lead_task_released(l, t, order_end_name(e->how));
 		return NULL;
