--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -51,6 +51,20 @@
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
 			const struct work_group *group, const struct plan_clock *at,
 			struct fleet_server **out);
+/**
+ * struct plan_verdict - why a group was not placed, for the log
+ * @candidates: servers that take new work and suit it
+ * @with_room: those of them with room for one task
+ * @free_accelerators: on all candidates together
+ */
+struct plan_verdict {
+	unsigned int candidates;
+	unsigned int with_room;
+	int64_t free_accelerators;
+};
+
+void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at, struct plan_verdict *verdict);
 /** plan_fits_ever() - some listed server could hold one task, were it empty */
 bool plan_fits_ever(const struct fleet *fleet, const struct work_group *group);
 
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -307,6 +307,18 @@
 	return plan_fill(s, group, PLAN_ANY_RACK, out);
 }
 
+void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at, struct plan_verdict *verdict)
+{
+	memset(verdict, 0, sizeof(*verdict));
+	plan_collect(s, fleet, group, at->now, false);
+	verdict->candidates = s->count;
+	for (unsigned int i = 0; i < s->count; i++) {
+		verdict->with_room += has_place(&s->tries[i], group);
+		verdict->free_accelerators += MAX(s->tries[i].room.accelerators, 0);
+	}
+}
+
 bool plan_fits_ever(const struct fleet *fleet, const struct work_group *group)
 {
 	for (guint i = 0; i < fleet->all->len; i++) {
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -290,7 +290,7 @@
 	t->started_at = 0;
 	t->stopped_at = 0;
 	t->percent = 0;
-	t->progress_percent = -1;
+	t->first_percent = -1;
 	work_group_touch(t->group);
 	t->assigned_change = t->group->row.changes;
 }
@@ -577,7 +577,7 @@
 	if (sv && t->state == TASK_WAITING) {
 		enter_server(t, sv, TASK_UNSETTLED);
 		t->settle_at = settle_at;
-		t->progress_percent = -1;
+		t->first_percent = -1;
 	}
 }
 
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -113,7 +113,8 @@
  * @listed_by: number of the look that listed it last
  * @percent: progress last seen
  * @progress_at: when the progress last changed, monotonic ms
- * @progress_percent: the progress of the newest start when it was first seen
+ * @first_percent: the progress of the newest start when it was first seen, -1 before
+ * @first_at: when that was, monotonic ms
  * @settle_at: when a task on a server that doesn't answer surely runs no more, monotonic ms
  * @assigned_change: group change that must be stored before the start is sent
  * @start_tries: starts sent without an answer
@@ -132,7 +133,8 @@
 	uint64_t listed_by;
 	int percent;
 	int64_t progress_at;
-	int progress_percent;
+	int first_percent;
+	int64_t first_at;
 	int64_t settle_at;
 	uint64_t assigned_change;
 	unsigned int start_tries;
@@ -143,6 +145,7 @@
  * struct work_group - one step of one occurrence
  * @occurrence: 0 for a job that isn't timed
  * @ready_since: when its first task could have started, monotonic ms; 0 before
+ * @noted_at: when it was last logged that nothing takes it, monotonic ms
  * @done: number of tasks done
  * @failed_attempt: attempt of the gang whose failure was counted last
  */
@@ -156,6 +159,7 @@
 	unsigned int done;
 	uint32_t failed_attempt;
 	int64_t ready_since;
+	int64_t noted_at;
 	struct work_row row;
 };
 
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -14,6 +14,7 @@
 #define ROUND_EVERY_MS 100  /* time alone makes things due: occurrences, patience, promises */
 #define DUE_MARGIN_MS 15    /* clocks of VMs differ a little; a timed job must not be early */
 #define PROMISE_MAX_MS 1500 /* victims stop within 400 ms; then the promise is made anew */
+#define NOTE_WAITING_EVERY_MS 3000
 #define SWEEP_EVERY_MS 5000
 
 static void on_round(struct mtimer *timer, void *data);
@@ -218,6 +219,23 @@
 	g_ptr_array_free(victims, TRUE);
 }
 
+/* once, and again after a while, why a group still waits */
+static void note_waiting(struct lead *l, struct work_group *g, const struct plan_clock *at)
+{
+	struct plan_verdict verdict;
+
+	if (!work_group_waiting(g) ||
+	    (g->noted_at && at->now < g->noted_at + NOTE_WAITING_EVERY_MS))
+		return;
+	g->noted_at = at->now;
+	plan_explain(l->scratch, l->fleet, g, at, &verdict);
+	log_event("not_placed", "{ss si si si sI si si sI}", "id", g->job->id, "occurrence",
+		  (int)g->occurrence, "step", (int)g->step_index, "waiting",
+		  (int)work_group_waiting(g), "waited_ms", (json_int_t)(at->now - g->ready_since),
+		  "servers", (int)verdict.candidates, "with_room", (int)verdict.with_room,
+		  "free_accelerators", (json_int_t)verdict.free_accelerators);
+}
+
 static void place_group(struct lead *l, struct work_group *g, const struct plan_clock *at)
 {
 	struct fleet_server **servers = talloc_zero_array(l, struct fleet_server *, g->count);
@@ -226,6 +244,7 @@
 		assign(l, g, servers);
 	else if (g->job->priority == QUEUES_URGENT_PRIORITY)
 		reclaim(l, g, at, servers);
+	note_waiting(l, g, at);
 	talloc_free(servers);
 }
 
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -404,8 +404,10 @@
 	} else if (t->state == TASK_STARTING) {
 		confirm_start(l, t);
 	}
-	if (t->progress_percent < 0)
-		t->progress_percent = run->percent;
+	if (t->first_percent < 0) {
+		t->first_percent = run->percent;
+		t->first_at = sited_now_ms();
+	}
 	if (run->percent != t->percent) {
 		t->percent = run->percent;
 		t->progress_at = sited_now_ms();
