--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -344,6 +344,8 @@
 	}
 	if (t->state == TASK_ENDING)
 		return;
+	if (t->state == TASK_UNSETTLED)
+		t->started_at = 1; /* by an earlier leader; the next look settles it */
 	t->state = TASK_ENDING;
 	t->group->done++;
 	work_group_touch(t->group);
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -187,10 +187,14 @@
 		case TASK_UNSETTLED:
 			gone = true;
 			break;
-		case TASK_ENDING:
 		case TASK_RUNNING:
 			gone = t->started_at < look->sent_at;
 			break;
+		case TASK_ENDING:
+			/* its start may still be on its way unless either was confirmed */
+			gone = (t->started_at && t->started_at < look->sent_at) ||
+			       (t->stopped_at && t->stopped_at < look->sent_at);
+			break;
 		case TASK_STOPPING:
 			gone = t->stopped_at && t->stopped_at < look->sent_at;
 			break;
@@ -294,7 +298,9 @@
 	struct server_io *io = lead_io(l, sv);
 	struct look *look = talloc_zero(l->d, struct look);
 	struct order_look order = {.acknowledged = io->acknowledged,
-				   .lease_until = lead_server_lease(l, sv),
+				   /* a lost look may be carried out late: it must not
+				    * put off the end of the leases there */
+				   .lease_until = io->misses ? 0 : lead_server_lease(l, sv),
 				   .wait_ms = wait_ms};
 	struct order_target to = {.server = sv,
 				  .term = l->term,
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -421,10 +421,13 @@
 	struct work_group *g = t->group;
 
 	fleet_note_success(sv);
-	work_task_done(t);
+	if (t->server == sv)
+		work_task_done(t);
+	else
+		work_task_ending(t);
 	/* the members of a gang end together, and one such end speaks for all */
 	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
-		if (g->task[i].attempt == t->attempt)
+		if (&g->task[i] != t)
 			work_task_ending(&g->task[i]);
 	lead_job_check(l, g->job);
 }
@@ -448,6 +451,15 @@
 	lead_job_stop(l, job, "its job has failed");
 }
 
+/* an attempt that was given up is done after all: its successor is not needed */
+static void stop_newer(struct lead *l, struct work_task *t)
+{
+	if (t->group->step->is_gang)
+		lead_group_stop(l, t->group, "an earlier attempt is done");
+	else
+		lead_task_stop(l, t, "an earlier attempt is done");
+}
+
 struct work_group *lead_task_ended(struct lead *l, struct fleet_server *sv,
 				   const struct order_ended *e)
 {
@@ -464,7 +476,7 @@
 	work_task_set_snapshot(t, e->snapshot);
 	if (e->how == END_DONE) {
 		if (!is_newest)
-			lead_group_stop(l, t->group, "an earlier attempt is done");
+			stop_newer(l, t);
 		end_done(l, t, sv);
 		return t->group;
 	}
