Claim each part of the store at a takeover

The next leader adopted the running attempt without writing its row, so when the cut healed the store performed the old transaction, and the leader after that believed it: two runs at once. Now a new leader first writes a row in each part that every leader's transaction expects, and reads the rows after that.

Ruled out: the row version alone as guard (it holds only for rows that the new leader writes).

--- a/src/sited.h
+++ b/src/sited.h
@@ -31,6 +31,7 @@
 #define SITED_JOBS_TABLE "jobs"
 #define SITED_GROUPS_TABLE "groups"
 #define SITED_LEAD_TABLE "lead"
+#define SITED_CLAIM_TABLE "claims"
 #define SITED_LEAD_KEY "scheduler"
 #define SITED_PARTS                                                                   \
 	8 /* a part takes one transaction after another, so jobs are spread over some \
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -24,6 +24,7 @@
  * @loads: reads still under way
  * @jobs: id to struct work_job, all that are stored
  * @active: struct work_job that are not over, or still hold servers or unstored changes
+ * @claims: version of the row by which this leader holds each part, 0 before
  * @commits: transaction in flight of each part, or NULL
  * @commit_after: no transaction of the part before, ms
  * @jobs_version: the feed of jobs has been followed up to this version
@@ -45,6 +46,7 @@
 	GPtrArray *active;
 	struct fleet *fleet;
 	struct plan_scratch *scratch;
+	int64_t claims[SITED_PARTS];
 	struct commit *commits[SITED_PARTS];
 	int64_t commit_after[SITED_PARTS];
 	int64_t jobs_version;
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -21,17 +21,16 @@
 #define SWEEP_MARGIN_MS 30000 /* a job's row stays so much longer than its state must be told */
 #define SWEEP_JOBS_MAX 20     /* removed at a time */
 
-const char *sited_part(const char *job_id)
-{
-	static const char *const names[SITED_PARTS] = {"p0", "p1", "p2", "p3",
-						       "p4", "p5", "p6", "p7"};
+static const char *const part_names[SITED_PARTS] = {"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"};
 
-	return names[base_hash(job_id, strlen(job_id), 0) % SITED_PARTS];
+static unsigned int part_index(const char *job_id)
+{
+	return (unsigned int)(base_hash(job_id, strlen(job_id), 0) % SITED_PARTS);
 }
 
-static unsigned int part_index(const char *job_id)
+const char *sited_part(const char *job_id)
 {
-	return (unsigned int)(sited_part(job_id)[1] - '0');
+	return part_names[part_index(job_id)];
 }
 
 /* ---- what is in memory ---- */
@@ -126,13 +125,22 @@
 
 /* ---- loading ---- */
 
-/* one range being read, page by page */
+/*
+ * A new leader first claims each part, by a row that every transaction of a
+ * leader expects. What an earlier leader sent and the store performs late then
+ * conflicts, so rows read after the claim stay as they were read.
+ */
+enum load_stage { LOAD_READ_CLAIM, LOAD_WRITE_CLAIM, LOAD_JOBS, LOAD_GROUPS };
+
+/* a part being claimed and read, page by page */
 struct load {
 	struct sited *d;
 	uint64_t serial;
-	const char *table;
-	const char *part;
+	enum load_stage stage;
+	unsigned int part;
 	char *from;
+	char *claim; /* value of the row that claims the part */
+	int64_t claim_version;
 };
 
 static struct lead *current(struct sited *d, uint64_t serial)
@@ -171,24 +179,60 @@
 	lead_kick(l);
 }
 
-static void on_loaded(const struct store_result *r, void *data)
+/* false when a later leader has claimed the part */
+static bool take_claim(struct lead *l, struct load *load, const struct store_result *r)
 {
-	struct load *load = data;
-	struct lead *l = current(load->d, load->serial);
+	const struct store_row *row = r->count ? &r->rows[0] : NULL;
+	json_t *v;
+	int64_t term;
 
-	if (!l) {
-		talloc_free(load);
+	if (!row || strcmp(row->key, SITED_LEAD_KEY)) {
+		load->claim_version = 0;
+		return true;
+	}
+	v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+	term = base_json_int(v, "term", 0);
+	json_decref(v);
+	if (term > l->term)
+		return false;
+	load->claim_version = row->version;
+	/* an earlier sending of this claim that got no answer was performed */
+	if (str_eq(row->value, str_from(load->claim)))
+		l->claims[load->part] = row->version;
+	return true;
+}
+
+static void next_stage(struct load *load, enum load_stage stage)
+{
+	load->stage = stage;
+	TALLOC_FREE(load->from);
+	send_load(load);
+}
+
+static void claim_answered(struct lead *l, struct load *load, const struct store_result *r)
+{
+	if (load->stage == LOAD_WRITE_CLAIM) {
+		if (r->status == STORE_OK)
+			l->claims[load->part] = r->version;
+		next_stage(load, r->status == STORE_OK ? LOAD_JOBS : LOAD_READ_CLAIM);
 		return;
 	}
-	if (r->status != STORE_OK) {
-		mtimer_add(load, load->d->ev, base_deadline_in(SITED_RETRY_MS), on_load_timer,
-			   load);
+	if (!take_claim(l, load, r)) {
+		struct sited *d = load->d;
+
+		talloc_free(load);
+		sited_step_down(d, "a later leader has claimed the rows");
 		return;
 	}
+	next_stage(load, l->claims[load->part] ? LOAD_JOBS : LOAD_WRITE_CLAIM);
+}
+
+static void rows_answered(struct lead *l, struct load *load, const struct store_result *r)
+{
 	if (l->is_loaded)
 		l->jobs_version = MIN(l->jobs_version, r->version);
 	for (unsigned int i = 0; i < r->count; i++) {
-		if (!strcmp(load->table, SITED_JOBS_TABLE))
+		if (load->stage == LOAD_JOBS)
 			take_job(l, &r->rows[i]);
 		else
 			take_group(l, &r->rows[i]);
@@ -200,10 +244,8 @@
 		send_load(load);
 		return;
 	}
-	if (!strcmp(load->table, SITED_JOBS_TABLE) && !l->is_loaded) {
-		load->table = SITED_GROUPS_TABLE;
-		TALLOC_FREE(load->from);
-		send_load(load);
+	if (load->stage == LOAD_JOBS && !l->is_loaded) {
+		next_stage(load, LOAD_GROUPS);
 		return;
 	}
 	talloc_free(load);
@@ -211,29 +253,67 @@
 		loads_are_done(l);
 }
 
+static void on_loaded(const struct store_result *r, void *data)
+{
+	struct load *load = data;
+	struct lead *l = current(load->d, load->serial);
+
+	if (!l)
+		talloc_free(load);
+	else if (r->status != STORE_OK && load->stage != LOAD_WRITE_CLAIM)
+		mtimer_add(load, load->d->ev, base_deadline_in(SITED_RETRY_MS), on_load_timer,
+			   load);
+	else if (load->stage == LOAD_READ_CLAIM || load->stage == LOAD_WRITE_CLAIM)
+		claim_answered(l, load, r);
+	else
+		rows_answered(l, load, r);
+}
+
+static void write_claim(struct load *load)
+{
+	struct store_tx *tx = store_tx_new(load, part_names[load->part]);
+
+	store_tx_expect(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, load->claim_version);
+	store_tx_put(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, str_from(load->claim));
+	store_commit(load->d->store, tx, base_deadline_in(SITED_CALL_MS), on_loaded, load);
+	talloc_free(tx);
+}
+
 static void send_load(struct load *load)
 {
-	struct store_range range = {load->table, load->part, load->from, 0};
+	struct store_range range = {SITED_CLAIM_TABLE, part_names[load->part], SITED_LEAD_KEY, 1};
 
 	if (!current(load->d, load->serial)) {
 		talloc_free(load);
 		return;
 	}
+	switch (load->stage) {
+	case LOAD_READ_CLAIM:
+		break;
+	case LOAD_WRITE_CLAIM:
+		write_claim(load);
+		return;
+	case LOAD_JOBS:
+	case LOAD_GROUPS:
+		range.table = load->stage == LOAD_JOBS ? SITED_JOBS_TABLE : SITED_GROUPS_TABLE;
+		range.from = load->from;
+		range.limit = 0;
+		break;
+	}
 	store_read(load->d->store, &range, base_deadline_in(SITED_CALL_MS), on_loaded, load);
 }
 
-static void load_parts(struct lead *l)
+static void load_parts(struct lead *l, enum load_stage from)
 {
-	static const char *const parts[SITED_PARTS] = {"p0", "p1", "p2", "p3",
-						       "p4", "p5", "p6", "p7"};
-
 	for (unsigned int i = 0; i < SITED_PARTS; i++) {
 		struct load *load = talloc_zero(l->d, struct load);
 
 		load->d = l->d;
 		load->serial = l->serial;
-		load->table = SITED_JOBS_TABLE;
-		load->part = parts[i];
+		load->stage = from;
+		load->part = i;
+		load->claim = talloc_asprintf(load, "{\"vm\":\"%s\",\"term\":%" PRId64 "}",
+					      l->d->site->vm, l->term);
 		l->loads++;
 		send_load(load);
 	}
@@ -241,7 +321,7 @@
 
 void lead_rows_load(struct lead *l)
 {
-	load_parts(l);
+	load_parts(l, LOAD_READ_CLAIM);
 	follow_jobs(l);
 }
 
@@ -279,7 +359,7 @@
 		log_event("feed_history_gone", "{ss sI}", "table", SITED_JOBS_TABLE, "after",
 			  (json_int_t)l->jobs_version);
 		l->jobs_version = INT64_MAX;
-		load_parts(l);
+		load_parts(l, LOAD_JOBS);
 		break;
 	default:
 		mtimer_add(l, l->d->ev, base_deadline_in(SITED_RETRY_MS), on_follow_timer, l);
@@ -441,7 +521,7 @@
 	return true;
 }
 
-/* another leader wrote the group's row: nothing of ours was sent on its old version */
+/* written before the claim and not read: nothing of ours was sent on its old version */
 static void take_foreign_group(struct lead *l, struct work_group *g, const struct store_row *row)
 {
 	log_event("row_foreign", "{ss sI sI}", "row", row->key, "version", (json_int_t)row->version,
@@ -454,9 +534,16 @@
 	sited_doubt(l->d, "a row was written by somebody else");
 }
 
-static void commit_conflicts(struct lead *l, struct commit *c, const struct store_result *r)
+/* false when this VM leads no more */
+static bool commit_conflicts(struct lead *l, struct commit *c, const struct store_result *r)
 {
+	const struct store_row *claim = find_row(r, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
+
 	sited_count(&l->d->metrics, COUNT_CONFLICTS);
+	if (claim && claim->version > l->claims[c->part]) {
+		sited_step_down(l->d, "a later leader has claimed the rows");
+		return false;
+	}
 	for (unsigned int i = 0; i < r->count; i++) {
 		struct work_job *job = NULL;
 
@@ -472,6 +559,7 @@
 		if (row && row->version > g->row.version)
 			take_foreign_group(l, g, row);
 	}
+	return true;
 }
 
 static void on_commit_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
@@ -499,8 +587,8 @@
 		l->commits[c->part] = NULL;
 		if (was_performed(c, r, versions))
 			commit_is_stored(l, c, versions);
-		else
-			commit_conflicts(l, c, r);
+		else if (!commit_conflicts(l, c, r))
+			goto out;
 		break;
 	case STORE_REFUSED:
 		if (c->is_unsure) {
@@ -611,7 +699,9 @@
 			c->d = l->d;
 			c->serial = l->serial;
 			c->part = part;
-			c->tx = store_tx_new(c, sited_part(job->id));
+			c->tx = store_tx_new(c, part_names[part]);
+			store_tx_expect(c->tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, l->claims[part]);
+			c->conditions++;
 			l->commits[part] = c;
 		} else if (c->started_at) {
 			continue; /* in flight */
