--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <limits.h>
 #include <string.h>
 
 const char *fleet_presence_name(enum fleet_presence presence)
@@ -21,6 +22,7 @@
 		g_ptr_array_free(sv->tasks, TRUE);
 	}
 	g_ptr_array_free(f->all, TRUE);
+	g_ptr_array_free(f->racks, TRUE);
 	g_hash_table_destroy(f->by_id);
 	return 0;
 }
@@ -30,11 +32,41 @@
 	struct fleet *f = talloc_zero(ctx, struct fleet);
 
 	f->all = g_ptr_array_new();
+	f->racks = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(f->racks, g_strdup(""));
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	talloc_set_destructor(f, fleet_destructor);
 	return f;
 }
 
+unsigned int fleet_find_rack(const struct fleet *f, const char *name)
+{
+	for (guint i = 0; i < f->racks->len; i++)
+		if (!strcmp(g_ptr_array_index(f->racks, i), name))
+			return i;
+	return UINT_MAX;
+}
+
+unsigned int fleet_rack(struct fleet *f, const char *name)
+{
+	unsigned int i = fleet_find_rack(f, name);
+
+	if (i != UINT_MAX)
+		return i;
+	g_ptr_array_add(f->racks, g_strdup(name));
+	return f->racks->len - 1;
+}
+
+void fleet_set_rack(struct fleet *f, struct fleet_server *sv, const char *name)
+{
+	sv->rack = fleet_rack(f, name);
+}
+
+const char *fleet_rack_name(const struct fleet *f, unsigned int rack)
+{
+	return g_ptr_array_index(f->racks, rack);
+}
+
 struct fleet_server *fleet_find(const struct fleet *f, const char *id)
 {
 	return g_hash_table_lookup(f->by_id, id);
@@ -52,7 +84,6 @@
 	sv->address = talloc_strdup(sv, "");
 	sv->service = talloc_strdup(sv, "");
 	sv->failure_domain = talloc_strdup(sv, "");
-	sv->rack = talloc_strdup(sv, "");
 	sv->presence = FLEET_UNLISTED;
 	sv->is_reachable = true;
 	sv->tasks = g_ptr_array_new();
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -64,7 +64,7 @@
  * @id: its id
  * @born: start of this incarnation, wall clock in ms
  * @address: "ip:port"
- * @rack: rack, "" when unknown
+ * @rack: index of its rack in struct fleet
  * @labels: labels that steps may require
  * @capacity: all that it has
  * @used: taken by tasks that run, start, stop or may run
@@ -87,7 +87,7 @@
 	char *address;
 	char *service;
 	char *failure_domain;
-	char *rack;
+	unsigned int rack;
 	char **labels;
 	unsigned int label_count;
 	struct fleet_amount capacity;
@@ -110,16 +110,24 @@
  * struct fleet - all servers known
  * @all: every struct fleet_server, in the order in which they became known
  * @by_id: id to the newest incarnation
+ * @racks: names of racks by index; 0 is "", for servers whose rack is not known
  */
 struct fleet {
 	GPtrArray *all;
 	GHashTable *by_id;
+	GPtrArray *racks;
 };
 
 struct fleet *fleet_new(TALLOC_CTX *ctx);
 /** fleet_add() - a new incarnation; an older one of the same id becomes replaced */
 struct fleet_server *fleet_add(struct fleet *f, const char *id, int64_t born);
 struct fleet_server *fleet_find(const struct fleet *f, const char *id);
+/** fleet_rack() - index of a rack; it is added when new */
+unsigned int fleet_rack(struct fleet *f, const char *name);
+/** fleet_find_rack() - index of a rack, UINT_MAX when there is none of this name */
+unsigned int fleet_find_rack(const struct fleet *f, const char *name);
+void fleet_set_rack(struct fleet *f, struct fleet_server *sv, const char *name);
+const char *fleet_rack_name(const struct fleet *f, unsigned int rack);
 /** fleet_prune() - free servers that are gone and hold nothing, if @may_free agrees */
 void fleet_prune(struct fleet *f, bool (*may_free)(struct fleet_server *sv));
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -43,6 +43,8 @@
 /** plan_scratch_new() - working memory of placements, reused from one to the next */
 struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx);
 
+/** plan_begin_round() - what did not fit before may fit now */
+void plan_begin_round(struct plan_scratch *s);
 /**
  * plan_place() - servers for the waiting tasks of a group
  * @out: one entry for each task of the group; NULL where there is no server
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -19,26 +19,9 @@
 	return talloc_zero(ctx, struct plan_scratch);
 }
 
-static unsigned int rack_index(struct plan_scratch *s, const char *name)
+void plan_begin_round(struct plan_scratch *s)
 {
-	unsigned int i = plan_rack_of(s, name);
-
-	if (i != PLAN_ANY_RACK)
-		return i;
-	if (s->racks == s->rack_size) {
-		s->rack_size = s->rack_size ? s->rack_size * 2 : 16;
-		s->rack_name = talloc_realloc(s, s->rack_name, const char *, s->rack_size);
-	}
-	s->rack_name[s->racks] = name;
-	return s->racks++;
-}
-
-unsigned int plan_rack_of(const struct plan_scratch *s, const char *name)
-{
-	for (unsigned int i = 0; i < s->racks; i++)
-		if (!strcmp(s->rack_name[i], name))
-			return i;
-	return PLAN_ANY_RACK;
+	s->refusal_count = 0;
 }
 
 static unsigned int mates_on(const struct fleet_server *sv, const struct work_group *group)
@@ -59,33 +42,68 @@
 	       (!group->step->label || fleet_has_label(sv, group->step->label));
 }
 
-void plan_collect(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
-		  int64_t now, bool stopping_is_free)
+static void make_room(struct plan_scratch *s, const struct fleet *fleet)
 {
-	s->count = 0;
-	s->racks = 0;
 	if (s->size < fleet->all->len) {
 		s->size = fleet->all->len + 16;
 		s->tries = talloc_realloc(s, s->tries, struct plan_try, s->size);
 		s->saved = talloc_realloc(s, s->saved, struct plan_try, s->size);
 	}
+	if (s->racks < fleet->racks->len) {
+		s->racks = fleet->racks->len;
+		s->rack_first = talloc_realloc(s, s->rack_first, unsigned int, s->racks + 1);
+		s->rack_places = talloc_realloc(s, s->rack_places, unsigned int, s->racks + 1);
+	}
+}
+
+static bool is_candidate(const struct fleet_server *sv, const struct work_group *group, int64_t now)
+{
+	return fleet_takes_work(sv, now) && suits(sv, group);
+}
+
+/* counts the candidates of each rack, so that those of one can be put together */
+static void index_racks(struct plan_scratch *s, const struct fleet *fleet,
+			const struct work_group *group, int64_t now)
+{
+	memset(s->rack_first, 0, (s->racks + 1) * sizeof(*s->rack_first));
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		if (is_candidate(sv, group, now))
+			s->rack_first[sv->rack + 1]++;
+	}
+	for (unsigned int rack = 0; rack < s->racks; rack++)
+		s->rack_first[rack + 1] += s->rack_first[rack];
+	s->count = s->rack_first[s->racks];
+}
+
+static void fill_try(struct plan_try *t, struct fleet_server *sv, const struct work_group *group,
+		     bool stopping_is_free)
+{
+	t->server = sv;
+	t->room = fleet_room(sv);
+	t->mates = group->step->per_server_max ? mates_on(sv, group) : 0;
+	for (guint k = 0; stopping_is_free && k < sv->tasks->len; k++) {
+		const struct work_task *other = g_ptr_array_index(sv->tasks, k);
+
+		if (other->state == TASK_STOPPING)
+			fleet_amount_add(&t->room, &other->group->step->need, 1);
+	}
+}
+
+void plan_collect(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  int64_t now, bool stopping_is_free)
+{
+	make_room(s, fleet);
+	index_racks(s, fleet, group, now);
+	memset(s->rack_places, 0, (s->racks + 1) * sizeof(*s->rack_places));
 	for (guint i = 0; i < fleet->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
-		struct plan_try *t = &s->tries[s->count];
 
-		if (!fleet_takes_work(sv, now) || !suits(sv, group))
-			continue;
-		t->server = sv;
-		t->room = fleet_room(sv);
-		t->mates = group->step->per_server_max ? mates_on(sv, group) : 0;
-		t->rack = rack_index(s, sv->rack);
-		for (guint k = 0; stopping_is_free && k < sv->tasks->len; k++) {
-			const struct work_task *other = g_ptr_array_index(sv->tasks, k);
-
-			if (other->state == TASK_STOPPING)
-				fleet_amount_add(&t->room, &other->group->step->need, 1);
-		}
-		s->count++;
+		/* rack_places counts those filled so far */
+		if (is_candidate(sv, group, now))
+			fill_try(&s->tries[s->rack_first[sv->rack] + s->rack_places[sv->rack]++],
+				 sv, group, stopping_is_free);
 	}
 }
 
@@ -118,11 +136,10 @@
 	struct plan_try *best = NULL;
 	int64_t best_score = 0;
 
-	for (unsigned int i = 0; i < s->count; i++) {
-		struct plan_try *t = &s->tries[i];
+	for (struct plan_try *t = plan_first(s, rack); t < plan_end(s, rack); t++) {
 		int64_t score;
 
-		if ((rack != PLAN_ANY_RACK && t->rack != rack) || !has_place(t, group))
+		if (!has_place(t, group))
 			continue;
 		score = leftover(t, group, task);
 		if (!best || score < best_score) {
@@ -177,12 +194,53 @@
 
 /* ---- racks ---- */
 
+/* how many tasks of the group fit into @room */
+static unsigned int places_in(const struct fleet_amount *room, const struct work_group *group,
+			      unsigned int mates)
+{
+	const struct fleet_amount *need = &group->step->need;
+	int64_t n = group->count;
+
+	if (!fleet_amount_fits(need, room))
+		return 0;
+	if (need->cpu)
+		n = MIN(n, room->cpu / need->cpu);
+	if (need->memory_mb)
+		n = MIN(n, room->memory_mb / need->memory_mb);
+	if (need->accelerators)
+		n = MIN(n, room->accelerators / need->accelerators);
+	if (group->step->per_server_max)
+		n = MIN(n, (int64_t)group->step->per_server_max -
+				   MIN(mates, group->step->per_server_max));
+	return (unsigned int)n;
+}
+
+static void clear_places(struct plan_scratch *s)
+{
+	memset(s->rack_places, 0, (s->racks + 1) * sizeof(*s->rack_places));
+}
+
+unsigned int plan_count_places(struct plan_scratch *s, const struct work_group *group)
+{
+	unsigned int sum = 0;
+
+	clear_places(s);
+	for (unsigned int i = 0; i < s->count; i++) {
+		const struct plan_try *t = &s->tries[i];
+		unsigned int n = places_in(&t->room, group, t->mates);
+
+		s->rack_places[t->server->rack] += n;
+		sum += n;
+	}
+	return sum;
+}
+
 /* rack where other tasks of the group already are, so that the rest joins them */
-static unsigned int rack_in_use(const struct plan_scratch *s, const struct work_group *group)
+static unsigned int rack_in_use(const struct work_group *group)
 {
 	for (unsigned int i = 0; i < group->count; i++)
 		if (group->task[i].server)
-			return plan_rack_of(s, group->task[i].server->rack);
+			return group->task[i].server->rack;
 	return PLAN_ANY_RACK;
 }
 
@@ -190,71 +248,44 @@
 {
 	int64_t sum = 0;
 
-	for (unsigned int i = 0; i < s->count; i++)
-		if (s->tries[i].rack == rack)
-			sum += s->tries[i].room.accelerators;
+	for (const struct plan_try *t = plan_first(s, rack); t < plan_end(s, rack); t++)
+		sum += t->room.accelerators;
 	return sum;
 }
 
 /* the rack with the least room that holds all waiting tasks */
-static unsigned int tightest_rack(struct plan_scratch *s, const struct work_group *group,
-				  struct fleet_server **out)
+static unsigned int tightest_rack(struct plan_scratch *s, const struct work_group *group)
 {
 	unsigned int waiting = work_group_waiting(group);
 	unsigned int best = PLAN_ANY_RACK;
 	int64_t best_room = 0;
 
-	plan_save(s);
 	for (unsigned int rack = 0; rack < s->racks; rack++) {
-		int64_t room = rack_room(s, rack);
+		int64_t room;
 
-		if (best != PLAN_ANY_RACK && room >= best_room)
+		if (s->rack_places[rack] < waiting)
 			continue;
-		if (plan_fill(s, group, rack, out) == waiting) {
+		room = rack_room(s, rack);
+		if (best == PLAN_ANY_RACK || room < best_room) {
 			best = rack;
 			best_room = room;
 		}
-		plan_restore(s);
 	}
 	return best;
 }
 
-static bool room_when_empty(const struct fleet *fleet, const struct work_group *group,
-			    const char *rack)
-{
-	unsigned int places = 0;
-
-	for (guint i = 0; i < fleet->all->len; i++) {
-		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
-		struct fleet_amount room = sv->capacity;
-		unsigned int here = 0;
-
-		if (sv->presence != FLEET_LISTED || strcmp(sv->rack, rack) || !suits(sv, group))
-			continue;
-		while (fleet_amount_fits(&group->step->need, &room) && here < group->count &&
-		       (!group->step->per_server_max || here < group->step->per_server_max)) {
-			fleet_amount_add(&room, &group->step->need, -1);
-			here++;
-		}
-		places += here;
-		if (places >= group->count)
-			return true;
-	}
-	return false;
-}
-
 /* some rack could hold the whole group, were it empty */
-static bool any_rack_could(const struct fleet *fleet, const struct work_group *group)
+static bool any_rack_could(struct plan_scratch *s, const struct fleet *fleet,
+			   const struct work_group *group)
 {
-	const char *last = NULL;
-
+	clear_places(s);
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
-		if (sv->presence != FLEET_LISTED || (last && !strcmp(last, sv->rack)))
+		if (sv->presence != FLEET_LISTED || !suits(sv, group))
 			continue;
-		last = sv->rack;
-		if (room_when_empty(fleet, group, sv->rack))
+		s->rack_places[sv->rack] += places_in(&sv->capacity, group, 0);
+		if (s->rack_places[sv->rack] >= group->count)
 			return true;
 	}
 	return false;
@@ -263,21 +294,22 @@
 static unsigned int place_in_one_rack(struct plan_scratch *s, const struct fleet *fleet,
 				      const struct work_group *group, struct fleet_server **out)
 {
-	unsigned int rack = rack_in_use(s, group);
+	unsigned int rack = rack_in_use(group);
 
 	if (rack == PLAN_ANY_RACK)
-		rack = tightest_rack(s, group, out);
-	if (rack == PLAN_ANY_RACK && any_rack_could(fleet, group)) {
+		rack = tightest_rack(s, group);
+	if (rack == PLAN_ANY_RACK && any_rack_could(s, fleet, group)) {
 		memset(out, 0, group->count * sizeof(*out));
 		return 0;
 	}
 	return plan_fill(s, group, rack, out);
 }
 
-static unsigned int place_near_data(struct plan_scratch *s, const struct work_group *group,
-				    const struct plan_clock *at, struct fleet_server **out)
+static unsigned int place_near_data(struct plan_scratch *s, const struct fleet *fleet,
+				    const struct work_group *group, const struct plan_clock *at,
+				    struct fleet_server **out)
 {
-	unsigned int rack = plan_rack_of(s, group->step->data_rack);
+	unsigned int rack = fleet_find_rack(fleet, group->step->data_rack);
 	int64_t patience = group->step->estimate_ms * DATA_PATIENCE_PERCENT / 100;
 	unsigned int placed = 0;
 
@@ -291,17 +323,56 @@
 	return plan_fill(s, group, PLAN_ANY_RACK, out);
 }
 
+/* ---- what did not fit ---- */
+
+static bool same_text(const char *a, const char *b)
+{
+	return a == b || (a && b && !strcmp(a, b));
+}
+
+static bool was_refused(const struct plan_scratch *s, const struct work_group *group)
+{
+	for (unsigned int i = 0; i < s->refusal_count; i++) {
+		const struct plan_refusal *r = &s->refusals[i];
+
+		if (fleet_amount_fits(&r->need, &group->step->need) &&
+		    same_text(r->label, group->step->label) &&
+		    same_text(r->service, group->job->service))
+			return true;
+	}
+	return false;
+}
+
+static void note_refusal(struct plan_scratch *s, const struct work_group *group)
+{
+	struct plan_refusal *r;
+
+	/* a limit for each server says nothing of other groups */
+	if (s->refusal_count == PLAN_REFUSALS_MAX || group->step->per_server_max)
+		return;
+	r = &s->refusals[s->refusal_count++];
+	r->service = group->job->service;
+	r->label = group->step->label;
+	r->need = group->step->need;
+}
+
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
 			const struct work_group *group, const struct plan_clock *at,
 			struct fleet_server **out)
 {
+	unsigned int places;
+
+	memset(out, 0, group->count * sizeof(*out));
+	if (was_refused(s, group))
+		return 0;
 	plan_collect(s, fleet, group, at->now, false);
-	if (!s->count) {
-		memset(out, 0, group->count * sizeof(*out));
+	places = plan_count_places(s, group);
+	if (!places)
+		note_refusal(s, group);
+	if (!places || (group->step->is_gang && places < group->count))
 		return 0;
-	}
 	if (group->step->data_rack)
-		return place_near_data(s, group, at, out);
+		return place_near_data(s, fleet, group, at, out);
 	if (group->step->same_rack && group->count > 1)
 		return place_in_one_rack(s, fleet, group, out);
 	return plan_fill(s, group, PLAN_ANY_RACK, out);
--- a/lib/plan/plan_reclaim.c
+++ b/lib/plan/plan_reclaim.c
@@ -52,12 +52,17 @@
 
 static struct plan_try *try_of(struct plan_scratch *s, const struct fleet_server *sv)
 {
-	for (unsigned int i = 0; i < s->count; i++)
-		if (s->tries[i].server == sv)
-			return &s->tries[i];
+	for (struct plan_try *t = plan_first(s, sv->rack); t < plan_end(s, sv->rack); t++)
+		if (t->server == sv)
+			return t;
 	return NULL;
 }
 
+static bool would_stop(const struct work_task *member)
+{
+	return member->state == TASK_RUNNING || member->state == TASK_STARTING;
+}
+
 /* @t stops, and its gang with it */
 static void choose(struct plan_scratch *s, struct work_task *t, GPtrArray *victims)
 {
@@ -67,92 +72,114 @@
 
 	for (unsigned int i = first; i < end; i++) {
 		struct work_task *member = &g->task[i];
-		struct plan_try *at;
+		struct plan_try *at = would_stop(member) ? try_of(s, member->server) : NULL;
 
-		if (member->state != TASK_RUNNING && member->state != TASK_STARTING)
-			continue;
-		g_ptr_array_add(victims, member);
-		at = member->server ? try_of(s, member->server) : NULL;
+		if (would_stop(member))
+			g_ptr_array_add(victims, member);
 		if (at)
 			fleet_amount_add(&at->room, &g->step->need, 1);
 	}
 }
 
+/* room on one server that comes free when @t stops, its gang's members there included */
+static void add_freed(struct fleet_amount *room, const struct work_task *t)
+{
+	const struct work_group *g = t->group;
+
+	for (unsigned int i = 0; i < g->count; i++) {
+		const struct work_task *member = &g->task[i];
+
+		if (member == t ||
+		    (g->step->is_gang && would_stop(member) && member->server == t->server))
+			fleet_amount_add(room, &g->step->need, 1);
+	}
+}
+
+/* a gang is stopped as a whole, so one chosen member stands for all */
+static bool gang_is_chosen(const GPtrArray *victims, const struct work_task *t)
+{
+	for (guint i = 0; i < victims->len; i++) {
+		const struct work_task *v = g_ptr_array_index(victims, i);
+
+		if (v == t || (t->group->step->is_gang && v->group == t->group))
+			return true;
+	}
+	return false;
+}
+
 /* cheapest task on the server whose stop brings the need nearer, or NULL */
-static struct work_task *cheapest(const struct plan_try *t, const struct work_group *group,
-				  const GPtrArray *victims, int64_t now, int64_t *cost)
+static struct work_task *cheapest(const struct plan_try *t, const struct fleet_amount *room,
+				  const struct work_group *group, const GPtrArray *victims,
+				  const GPtrArray *local, int64_t now)
 {
 	const struct fleet_amount *need = &group->step->need;
 	struct work_task *best = NULL;
+	int64_t best_price = 0;
 
 	for (guint i = 0; i < t->server->tasks->len; i++) {
 		struct work_task *c = g_ptr_array_index(t->server->tasks, i);
 		const struct fleet_amount *has = &c->group->step->need;
 		int64_t price;
 
-		if (!may_stop(c, group) || is_chosen(victims, c))
+		if (!may_stop(c, group) || is_chosen(victims, c) || gang_is_chosen(local, c))
 			continue;
-		if (t->room.accelerators < need->accelerators && !has->accelerators)
+		if (room->accelerators < need->accelerators && !has->accelerators)
 			continue;
 		price = stop_cost(c, now) / MAX(fleet_cores(has), 1);
-		if (!best || price < *cost) {
+		if (!best || price < best_price) {
 			best = c;
-			*cost = price;
+			best_price = price;
 		}
 	}
-	if (best)
-		*cost = stop_cost(best, now);
 	return best;
 }
 
-/* stop tasks on @t until one more task of the group fits; cost, or -1 when it can't */
-static int64_t clear_server(struct plan_scratch *s, struct plan_try *t,
-			    const struct work_group *group, int64_t now, GPtrArray *victims)
+/* what to stop on @t so that one more task of the group fits; cost, or -1 when it can't */
+static int64_t clear_server(const struct plan_try *t, const struct work_group *group, int64_t now,
+			    const GPtrArray *victims, GPtrArray *local)
 {
+	struct fleet_amount room = t->room;
 	int64_t sum = 0;
 
-	while (!fleet_amount_fits(&group->step->need, &t->room)) {
-		int64_t cost = 0;
-		struct work_task *c = cheapest(t, group, victims, now, &cost);
+	g_ptr_array_set_size(local, 0);
+	while (!fleet_amount_fits(&group->step->need, &room)) {
+		struct work_task *c = cheapest(t, &room, group, victims, local, now);
 
 		if (!c)
 			return -1;
-		choose(s, c, victims);
-		sum += cost;
+		g_ptr_array_add(local, c);
+		add_freed(&room, c);
+		sum += stop_cost(c, now);
 	}
 	return sum;
 }
 
-/* the server that is cleared at the least cost; it is cleared, cost or -1 */
+/* clears the server where that costs least; the cost, or -1 when none can be cleared */
 static int64_t clear_cheapest(struct plan_scratch *s, const struct work_group *group,
 			      unsigned int rack, int64_t now, GPtrArray *victims,
 			      struct plan_try **where)
 {
-	struct plan_try *before = talloc_array(s, struct plan_try, s->count);
-	guint had = victims->len;
+	GPtrArray *local = g_ptr_array_new();
 	struct plan_try *best = NULL;
 	int64_t best_cost = -1;
 
-	memcpy(before, s->tries, s->count * sizeof(*before));
-	for (unsigned int i = 0; i < s->count; i++) {
-		struct plan_try *t = &s->tries[i];
+	for (struct plan_try *t = plan_first(s, rack); t < plan_end(s, rack); t++) {
 		int64_t cost;
 
-		if (rack != PLAN_ANY_RACK && t->rack != rack)
-			continue;
 		if (group->step->per_server_max && t->mates >= group->step->per_server_max)
 			continue;
-		cost = clear_server(s, t, group, now, victims);
+		cost = clear_server(t, group, now, victims, local);
 		if (cost >= 0 && (!best || cost < best_cost)) {
 			best = t;
 			best_cost = cost;
 		}
-		g_ptr_array_set_size(victims, (gint)had);
-		memcpy(s->tries, before, s->count * sizeof(*before));
 	}
-	talloc_free(before);
-	if (best)
-		clear_server(s, best, group, now, victims);
+	if (best) {
+		clear_server(best, group, now, victims, local);
+		for (guint i = 0; i < local->len; i++)
+			choose(s, g_ptr_array_index(local, i), victims);
+	}
+	g_ptr_array_free(local, TRUE);
 	*where = best;
 	return best_cost;
 }
@@ -183,16 +210,14 @@
 	return sum;
 }
 
-/* a rack whose whole capacity is too small is not worth a trial */
-static bool rack_is_large(const struct plan_scratch *s, const struct work_group *group,
-			  unsigned int rack)
+/* accelerators of the candidates, by rack */
+static int64_t *rack_capacity(struct plan_scratch *s, const struct fleet *fleet)
 {
-	int64_t sum = 0;
+	int64_t *sum = talloc_zero_array(s, int64_t, fleet->racks->len);
 
 	for (unsigned int i = 0; i < s->count; i++)
-		if (s->tries[i].rack == rack)
-			sum += s->tries[i].server->capacity.accelerators;
-	return sum >= group->step->need.accelerators * group->count;
+		sum[s->tries[i].server->rack] += s->tries[i].server->capacity.accelerators;
+	return sum;
 }
 
 bool plan_reclaim(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
@@ -201,16 +226,20 @@
 	unsigned int best = PLAN_ANY_RACK;
 	int64_t best_cost = -1;
 	struct plan_try *before;
+	int64_t *capacity;
 
 	plan_collect(s, fleet, group, at->now, true);
 	if (!group->step->same_rack || group->count < 2)
 		return reclaim_in(s, group, PLAN_ANY_RACK, at->now, out, victims) >= 0;
 	before = talloc_array(s, struct plan_try, s->count + 1);
 	memcpy(before, s->tries, s->count * sizeof(*before));
-	for (unsigned int rack = 0; rack < s->racks; rack++) {
+	capacity = rack_capacity(s, fleet);
+	for (unsigned int rack = 0; rack < fleet->racks->len; rack++) {
 		int64_t cost = -1;
 
-		if (rack_is_large(s, group, rack))
+		/* a rack whose whole capacity is too small is not worth a trial */
+		if (capacity[rack] >= group->step->need.accelerators * group->count &&
+		    capacity[rack])
 			cost = reclaim_in(s, group, rack, at->now, out, victims);
 		if (cost >= 0 && (best == PLAN_ANY_RACK || cost < best_cost)) {
 			best = rack;
@@ -219,6 +248,7 @@
 		memcpy(s->tries, before, s->count * sizeof(*before));
 	}
 	talloc_free(before);
+	talloc_free(capacity);
 	/* no rack can hold it: spread it, slower but in time to begin */
 	return reclaim_in(s, group, best, at->now, out, victims) >= 0;
 }
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -6,41 +6,62 @@
 
 #include "plan.h"
 
+#define PLAN_ANY_RACK UINT_MAX /* fleet_find_rack() says the same of a name that is no rack */
+
 /**
  * struct plan_try - a server within one trial
  * @room: what is left on it, by the trial so far
  * @mates: tasks of the same step that are or would be there
- * @rack: index of its rack
  */
 struct plan_try {
 	struct fleet_server *server;
 	struct fleet_amount room;
 	unsigned int mates;
-	unsigned int rack;
 };
 
+/* a need for which no server had room; nothing larger fits in the same round either */
+struct plan_refusal {
+	const char *service;
+	const char *label;
+	struct fleet_amount need;
+};
+
+#define PLAN_REFUSALS_MAX 16
+
 /**
  * struct plan_scratch - working memory
- * @tries: candidates of the present group
- * @racks: number of racks among them
- * @rack_name: name of each rack
+ * @tries: candidates of the present group, those of a rack together
+ * @rack_first: index of the first candidate of each rack, and past the last of the last
  * @saved: copy of @tries to go back to
+ * @rack_places: for each rack, tasks of the group that it has room for
+ * @refusals: needs for which there was no room in this round
  */
 struct plan_scratch {
 	struct plan_try *tries;
 	unsigned int count;
 	unsigned int size;
-	unsigned int racks;
-	unsigned int rack_size;
-	const char **rack_name;
 	struct plan_try *saved;
+	unsigned int *rack_first;
+	unsigned int *rack_places;
+	unsigned int racks;
+	struct plan_refusal refusals[PLAN_REFUSALS_MAX];
+	unsigned int refusal_count;
 };
 
-#define PLAN_ANY_RACK UINT_MAX
-
 /** plan_collect() - candidates for the group; @stopping_is_free counts what is being stopped */
 void plan_collect(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  int64_t now, bool stopping_is_free);
+/** plan_first() - first candidate in @rack, or of all; plan_end() is past the last */
+static inline struct plan_try *plan_first(const struct plan_scratch *s, unsigned int rack)
+{
+	return &s->tries[rack == PLAN_ANY_RACK ? 0 : s->rack_first[rack]];
+}
+
+static inline struct plan_try *plan_end(const struct plan_scratch *s, unsigned int rack)
+{
+	return &s->tries[rack == PLAN_ANY_RACK ? s->count : s->rack_first[rack + 1]];
+}
+
 /** plan_pick() - best candidate with room for one more task, or NULL */
 struct plan_try *plan_pick(struct plan_scratch *s, const struct work_group *group,
 			   const struct work_task *task, unsigned int rack);
@@ -49,8 +70,8 @@
 /** plan_fill() - place all waiting tasks; number placed */
 unsigned int plan_fill(struct plan_scratch *s, const struct work_group *group, unsigned int rack,
 		       struct fleet_server **out);
-/** plan_rack_of() - index of a rack by name, PLAN_ANY_RACK when no candidate is there */
-unsigned int plan_rack_of(const struct plan_scratch *s, const char *name);
+/** plan_count_places() - fill @rack_places; tasks that all racks together have room for */
+unsigned int plan_count_places(struct plan_scratch *s, const struct work_group *group);
 void plan_save(struct plan_scratch *s);
 void plan_restore(struct plan_scratch *s);
 
--- a/src/sited.h
+++ b/src/sited.h
@@ -37,8 +37,9 @@
 	8 /* a part takes one transaction after another, so jobs are spread over some \
 	   */
 
-#define SITED_CALL_MS 1500 /* a store that is 60 times slower than usual still answers in it */
-#define SITED_RETRY_MS 150 /* pause before a call that the store turned away is made again */
+#define SITED_CALL_MS 1500     /* a store that is 60 times slower than usual still answers in it */
+#define SITED_LARGE_CORES 0.25 /* an entry VM with less leads only when no larger one will */
+#define SITED_RETRY_MS 150     /* pause before a call that the store turned away is made again */
 
 struct lead;
 
@@ -48,6 +49,7 @@
  * @version: version of the row that says so, -1 while it is not known
  * @client: RPC client to it, or NULL
  * @heard_at: when it last answered as leader, on base_now()'s clock; 0 never
+ * @known_at: when its row was read, on base_now()'s clock
  * @misses: pings in a row without an answer
  * @pending: jobs not begun by queue, as it last said; name to int64_t
  */
@@ -58,6 +60,7 @@
 	int64_t version;
 	struct onc_client *client;
 	int64_t heard_at;
+	int64_t known_at;
 	unsigned int misses;
 	GHashTable *pending;
 };
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -13,6 +13,9 @@
 #define PING_EVERY_MS 200
 #define PING_ANSWER_MS 350 /* several times the way to another failure domain and back */
 #define MISSES_MAX 3 /* pings in a row without an answer; a refused connection counts double */
+#define NEW_LEADER_MS 4000
+#define MISSES_MAX_NEW 7
+#define CONTEND_SMALL_MS 120   /* longer than a transaction of a larger VM takes */
 #define CONTEND_SPREAD_MS 40   /* so that not all contend at the same moment */
 #define CLIENT_LINGER_MS 2000  /* longer than any call to a leader takes */
 #define LEADER_CUT_OFF_MS 1200 /* the leader's store is away for so long, but not this VM's */
@@ -129,6 +132,7 @@
 	leader->address.port = (uint16_t)base_json_int(v, "port", 0);
 	leader->term = MAX(leader->term, base_json_int(v, "term", 0));
 	leader->version = version;
+	leader->known_at = base_now();
 	leader->misses = 0;
 	if (leader->vm[0] && strcmp(leader->vm, d->site->vm))
 		leader->client = onc_client_new(d, d->ev, leader->address.ip, leader->address.port);
@@ -232,6 +236,22 @@
 	talloc_free(tx);
 }
 
+/* large VMs go first: a leader's work grows with the deployment, a VM's share does not */
+static int64_t contend_delay_ms(const struct sited *d)
+{
+	int64_t delay = (int64_t)(base_random64() % CONTEND_SPREAD_MS);
+
+	return d->site->cores < SITED_LARGE_CORES ? delay + CONTEND_SMALL_MS : delay;
+}
+
+/* a new leader reads all rows and looks at all servers first, and may be slow to answer */
+static unsigned int misses_max(const struct sited *d)
+{
+	bool is_new = d->leader.known_at + NEW_LEADER_MS * BASE_NS_PER_MS > base_now();
+
+	return is_new ? MISSES_MAX_NEW : MISSES_MAX;
+}
+
 static void contend(struct sited *d, const char *why)
 {
 	if (d->is_contending || d->lead || d->stop_at || d->leader.version < 0)
@@ -240,8 +260,7 @@
 	d->contended_version = d->leader.version;
 	log_event("lead_contended", "{ss ss sI}", "why", why, "leader", d->leader.vm, "term",
 		  (json_int_t)d->leader.term);
-	mtimer_add(d, d->ev, base_deadline_in((int64_t)(base_random64() % CONTEND_SPREAD_MS)),
-		   on_contend_timer, d);
+	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
 }
 
 void sited_hand_over(struct sited *d)
@@ -298,7 +317,7 @@
 		return;
 	if (result != ONC_OK) {
 		d->leader.misses += result == ONC_NOT_SENT ? 2 : 1;
-		if (d->leader.misses >= MISSES_MAX)
+		if (d->leader.misses >= misses_max(d))
 			contend(d, "the leader does not answer");
 		return;
 	}
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -11,6 +11,7 @@
 #include "mtimer/mtimer.h"
 
 #define ROUND_DELAY_MS 2    /* events that come together are handled by one round */
+#define ROUND_SHARE 4	    /* rounds take at most one part in so many of the time */
 #define ROUND_EVERY_MS 100  /* time alone makes things due: occurrences, patience, promises */
 #define DUE_MARGIN_MS 15    /* clocks of VMs differ a little; a timed job must not be early */
 #define PROMISE_MAX_MS 1500 /* victims stop within 400 ms; then the promise is made anew */
@@ -90,7 +91,8 @@
 {
 	if (l->round || !l->is_loaded)
 		return;
-	l->round = mtimer_add(l, l->d->ev, base_deadline_in(ROUND_DELAY_MS), on_round, l);
+	l->round = mtimer_add(l, l->d->ev, MAX(base_deadline_in(ROUND_DELAY_MS), l->next_round),
+			      on_round, l);
 }
 
 GHashTable *lead_pending(const struct lead *l)
@@ -348,6 +350,7 @@
 {
 	struct lead *l = data;
 	struct plan_clock at = {sited_now_ms(), sited_wall_ms()};
+	int64_t began = base_now();
 	GArray *ready;
 
 	l->round = NULL;
@@ -355,9 +358,11 @@
 	if (!l->is_handing_over) {
 		redeem_all(l, &at);
 		ready = collect_ready(l, &at);
+		plan_begin_round(l->scratch);
 		for (guint i = 0; i < ready->len; i++)
 			place_group(l, g_array_index(ready, struct ranked, i).group, &at);
 		g_array_free(ready, TRUE);
 	}
 	lead_rows_flush(l);
+	l->next_round = base_now() + (base_now() - began) * (ROUND_SHARE - 1);
 }
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -31,6 +31,7 @@
  * @list_version: the same for the list of servers
  * @list_seen: counts readings of the whole list, to find what is missing
  * @round: pending call of the next round, or NULL
+ * @next_round: no round before, on base_now()'s clock
  * @is_handing_over: planned stop; nothing new is placed
  */
 struct lead {
@@ -52,6 +53,7 @@
 	int64_t jobs_version;
 	int64_t list_version;
 	struct mtimer *round;
+	int64_t next_round;
 	bool is_handing_over;
 };
 
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -396,8 +396,9 @@
 static void note_presence(struct lead *l, const struct fleet_server *sv, int64_t version)
 {
 	log_event("server_listed", "{ss ss sI ss sI si}", "server", sv->id, "presence",
-		  fleet_presence_name(sv->presence), "born", (json_int_t)sv->born, "rack", sv->rack,
-		  "row_version", (json_int_t)version, "tasks", (int)sv->tasks->len);
+		  fleet_presence_name(sv->presence), "born", (json_int_t)sv->born, "rack",
+		  fleet_rack_name(l->fleet, sv->rack), "row_version", (json_int_t)version, "tasks",
+		  (int)sv->tasks->len);
 }
 
 static void take_entry(struct lead *l, const struct store_row *row)
