--- a/bench/bench_plan.c
+++ b/bench/bench_plan.c
@@ -11,8 +11,9 @@
 #define SERVERS 350
 #define RACK_SERVERS 20
 #define ROUNDS 20
-#define ROUND_BOUND_MS 5.0 /* on 0.5 of a core this is 10 ms, a tenth of the time between rounds \
-			    */
+#define ROUND_BOUND_MS                                                            \
+	5.0 /* on 0.5 of a core this is 10 ms, a tenth of the time between rounds \
+	     */
 
 static struct fleet *make_fleet(TALLOC_CTX *ctx, unsigned int servers)
 {
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -73,6 +73,7 @@
 	l->confirmed_at = sited_now_ms();
 	l->jobs_version = row_version;
 	l->list_version = row_version;
+	l->followed_version = row_version;
 	l->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	l->active = g_ptr_array_new();
 	l->fleet = fleet_new(l);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -29,7 +29,7 @@
  * @commit_after: no transaction of the part before, ms
  * @jobs_version: the feed of jobs has been followed up to this version
  * @list_version: the same for the list of servers
- * @list_seen: counts readings of the whole list, to find what is missing
+ * @followed_version: the feed of the lead's row likewise; -1 when the row must be read
  * @round: pending call of the next round, or NULL
  * @next_round: no round before, on base_now()'s clock
  * @is_handing_over: planned stop; nothing new is placed
@@ -52,6 +52,7 @@
 	int64_t commit_after[SITED_PARTS];
 	int64_t jobs_version;
 	int64_t list_version;
+	int64_t followed_version;
 	struct mtimer *round;
 	int64_t next_round;
 	bool is_handing_over;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -156,6 +156,12 @@
 	advance(io);
 }
 
+/* this leader may be replaced without knowing it, so it must not renew for ever */
+static bool may_renew(const struct lead *l)
+{
+	return sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
+}
+
 /* ---- looks ---- */
 
 static bool is_running_something(const struct fleet_server *sv)
@@ -227,7 +233,7 @@
 		lead_task_listed(l, sv, &r->runs[i], number);
 	if (r->ended_count < 500)
 		take_missing(l, sv, look, number);
-	io->next_look = 0;
+	io->next_look = may_renew(l) ? 0 : sited_now_ms() + LOOK_RETRY_MS;
 	lead_kick(l);
 }
 
@@ -297,11 +303,12 @@
 {
 	struct server_io *io = lead_io(l, sv);
 	struct look *look = talloc_zero(l->d, struct look);
-	struct order_look order = {.acknowledged = io->acknowledged,
-				   /* a lost look may be carried out late: it must not
-				    * put off the end of the leases there */
-				   .lease_until = io->misses ? 0 : lead_server_lease(l, sv),
-				   .wait_ms = wait_ms};
+	struct order_look order = {
+		.acknowledged = io->acknowledged,
+		/* a lost look may be carried out late: it must not
+		 * put off the end of the leases there */
+		.lease_until = io->misses || !may_renew(l) ? 0 : lead_server_lease(l, sv),
+		.wait_ms = wait_ms};
 	struct order_target to = {.server = sv,
 				  .term = l->term,
 				  .deadline = base_deadline_in(wait_ms + LOOK_ANSWER_MS),
@@ -328,12 +335,6 @@
 		look_at(lead_io(l, sv), when);
 }
 
-/* this leader may be replaced without knowing it, so it must not renew for ever */
-static bool may_renew(const struct lead *l)
-{
-	return sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
-}
-
 void lead_server_look(struct lead *l, struct fleet_server *sv)
 {
 	struct server_io *io = lead_io(l, sv);
@@ -343,15 +344,12 @@
 	if (io->look_in_flight || sv->presence == FLEET_REPLACED || !l->is_loaded ||
 	    !sv->address[0])
 		return;
-	if (!may_renew(l)) {
-		look_at(io, now + LOOK_RETRY_MS);
-		return;
-	}
 	if (io->next_look > now) {
 		look_at(io, io->next_look);
 		return;
 	}
-	if (!sv->is_fenced || io->misses) {
+	if (!sv->is_fenced || io->misses || (busy && !may_renew(l))) {
+		/* without the right to renew it still learns what ended */
 		send_look(l, sv, 0);
 	} else if (busy && io->acknowledged < io->seen) {
 		/* the server would answer at once with the same ends: wait until they are stored */
@@ -556,28 +554,35 @@
 	talloc_free(c);
 	if (!l)
 		return;
-	if (r->status != STORE_OK) {
-		if (r->status == STORE_HISTORY_GONE)
-			sited_doubt(d, "the store forgot its history");
+	if (r->status == STORE_HISTORY_GONE) {
+		l->followed_version = -1;
+	} else if (r->status == STORE_OK) {
+		l->confirmed_at = sent_at;
+		l->followed_version = MAX(l->followed_version, r->version);
+		for (unsigned int i = 0; i < r->count && d->lead == l; i++)
+			sited_check_row(d, &r->rows[i]);
+	} else {
 		mtimer_add(l, d->ev, base_deadline_in(SITED_RETRY_MS), on_confirm_timer, l);
 		return;
 	}
-	l->confirmed_at = sent_at;
-	for (unsigned int i = 0; i < r->count && d->lead == l; i++)
-		sited_check_row(d, &r->rows[i]);
 	if (d->lead == l)
 		confirm_lead(l);
 }
 
+/* the row itself is read when the feed can't go on */
 static void confirm_lead(struct lead *l)
 {
+	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
 	struct confirm *c = talloc_zero(l->d, struct confirm);
 
 	c->d = l->d;
 	c->serial = l->serial;
 	c->sent_at = sited_now_ms();
-	store_feed(l->d->store, SITED_LEAD_TABLE, l->row_version, LIST_WAIT_MS,
-		   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_confirmed, c);
+	if (l->followed_version < 0)
+		store_read(l->d->store, &range, base_deadline_in(SITED_CALL_MS), on_confirmed, c);
+	else
+		store_feed(l->d->store, SITED_LEAD_TABLE, l->followed_version, LIST_WAIT_MS,
+			   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_confirmed, c);
 }
 
 void lead_servers_load(struct lead *l)
