--- a/lib/plan/plan_progress.c
+++ b/lib/plan/plan_progress.c
@@ -77,6 +77,9 @@
 
 	if (t->state != TASK_RUNNING || !t->started_at || step->is_endless)
 		return PROGRESS_GOOD;
+	/* members of a gang end together: one that is done waits for the others */
+	if (t->percent >= 100)
+		return PROGRESS_GOOD;
 	if (at->now - MAX(t->progress_at, t->started_at) > stall)
 		return PROGRESS_STALLED;
 	/* far from its rack or data it is slow by nature, and members of a gang pace each other */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -71,11 +71,14 @@
 static void note_task(const char *event, const struct work_task *t, const struct fleet_server *sv,
 		      const char *why)
 {
-	log_event(event, "{ss si si si sI ss ss ss sI}", "id", t->group->job->id, "occurrence",
-		  (int)t->group->occurrence, "step", (int)t->group->step_index, "task",
-		  (int)t->index, "attempt", (json_int_t)t->attempt, "state",
+	log_event(event, "{ss si si si sI ss ss ss sI sI sI sb}", "id", t->group->job->id,
+		  "occurrence", (int)t->group->occurrence, "step", (int)t->group->step_index,
+		  "task", (int)t->index, "attempt", (json_int_t)t->attempt, "state",
 		  work_task_state_name(t->state), "server", sv ? sv->id : "", "why", why, "percent",
-		  (json_int_t)t->percent);
+		  (json_int_t)t->percent, "ran_ms",
+		  (json_int_t)(t->started_at ? sited_now_ms() - t->started_at : 0), "cores",
+		  (json_int_t)(fleet_cores(&t->group->step->need) / 1000), "checkpoints",
+		  t->group->step->checkpoints);
 }
 
 /* ---- leaving a server ---- */
@@ -369,16 +372,11 @@
 		note_task("task_slow", t, t->server, "a new start elsewhere ends sooner");
 		break;
 	}
-	if (!t->group->step->is_gang) {
-		fleet_suspect(t->server, at.now);
+	fleet_suspect(t->server, at.now);
+	if (t->group->step->is_gang)
+		lead_group_stop(l, t->group, "a member of its gang does not get on");
+	else
 		lead_task_stop(l, t, "it does not get on");
-		return;
-	}
-	/* any of the members' servers may be the cause */
-	for (unsigned int i = 0; i < t->group->count; i++)
-		if (t->group->task[i].server)
-			fleet_note_failure(t->group->task[i].server, t->group->job->id, at.now);
-	lead_group_stop(l, t->group, "its gang does not get on");
 }
 
 void lead_task_listed(struct lead *l, struct fleet_server *sv, const struct order_run *run,
