--- a/src/sited.h
+++ b/src/sited.h
@@ -33,9 +33,8 @@
 #define SITED_LEAD_TABLE "lead"
 #define SITED_CLAIM_TABLE "claims"
 #define SITED_LEAD_KEY "scheduler"
-#define SITED_PARTS                                                                   \
-	8 /* a part takes one transaction after another, so jobs are spread over some \
-	   */
+/* a part takes one transaction after another, 0.5 s each when the store is 60 times slower */
+#define SITED_PARTS 32
 
 #define SITED_CALL_MS 1500     /* a store that is 60 times slower than usual still answers in it */
 #define SITED_LARGE_CORES 0.25 /* an entry VM with less leads only when no larger one will */
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -21,16 +21,23 @@
 #define SWEEP_MARGIN_MS 30000 /* a job's row stays so much longer than its state must be told */
 #define SWEEP_JOBS_MAX 20     /* removed at a time */
 
-static const char *const part_names[SITED_PARTS] = {"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"};
-
 static unsigned int part_index(const char *job_id)
 {
 	return (unsigned int)(base_hash(job_id, strlen(job_id), 0) % SITED_PARTS);
 }
 
+static const char *part_name(unsigned int part)
+{
+	static char names[SITED_PARTS][8];
+
+	if (!names[part][0])
+		g_snprintf(names[part], sizeof(names[part]), "p%u", part);
+	return names[part];
+}
+
 const char *sited_part(const char *job_id)
 {
-	return part_names[part_index(job_id)];
+	return part_name(part_index(job_id));
 }
 
 /* ---- what is in memory ---- */
@@ -271,7 +278,7 @@
 
 static void write_claim(struct load *load)
 {
-	struct store_tx *tx = store_tx_new(load, part_names[load->part]);
+	struct store_tx *tx = store_tx_new(load, part_name(load->part));
 
 	store_tx_expect(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, load->claim_version);
 	store_tx_put(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, str_from(load->claim));
@@ -281,7 +288,7 @@
 
 static void send_load(struct load *load)
 {
-	struct store_range range = {SITED_CLAIM_TABLE, part_names[load->part], SITED_LEAD_KEY, 1};
+	struct store_range range = {SITED_CLAIM_TABLE, part_name(load->part), SITED_LEAD_KEY, 1};
 
 	if (!current(load->d, load->serial)) {
 		talloc_free(load);
@@ -699,7 +706,7 @@
 			c->d = l->d;
 			c->serial = l->serial;
 			c->part = part;
-			c->tx = store_tx_new(c, part_names[part]);
+			c->tx = store_tx_new(c, part_name(part));
 			store_tx_expect(c->tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, l->claims[part]);
 			c->conditions++;
 			l->commits[part] = c;
