--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,405 @@
+/**
+ * DOC: test_plan - the decisions, each against the load that it answers
+ */
+#include <check.h>
+#include <string.h>
+
+#include "runner.h"
+#include "sample.h"
+
+static const struct plan_clock start = {10000, 1000000};
+
+static struct plan_rank rank_of(struct work_job *job, int64_t accepted_ms)
+{
+	job->accepted_ms = accepted_ms;
+	return plan_rank(sample_begin(job), &start);
+}
+
+static bool goes_first(struct plan_rank a, struct plan_rank b)
+{
+	return plan_rank_compare(&a, &b) < 0;
+}
+
+/* ---- order: a backlog that can't all be done in time ---- */
+
+START_TEST(urgent_work_goes_first)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct plan_rank urgent = rank_of(sample_job(ctx, 1, 0, 1, 1), start.wall);
+	struct plan_rank old = rank_of(sample_job(ctx, 2, 1, 1, 1), start.wall - 4000);
+
+	ck_assert(goes_first(urgent, old));
+	talloc_free(ctx);
+}
+END_TEST
+
+START_TEST(what_has_missed_its_time_does_not_make_others_miss_theirs)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	/* objective 9 s: in time, late, without use */
+	struct plan_rank in_time = rank_of(sample_job(ctx, 1, 1, 1, 1), start.wall - 1000);
+	struct plan_rank late = rank_of(sample_job(ctx, 2, 1, 1, 1), start.wall - 12000);
+	struct plan_rank useless = rank_of(sample_job(ctx, 3, 1, 1, 1), start.wall - 60000);
+
+	ck_assert(goes_first(in_time, late));
+	ck_assert(goes_first(late, useless));
+	talloc_free(ctx);
+}
+END_TEST
+
+START_TEST(the_least_time_left_goes_first)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct plan_rank pressed = rank_of(sample_job(ctx, 1, 2, 1, 1), start.wall - 4000);
+	struct plan_rank fresh = rank_of(sample_job(ctx, 2, 1, 1, 1), start.wall);
+
+	ck_assert(goes_first(pressed, fresh));
+	talloc_free(ctx);
+}
+END_TEST
+
+/* ---- placement: small and large tasks mixed, gangs that want one rack ---- */
+
+static unsigned int place(struct fleet *f, struct work_group *g, struct fleet_server **out)
+{
+	struct plan_scratch *s = plan_scratch_new(f);
+
+	plan_begin_round(s);
+	return plan_place(s, f, g, &start, out);
+}
+
+START_TEST(small_tasks_leave_whole_servers_free)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 4);
+	struct work_group *first = sample_begin(sample_job(f, 1, 2, 1, 1));
+	struct work_group *more = sample_begin(sample_job(f, 2, 2, 7, 1));
+	struct fleet_server *out[8];
+
+	sample_run(&first->task[0], sample_server(f, 2), 0);
+	ck_assert_uint_eq(place(f, more, out), 7);
+	for (int i = 0; i < 7; i++)
+		ck_assert_ptr_eq(out[i], sample_server(f, 2));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_is_placed_whole_or_not_at_all)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_job *job = sample_job(f, 1, 1, 3, 8);
+	struct fleet_server *out[3];
+
+	job->step[0].is_gang = true;
+	ck_assert_uint_eq(place(f, sample_begin(job), out), 0);
+	ck_assert_ptr_null(out[0]);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_takes_the_rack_that_it_fills_most_tightly)
+{
+	struct fleet *f = sample_fleet(NULL, 6, 2);
+	struct work_group *other = sample_begin(sample_job(f, 1, 1, 1, 4));
+	struct work_job *job = sample_job(f, 2, 1, 3, 4);
+	struct fleet_server *out[3];
+
+	sample_run(&other->task[0], sample_server(f, 3), 0);
+	job->step[0].is_gang = true;
+	job->step[0].same_rack = true;
+	ck_assert_uint_eq(place(f, sample_begin(job), out), 3);
+	for (int i = 0; i < 3; i++)
+		ck_assert_uint_eq(out[i]->rack, sample_server(f, 2)->rack);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_for_one_rack_waits_rather_than_run_slowly_over_two)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 2);
+	struct work_group *other = sample_begin(sample_job(f, 1, 1, 2, 8));
+	struct work_job *job = sample_job(f, 2, 1, 2, 8);
+	struct fleet_server *out[2];
+
+	sample_run(&other->task[0], sample_server(f, 0), 0);
+	sample_run(&other->task[1], sample_server(f, 2), 0);
+	job->step[0].is_gang = true;
+	job->step[0].same_rack = true;
+	ck_assert_uint_eq(place(f, sample_begin(job), out), 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(work_waits_a_while_for_a_server_near_its_data)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 1);
+	struct work_group *other = sample_begin(sample_job(f, 1, 1, 1, 8));
+	struct work_job *job = sample_job(f, 2, 1, 1, 1);
+	struct work_group *g;
+	struct fleet_server *out[1];
+
+	sample_run(&other->task[0], sample_server(f, 0), 0);
+	job->step[0].data_rack = talloc_strdup(job, "r0");
+	g = sample_begin(job);
+	g->ready_since = start.now - 100;
+	ck_assert_uint_eq(place(f, g, out), 0);
+	g->ready_since = start.now - 2 * SAMPLE_ESTIMATE_MS;
+	ck_assert_uint_eq(place(f, g, out), 1);
+	ck_assert_ptr_eq(out[0], sample_server(f, 1));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(no_more_of_a_step_on_one_server_than_it_allows)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_job *job = sample_job(f, 1, 1, 5, 1);
+	struct fleet_server *out[5];
+
+	job->step[0].per_server_max = 2;
+	ck_assert_uint_eq(place(f, sample_begin(job), out), 4);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(servers_that_take_no_work_get_none)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 4);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 1));
+	struct fleet_server *out[1];
+
+	sample_server(f, 0)->presence = FLEET_DRAINING;
+	sample_server(f, 1)->is_fenced = false;
+	sample_server(f, 2)->is_reachable = false;
+	sample_server(f, 3)->suspect_until = start.now + 1;
+	ck_assert_uint_eq(place(f, g, out), 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_need_without_room_is_not_tried_again_in_the_round)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *full = sample_begin(sample_job(f, 1, 1, 1, 6));
+	struct work_group *large = sample_begin(sample_job(f, 2, 1, 1, 4));
+	struct work_group *small = sample_begin(sample_job(f, 3, 1, 1, 2));
+	struct fleet_server *out[1];
+
+	sample_run(&full->task[0], sample_server(f, 0), 0);
+	plan_begin_round(s);
+	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
+	ck_assert_uint_eq(plan_place(s, f, small, &start, out), 1);
+	work_task_release(&full->task[0]);
+	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
+	plan_begin_round(s);
+	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 1);
+	talloc_free(f);
+}
+END_TEST
+
+/* ---- reclaim: a burst of urgent jobs meets a full pool ---- */
+
+static bool reclaim(struct fleet *f, struct work_group *g, struct fleet_server **out,
+		    GPtrArray *victims)
+{
+	return plan_reclaim(plan_scratch_new(f), f, g, &start, out, victims);
+}
+
+START_TEST(urgent_work_stops_what_loses_least)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_group *old = sample_begin(sample_job(f, 1, 1, 1, 8));
+	struct work_group *young = sample_begin(sample_job(f, 2, 1, 1, 8));
+	struct work_group *urgent = sample_begin(sample_job(f, 3, 0, 1, 4));
+	GPtrArray *victims = g_ptr_array_new();
+	struct fleet_server *out[1];
+
+	sample_run(&old->task[0], sample_server(f, 0), start.now - 5000);
+	sample_run(&young->task[0], sample_server(f, 1), start.now - 500);
+	ck_assert(reclaim(f, urgent, out, victims));
+	ck_assert_uint_eq(victims->len, 1);
+	ck_assert_ptr_eq(g_ptr_array_index(victims, 0), &young->task[0]);
+	ck_assert_ptr_eq(out[0], sample_server(f, 1));
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(work_with_checkpoints_is_stopped_before_other_work)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_job *saved = sample_job(f, 1, 1, 1, 8);
+	struct work_group *other = sample_begin(sample_job(f, 2, 1, 1, 8));
+	struct work_group *urgent = sample_begin(sample_job(f, 3, 0, 1, 4));
+	GPtrArray *victims = g_ptr_array_new();
+	struct fleet_server *out[1];
+	struct work_group *g;
+
+	saved->step[0].checkpoints = true;
+	g = sample_begin(saved);
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 9000);
+	sample_run(&other->task[0], sample_server(f, 1), start.now - 2000);
+	ck_assert(reclaim(f, urgent, out, victims));
+	ck_assert_ptr_eq(g_ptr_array_index(victims, 0), &g->task[0]);
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_member_of_a_gang_counts_and_stops_with_its_gang)
+{
+	struct fleet *f = sample_fleet(NULL, 3, 3);
+	struct work_job *gang = sample_job(f, 1, 1, 2, 8);
+	struct work_group *single = sample_begin(sample_job(f, 2, 1, 1, 8));
+	struct work_group *urgent = sample_begin(sample_job(f, 3, 0, 2, 8));
+	GPtrArray *victims = g_ptr_array_new();
+	struct fleet_server *out[2];
+	struct work_group *g;
+
+	gang->step[0].is_gang = true;
+	g = sample_begin(gang);
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 1000);
+	sample_run(&g->task[1], sample_server(f, 1), start.now - 1000);
+	sample_run(&single->task[0], sample_server(f, 2), start.now - 1500);
+	ck_assert(reclaim(f, urgent, out, victims));
+	/* the single task first; for the second place the whole gang */
+	ck_assert_uint_eq(victims->len, 3);
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(urgent_work_stops_no_urgent_work)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *other = sample_begin(sample_job(f, 1, 0, 1, 8));
+	struct work_group *urgent = sample_begin(sample_job(f, 2, 0, 1, 1));
+	GPtrArray *victims = g_ptr_array_new();
+	struct fleet_server *out[1];
+
+	sample_run(&other->task[0], sample_server(f, 0), start.now - 100);
+	ck_assert(!reclaim(f, urgent, out, victims));
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(room_of_what_already_stops_is_used_first)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_group *stopping = sample_begin(sample_job(f, 1, 1, 1, 8));
+	struct work_group *running = sample_begin(sample_job(f, 2, 1, 1, 8));
+	struct work_group *urgent = sample_begin(sample_job(f, 3, 0, 1, 8));
+	GPtrArray *victims = g_ptr_array_new();
+	struct fleet_server *out[1];
+
+	sample_run(&stopping->task[0], sample_server(f, 0), 0);
+	stopping->task[0].state = TASK_STOPPING;
+	sample_run(&running->task[0], sample_server(f, 1), start.now);
+	ck_assert(reclaim(f, urgent, out, victims));
+	ck_assert_uint_eq(victims->len, 0);
+	ck_assert_ptr_eq(out[0], sample_server(f, 0));
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+/* ---- progress: servers that let tasks stand still ---- */
+
+static void see(struct work_task *t, int64_t first_at, int first, int64_t at, int percent)
+{
+	t->first_at = first_at;
+	t->first_percent = first;
+	t->progress_at = at;
+	t->percent = percent;
+}
+
+START_TEST(a_task_that_stands_still_is_stalled)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 1));
+
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 6000);
+	see(&g->task[0], start.now - 5000, 20, start.now - 3000, 40);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_STALLED);
+	see(&g->task[0], start.now - 5000, 20, start.now - 300, 40);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_GOOD);
+	talloc_free(f);
+}
+END_TEST
+
+/* grown Kolkhi quiet-1: three quarters of the work thrown away */
+START_TEST(a_member_of_a_gang_that_waits_for_the_others_is_not_stalled)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_job *job = sample_job(f, 1, 1, 2, 1);
+	struct work_group *g;
+
+	job->step[0].is_gang = true;
+	g = sample_begin(job);
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 9000);
+	see(&g->task[0], start.now - 8000, 10, start.now - 4000, 100);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_GOOD);
+	talloc_free(f);
+}
+END_TEST
+
+/* Kolkhi scale-1, job 07fece9c: stopped again and again after each restore */
+START_TEST(progress_before_a_checkpoint_does_not_count_for_the_pace)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 1));
+
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 2500);
+	see(&g->task[0], start.now - 2000, 49, start.now, 95);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_GOOD);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_declaration_that_is_off_makes_no_server_slow)
+{
+	struct fleet *f = sample_fleet(NULL, 5, 5);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 5, 1));
+
+	/* three times slower than declared, like all the others of the step */
+	for (unsigned int i = 0; i < 5; i++) {
+		sample_run(&g->task[i], sample_server(f, i), start.now - 3000);
+		see(&g->task[i], start.now - 3000, 0, start.now, 25);
+	}
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_GOOD);
+	/* six times slower than the others */
+	see(&g->task[0], start.now - 3000, 0, start.now, 4);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_SLOW);
+	talloc_free(f);
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, urgent_work_goes_first);
+	tcase_add_test(t, what_has_missed_its_time_does_not_make_others_miss_theirs);
+	tcase_add_test(t, the_least_time_left_goes_first);
+	tcase_add_test(t, small_tasks_leave_whole_servers_free);
+	tcase_add_test(t, a_gang_is_placed_whole_or_not_at_all);
+	tcase_add_test(t, a_gang_takes_the_rack_that_it_fills_most_tightly);
+	tcase_add_test(t, a_gang_for_one_rack_waits_rather_than_run_slowly_over_two);
+	tcase_add_test(t, work_waits_a_while_for_a_server_near_its_data);
+	tcase_add_test(t, no_more_of_a_step_on_one_server_than_it_allows);
+	tcase_add_test(t, servers_that_take_no_work_get_none);
+	tcase_add_test(t, a_need_without_room_is_not_tried_again_in_the_round);
+	tcase_add_test(t, urgent_work_stops_what_loses_least);
+	tcase_add_test(t, work_with_checkpoints_is_stopped_before_other_work);
+	tcase_add_test(t, a_member_of_a_gang_counts_and_stops_with_its_gang);
+	tcase_add_test(t, urgent_work_stops_no_urgent_work);
+	tcase_add_test(t, room_of_what_already_stops_is_used_first);
+	tcase_add_test(t, a_task_that_stands_still_is_stalled);
+	tcase_add_test(t, a_member_of_a_gang_that_waits_for_the_others_is_not_stalled);
+	tcase_add_test(t, progress_before_a_checkpoint_does_not_count_for_the_pace);
+	tcase_add_test(t, a_declaration_that_is_off_makes_no_server_slow);
+}
+
+int main(void)
+{
+	return run_suite("plan", add_tests);
+}
--- /dev/null
+++ b/tests/test_work.c
@@ -0,0 +1,245 @@
+/**
+ * DOC: test_work - jobs, tasks, the room they hold, and the rows that keep them
+ */
+#include <check.h>
+#include <string.h>
+
+#include "runner.h"
+#include "sample.h"
+
+START_TEST(a_chain_of_steps_is_known_by_its_longest_path)
+{
+	struct work_job *job = work_job_new(NULL, str_from("00000000000000aa"), 3);
+
+	for (unsigned int i = 0; i < 3; i++) {
+		job->step[i].count = 1;
+		job->step[i].estimate_ms = 1000 * (i + 1);
+	}
+	job->step[2].after_count = 1;
+	job->step[2].after = talloc_zero_array(job, unsigned int, 1);
+	job->stretch = 3;
+	job->slo_ms = 50;
+	ck_assert_ptr_null(work_job_seal(job));
+	ck_assert_int_eq(job->step[0].tail_ms, 4000);
+	ck_assert_int_eq(job->step[1].tail_ms, 2000);
+	ck_assert_int_eq(work_objective_ms(job), 12050);
+	talloc_free(job);
+}
+END_TEST
+
+START_TEST(a_step_after_itself_or_a_later_one_is_refused)
+{
+	struct work_job *job = sample_job(NULL, 1, 1, 2, 1);
+
+	job->step[0].after_count = 1;
+	job->step[0].after = talloc_zero_array(job, unsigned int, 1);
+	ck_assert_ptr_nonnull(work_job_seal(job));
+	talloc_free(job);
+}
+END_TEST
+
+START_TEST(occurrences_begin_when_due)
+{
+	struct work_job *job = sample_job(NULL, 1, 1, 1, 1);
+
+	job->times = 3;
+	job->first_ms = 5000;
+	job->every_ms = 2000;
+	ck_assert_ptr_null(work_job_seal(job));
+	ck_assert(!work_job_begin_due(job, 4999));
+	ck_assert(work_job_begin_due(job, 7000));
+	ck_assert_uint_eq(job->occurrences, 2);
+	ck_assert_int_eq(work_job_next_due(job), 9000);
+	work_task_done(&work_job_group(job, 0, 0)->task[0]);
+	work_task_done(&work_job_group(job, 1, 0)->task[0]);
+	ck_assert(!work_job_is_done(job));
+	work_job_begin_due(job, 9000);
+	work_task_done(&work_job_group(job, 2, 0)->task[0]);
+	ck_assert(work_job_is_done(job));
+	talloc_free(job);
+}
+END_TEST
+
+START_TEST(room_is_held_until_the_task_has_left)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 3));
+
+	work_task_promise(&g->task[0], sv);
+	ck_assert_int_eq(fleet_room(sv).accelerators, 5);
+	ck_assert_int_eq(fleet_unused(sv).accelerators, 8);
+	work_task_assign(&g->task[0], sv);
+	ck_assert_int_eq(fleet_unused(sv).accelerators, 5);
+	g->task[0].state = TASK_STOPPING;
+	ck_assert_int_eq(fleet_room(sv).accelerators, 5);
+	work_task_release(&g->task[0]);
+	ck_assert_int_eq(fleet_room(sv).accelerators, 8);
+	talloc_free(f);
+}
+END_TEST
+
+/* Torenuurwerk trouble-1: starts went over capacity while a gang's last members were ending */
+START_TEST(members_of_a_gang_that_is_done_hold_their_room_until_listed)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_job *job = sample_job(f, 1, 0, 2, 4);
+	struct work_group *g;
+
+	job->step[0].is_gang = true;
+	g = sample_begin(job);
+	sample_run(&g->task[0], sample_server(f, 0), 10);
+	sample_run(&g->task[1], sample_server(f, 1), 10);
+	work_task_done(&g->task[0]);
+	work_task_ending(&g->task[1]);
+	ck_assert_uint_eq(g->done, 2);
+	ck_assert(work_job_is_done(job));
+	ck_assert_int_eq(fleet_room(sample_server(f, 0)).accelerators, 8);
+	ck_assert_int_eq(fleet_room(sample_server(f, 1)).accelerators, 4);
+	work_task_done(&g->task[1]);
+	ck_assert_uint_eq(g->done, 2);
+	ck_assert_int_eq(fleet_room(sample_server(f, 1)).accelerators, 8);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_fails_once_an_attempt)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_job *job = sample_job(f, 1, 1, 3, 1);
+	struct fleet_server *servers[3];
+	struct work_group *g;
+
+	job->step[0].is_gang = true;
+	g = sample_begin(job);
+	for (int i = 0; i < 3; i++)
+		servers[i] = sample_server(f, 0);
+	work_task_assign_gang(g, servers);
+	ck_assert(!work_task_failed(&g->task[0]));
+	ck_assert(!work_task_failed(&g->task[1]));
+	for (int i = 0; i < 3; i++)
+		work_task_release(&g->task[i]);
+	work_task_assign_gang(g, servers);
+	ck_assert_uint_eq(g->task[2].attempt, 2);
+	ck_assert(work_task_failed(&g->task[2]));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(members_of_a_gang_share_attempt_and_snapshot)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_job *job = sample_job(f, 1, 1, 2, 1);
+	struct fleet_server *servers[2] = {sample_server(f, 0), sample_server(f, 0)};
+	struct work_group *g;
+
+	job->step[0].is_gang = true;
+	g = sample_begin(job);
+	g->task[0].attempt = 4;
+	work_task_set_snapshot(&g->task[1], str_from("saved"));
+	work_task_assign_gang(g, servers);
+	ck_assert_uint_eq(g->task[0].attempt, 5);
+	ck_assert_uint_eq(g->task[1].attempt, 5);
+	ck_assert_str_eq(g->task[0].snapshot, "saved");
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_job_survives_its_row)
+{
+	struct work_job *job = sample_job(NULL, 7, 2, 5, 1);
+	struct work_job *read;
+	char *text;
+
+	job->step[0].is_gang = true;
+	job->step[0].label = talloc_strdup(job, "a");
+	job->times = 2;
+	job->every_ms = 100;
+	ck_assert_ptr_null(work_job_seal(job));
+	text = work_job_encode(job, job);
+	read = work_job_decode(job, str_from(job->id), str_from(text));
+	ck_assert_ptr_nonnull(read);
+	ck_assert_str_eq(text, work_job_encode(job, read));
+	ck_assert_ptr_null(work_job_decode(job, str_from(job->id), str_from("{\"steps\":[]}")));
+	talloc_free(job);
+}
+END_TEST
+
+START_TEST(a_later_leader_finds_tasks_unsettled)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 3, 2));
+	struct work_group *read = sample_begin(sample_job(f, 1, 1, 3, 2));
+	struct fleet *later = sample_fleet(f, 1, 1);
+	char *text;
+
+	work_task_done(&g->task[0]);
+	sample_run(&g->task[1], sample_server(f, 1), 5);
+	work_task_set_snapshot(&g->task[2], str_from("x"));
+	g->task[2].failures = 1;
+	text = work_group_encode(f, g);
+	ck_assert(work_group_merge(read, str_from(text), later, 99));
+	ck_assert_int_eq(read->task[0].state, TASK_DONE);
+	ck_assert_int_eq(read->task[1].state, TASK_UNSETTLED);
+	ck_assert_int_eq(read->task[1].settle_at, 99);
+	ck_assert_str_eq(read->task[1].server->id, "s1");
+	ck_assert_int_eq(read->task[1].server->presence, FLEET_UNLISTED);
+	ck_assert_str_eq(read->task[1].server->address, "10.0.0.1:1");
+	ck_assert_int_eq(read->task[2].state, TASK_WAITING);
+	ck_assert_uint_eq(read->task[2].failures, 1);
+	ck_assert(!work_group_merge(read, str_from("[]"), later, 99));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_newer_incarnation_knows_nothing_of_a_stored_assignment)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 2));
+	struct work_group *read = sample_begin(sample_job(f, 1, 1, 1, 2));
+	char *text;
+
+	sample_run(&g->task[0], sample_server(f, 0), 5);
+	text = work_group_encode(f, g);
+	fleet_add(f, "s0", 2000);
+	ck_assert(work_group_merge(read, str_from(text), f, 99));
+	ck_assert_int_eq(read->task[0].state, TASK_WAITING);
+	ck_assert_uint_eq(read->task[0].attempt, 1);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(keys_of_groups_are_split_or_refused)
+{
+	char id[WORK_ID_LEN + 1];
+	unsigned int occurrence;
+	unsigned int step;
+
+	ck_assert(work_key_split("00000000000000ab.3.1", id, &occurrence, &step));
+	ck_assert_str_eq(id, "00000000000000ab");
+	ck_assert_uint_eq(occurrence, 3);
+	ck_assert_uint_eq(step, 1);
+	ck_assert(!work_key_split("00000000000000ab", id, &occurrence, &step));
+	ck_assert(!work_key_split("zz00000000000000.0.0", id, &occurrence, &step));
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_chain_of_steps_is_known_by_its_longest_path);
+	tcase_add_test(t, a_step_after_itself_or_a_later_one_is_refused);
+	tcase_add_test(t, occurrences_begin_when_due);
+	tcase_add_test(t, room_is_held_until_the_task_has_left);
+	tcase_add_test(t, members_of_a_gang_that_is_done_hold_their_room_until_listed);
+	tcase_add_test(t, a_gang_fails_once_an_attempt);
+	tcase_add_test(t, members_of_a_gang_share_attempt_and_snapshot);
+	tcase_add_test(t, a_job_survives_its_row);
+	tcase_add_test(t, a_later_leader_finds_tasks_unsettled);
+	tcase_add_test(t, a_newer_incarnation_knows_nothing_of_a_stored_assignment);
+	tcase_add_test(t, keys_of_groups_are_split_or_refused);
+}
+
+int main(void)
+{
+	return run_suite("work", add_tests);
+}
