--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -129,6 +129,26 @@
 	return job->state;
 }
 
+char *lead_gauges(const struct lead *l, char *text)
+{
+	struct fleet_amount sum[4] = {{0}};
+	static const char *const names[] = {"capacity", "used", "promised", "unclaimed"};
+
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+
+		fleet_amount_add(&sum[0], &sv->capacity, 1);
+		fleet_amount_add(&sum[1], &sv->used, 1);
+		fleet_amount_add(&sum[2], &sv->promised, 1);
+		fleet_amount_add(&sum[3], &sv->unclaimed, 1);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		text = talloc_asprintf_append_buffer(
+			text, "currantlane_accelerators{state=\"%s\"} %" PRId64 "\n", names[i],
+			sum[i].accelerators);
+	return talloc_asprintf_append_buffer(text, "currantlane_jobs_active %u\n", l->active->len);
+}
+
 /* ---- placing ---- */
 
 struct ranked {
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -103,6 +103,8 @@
 struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
 /** lead_kick() - have a round soon */
 void lead_kick(struct lead *l);
+/** lead_gauges() - appends what is taken and free to @text, in the common text format */
+char *lead_gauges(const struct lead *l, char *text);
 /** lead_pending() - jobs not begun, by queue; name to int64_t, owned by the caller */
 GHashTable *lead_pending(const struct lead *l);
 /** lead_job_state() - what a caller may be told of a job, WORK_STATE_COUNT when not known */
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -70,7 +70,7 @@
 {
 	struct work_job *read;
 
-	if (row->version <= job->row.version)
+	if (row->version == job->row.version)
 		return;
 	read = work_job_decode(l, str_from(row->key), row->value);
 	if (!read)
@@ -93,10 +93,10 @@
 
 	if (row->removed)
 		return;
-	if (job)
-		take_job_row(l, job, row);
-	else
+	if (!job)
 		add_job(l, row);
+	else if (row->version > job->row.version)
+		take_job_row(l, job, row);
 }
 
 static int64_t settle_deadline(const struct lead *l)
@@ -541,16 +541,32 @@
 	sited_doubt(l->d, "a row was written by somebody else");
 }
 
+static bool claim_is_ours(const struct lead *l, const struct store_row *row)
+{
+	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+	bool ours = base_json_int(v, "term", 0) == l->term;
+
+	json_decref(v);
+	return ours;
+}
+
 /* false when this VM leads no more */
 static bool commit_conflicts(struct lead *l, struct commit *c, const struct store_result *r)
 {
 	const struct store_row *claim = find_row(r, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
 
 	sited_count(&l->d->metrics, COUNT_CONFLICTS);
-	if (claim && claim->version > l->claims[c->part]) {
+	if (claim && !claim_is_ours(l, claim)) {
 		sited_step_down(l->d, "a later leader has claimed the rows");
 		return false;
 	}
+	log_event("store_conflict", "{ss sI sI si si}", "part", part_name(c->part), "claim",
+		  (json_int_t)l->claims[c->part], "claim_found",
+		  (json_int_t)(claim ? claim->version : 0), "rows_written", (int)c->count,
+		  "rows_found", (int)r->count);
+	/* a transaction's answer may name a version newer than its own */
+	if (claim)
+		l->claims[c->part] = claim->version;
 	for (unsigned int i = 0; i < r->count; i++) {
 		struct work_job *job = NULL;
 
@@ -565,6 +581,8 @@
 
 		if (row && row->version > g->row.version)
 			take_foreign_group(l, g, row);
+		else if (row)
+			g->row.version = row->version;
 	}
 	return true;
 }
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -467,7 +467,8 @@
 	if (!t || t->group->done == t->group->count || work_job_is_over(t->group->job)) {
 		if (t && t->server == sv && t->attempt == e->attempt)
 			lead_task_released(l, t, order_end_name(e->how));
-		return NULL;
+		/* what made it done may not be stored yet: the end must be listed until then */
+		return t ? t->group : NULL;
 	}
 	is_newest = t->server == sv && t->attempt == e->attempt;
 	note_task(is_newest ? "task_ended" : "task_ended_late", t, sv, order_end_name(e->how));
--- a/tests/sample.h
+++ b/tests/sample.h
@@ -16,8 +16,7 @@
 	struct fleet *f = fleet_new(ctx);
 
 	for (unsigned int i = 0; i < count; i++) {
-		struct fleet_server *sv =
-			fleet_add(f, talloc_asprintf(f, "s%u", i), 1000);
+		struct fleet_server *sv = fleet_add(f, talloc_asprintf(f, "s%u", i), 1000);
 
 		sv->service = talloc_strdup(sv, "pool");
 		sv->address = talloc_asprintf(sv, "10.0.0.%u:1", i);
--- /dev/null
+++ b/tools/site_servers.py
@@ -0,0 +1,258 @@
+"""Stand-in of the backend servers: fences, leases, ends, gangs, and a ledger of all runs.
+
+What a task does stands in the job's text, a JSON object: "ms" (run time of a task),
+"gang" (number of members that only work together, 0 for none) and "fail" (attempts
+that fail). The ledger is what the checks of the soak go by.
+"""
+
+import asyncio
+import base64
+import json
+import time
+
+from site_http import Drop, Server
+
+BEAT_S = 0.5
+LEASE_MAX_MS = 6000
+STOP_S = 0.05
+GANG_WAIT_S = 3.0
+CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpu": 8}
+
+
+class Run:
+    """One attempt of one task on one server."""
+
+    def __init__(self, server, task, attempt, spec, sender_fence):
+        self.server, self.task, self.attempt, self.spec = server, task, attempt, spec
+        self.fence = sender_fence
+        self.began = time.monotonic()
+        self.worked = 0.0
+        self.ended = None
+        self.how = None
+        self.stopping_at = None
+
+    @property
+    def group(self):
+        return self.task.rsplit(".", 1)[0], self.attempt
+
+
+class BackendServer:
+    def __init__(self, pool, name, rack):
+        self.pool, self.name, self.rack = pool, name, rack
+        self.http = Server(self.handle)
+        self.silent = False     # answers nothing, works on
+        self.late = 0.0         # share of orders carried out seconds later, unanswered
+        self.lose = 0.0         # share of orders carried out and not answered
+        self.hang = False       # tasks make no progress
+        self.draining = False
+        self.listed = None
+        self.reborn()
+
+    def reborn(self):
+        """A new incarnation: nothing runs, nothing is known."""
+        for run in getattr(self, "runs", {}).values():
+            self.pool.close(run, "crashed")
+        self.born = int(time.time() * 1000)
+        self.runs = {}
+        self.barred = {}        # task -> highest attempt that may not start any more
+        self.ends = []
+        self.next_end = 1
+        self.fence = 0
+        self.lease = 0
+        self.event = asyncio.Event()
+
+    def clock(self):
+        return int(time.time() * 1000) - self.born + 1
+
+    def entry(self):
+        return {"service": "pool", "addr": "127.0.0.1:%d" % self.http.port, "zone": "z1", "version": "v1",
+                "slots": 8, "state": "draining" if self.draining else "ready", "cold-left-ms": 0,
+                "remaining-ms": 4000, "capacity": CAPACITY, "labels": ["a", self.rack], "born": self.born, "seq": 1}
+
+    async def announce(self):
+        entry = json.dumps(self.entry())
+        if entry != self.listed:
+            self.listed = entry
+            await self.pool.store.put("servers", self.name, base64.b64encode(entry.encode()).decode())
+
+    async def handle(self, method, path, _query, headers, document):
+        if self.silent:
+            await asyncio.sleep(30)
+            raise Drop
+        if headers.get("x-currantlane-target-instance", self.name) != self.name:
+            return 421, {}
+        if path == "/-/hold":
+            return await self.hold(document)
+        order = {"/-/run-start": self.start, "/-/run-stop": self.stop}.get(path)
+        if not order:
+            return 404, {}
+        if self.pool.rng.random() < self.late:
+            born = self.born
+            asyncio.get_running_loop().call_later(
+                self.pool.rng.uniform(1, 4), lambda: born == self.born and order(document))
+            await asyncio.sleep(2)
+            raise Drop
+        answer = order(document)
+        if self.pool.rng.random() < self.lose:
+            raise Drop
+        return answer
+
+    def reply(self, status, **more):
+        return status, dict(more, **{"clock-ms": self.clock(), "born": self.born})
+
+    def is_fenced_off(self, document):
+        if document["fence"] < self.fence:
+            return True
+        self.fence = document["fence"]
+        return False
+
+    def extend(self, until):
+        self.lease = max(self.lease, min(until, self.clock() + LEASE_MAX_MS))
+
+    def start(self, document):
+        task, attempt = document["task"], document["attempt"]
+        if self.is_fenced_off(document):
+            return self.reply(409, reason="fence")
+        if document["deadline-ms"] <= self.clock():
+            return self.reply(409, reason="late")
+        self.extend(document["deadline-ms"])
+        run = self.runs.get(task)
+        if run and run.attempt == attempt:
+            return self.reply(200)
+        if attempt <= self.barred.get(task, 0):
+            return self.reply(409, reason="old")
+        run = Run(self, task, attempt, json.loads(document["spec"]), document["fence"])
+        self.runs[task] = run
+        self.pool.began(run)
+        return self.reply(200)
+
+    def stop(self, document):
+        if self.is_fenced_off(document):
+            return self.reply(409, reason="fence")
+        task, attempt = document["task"], document["attempt"]
+        self.barred[task] = max(self.barred.get(task, 0), attempt)
+        run = self.runs.get(task)
+        if run and run.attempt <= attempt and not run.stopping_at:
+            run.stopping_at = time.monotonic() + STOP_S
+        return self.reply(200)
+
+    def end(self, run, how):
+        self.barred[run.task] = max(self.barred.get(run.task, 0), run.attempt)
+        if self.runs.get(run.task) is run:
+            del self.runs[run.task]
+        self.ends.append([self.next_end, run.task, run.attempt, how, ""])
+        self.next_end += 1
+        self.pool.close(run, how)
+        self.event.set()
+
+    async def hold(self, document):
+        if self.is_fenced_off(document):
+            return self.reply(409, reason="fence")
+        for end in self.ends:
+            if end[0] <= document["last-seen"]:
+                self.pool.noted(end[1], end[2], end[3])
+        self.ends = [e for e in self.ends if e[0] > document["last-seen"]]
+        if "deadline-ms" in document:
+            self.extend(document["deadline-ms"])
+        born = self.born
+        if not self.ends and document.get("wait-ms"):
+            self.event.clear()
+            try:
+                await asyncio.wait_for(self.event.wait(), document["wait-ms"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        if self.silent or born != self.born:
+            raise Drop
+        running = [[r.task, r.attempt, "", r.percent()] for r in self.runs.values()]
+        return self.reply(200, running=running, ended=self.ends[:500])
+
+    def step(self, passed):
+        if self.clock() > self.lease:
+            for run in list(self.runs.values()):
+                self.end(run, "lapsed")
+        for run in list(self.runs.values()):
+            if run.stopping_at and time.monotonic() >= run.stopping_at:
+                self.end(run, "stopped")
+            elif not self.hang:
+                self.pool.work(run, passed)
+
+
+def percent(run):
+    return min(100, int(100 * run.worked * 1000 / max(run.spec["ms"], 1)))
+
+
+Run.percent = percent
+
+
+class Pool:
+    """All backend servers, and the ledger of what ran on them."""
+
+    def __init__(self, rng, store, count, per_rack):
+        self.rng, self.store = rng, store
+        self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack)) for i in range(count)]
+        self.runs = []          # every Run ever begun
+        self.open = {}          # (group, attempt) -> runs under way
+        self.done_noted = {}    # task -> time at which its end as done was acknowledged
+        self.starts_over_capacity = []
+        self.needs = {}         # id of a job -> accelerators of a task
+
+    async def start(self):
+        for server in self.servers:
+            await server.http.start()
+            await server.announce()
+        asyncio.ensure_future(self.beat())
+        asyncio.ensure_future(self.tick())
+
+    def began(self, run):
+        self.runs.append(run)
+        self.open.setdefault(run.group, []).append(run)
+        used = sum(self.needs.get(r.task[:16], 1) for r in run.server.runs.values())
+        if used > CAPACITY["gpu"]:
+            self.starts_over_capacity.append((run.task, run.server.name, used))
+
+    def close(self, run, how):
+        run.ended, run.how = time.monotonic(), how
+        members = self.open.get(run.group, [])
+        if run in members:
+            members.remove(run)
+        if run.spec["gang"] and how != "done":
+            for other in list(members):
+                if not other.ended and not other.server.silent:
+                    other.server.end(other, "broken")
+
+    def noted(self, task, _attempt, how):
+        if how == "done":
+            self.done_noted.setdefault(task, time.monotonic())
+
+    def work(self, run, passed):
+        members = self.open.get(run.group, [])
+        if run.spec["gang"] and len(members) < run.spec["gang"]:
+            if time.monotonic() - run.began > GANG_WAIT_S:
+                run.server.end(run, "alone")
+            return
+        run.worked += passed
+        if run.worked * 1000 < run.spec["ms"]:
+            return
+        if run.attempt <= run.spec["fail"]:
+            run.server.end(run, "failed")
+        elif not run.spec["gang"]:
+            run.server.end(run, "done")
+        elif all(m.worked * 1000 >= m.spec["ms"] for m in members):
+            for member in list(members):
+                member.server.end(member, "done")
+
+    async def tick(self):
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            for server in self.servers:
+                server.step(now - last)
+            last = now
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(BEAT_S)
+            for server in self.servers:
+                if not server.silent:
+                    await server.announce()
--- /dev/null
+++ b/tools/site_store.py
@@ -0,0 +1,136 @@
+"""Stand-in of the platform's store: versioned rows, conditional transactions, feeds, faults."""
+
+import asyncio
+import random
+
+from site_http import Drop, Server
+
+PART_S = 0.002  # a transaction holds its part for so long
+
+
+class Store:
+    def __init__(self, rng):
+        self.rng = rng
+        self.rows = {}  # (table, part, key) -> (value, version)
+        self.log = []   # changed keys in order of their versions
+        self.version = 0
+        self.oldest = 0  # feeds can't go on from before
+        self.changed = asyncio.Condition()
+        self.locks = {}
+        self.mode = "up"  # up, busy, silent, reset
+        self.slow = 1
+        self.lose = 0.0   # share of writes that are done and not answered
+        self.late = 0.0   # share of writes that are done seconds later
+        self.calls = 0
+        self.doors = {}   # name of a VM -> Server, so that one VM can be turned away
+
+    async def add_door(self, name):
+        """An address of its own for each caller."""
+        door = Server(lambda *args: self.handle(name, *args))
+        door.mode = "up"
+        await door.start()
+        self.doors[name] = door
+        return door.port
+
+    async def put(self, table, key, value):
+        """What the operator and the servers write."""
+        await self.apply([(table, "", key, value)])
+
+    async def apply(self, entries):
+        self.version += 1
+        version = self.version
+        for table, part, key, value in entries:
+            if value is None:
+                self.rows.pop((table, part, key), None)
+            else:
+                self.rows[table, part, key] = (value, version)
+            self.log.append((version, table, part, key))
+        async with self.changed:
+            self.changed.notify_all()
+        return version
+
+    def row(self, table, part, key):
+        value, version = self.rows.get((table, part, key), (None, 0))
+        row = {"table": table, "part": part, "key": key, "ver": version}
+        if value is None:
+            row["removed"] = True
+        else:
+            row["value"] = value
+        return row
+
+    def forget_history(self):
+        self.oldest = self.version
+        self.log.clear()
+        for door in self.doors.values():
+            door.reset_connections()
+
+    async def handle(self, name, method, path, query, _headers, document):
+        self.calls += 1
+        for mode in (self.mode, self.doors[name].mode):
+            if mode == "busy":
+                return 503, {}
+            if mode == "reset":
+                raise Drop
+            if mode == "silent":
+                await asyncio.sleep(30)
+                raise Drop
+        await asyncio.sleep(0.001 * self.slow)
+        if path == "/-/rows-tx":
+            return await self.transaction(document)
+        if path == "/-/rows-get":
+            return self.read(query)
+        if path == "/-/rows-feed":
+            return await self.feed(query)
+        return 404, {}
+
+    async def transaction(self, document):
+        part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
+        if self.rng.random() < self.late:
+            asyncio.ensure_future(self.transact_later(document, part))
+            await asyncio.sleep(0.3)
+            raise Drop
+        answer = await self.transact(document, part)
+        if self.rng.random() < self.lose:
+            raise Drop
+        return answer
+
+    async def transact_later(self, document, part):
+        await asyncio.sleep(self.rng.uniform(1, 5))
+        await self.transact(document, part)
+
+    async def transact(self, document, part):
+        async with self.locks.setdefault(part, asyncio.Lock()):
+            await asyncio.sleep(PART_S * self.slow)
+            wanted = document["expect-rev"]
+            if any(self.rows.get((w["table"], w["part"], w["key"]), (None, 0))[1] != w["ver"] for w in wanted):
+                rows = [self.row(w["table"], w["part"], w["key"]) for w in wanted]
+                return 412, {"rows": [r for r in rows if r["ver"]], "ver": self.version}
+            version = await self.apply([(p["table"], p["part"], p["key"], p["value"]) for p in document["put"]]
+                             + [(r["table"], r["part"], r["key"], None) for r in document["remove"]])
+            return 200, {"ver": version}
+
+    def read(self, query):
+        limit = int(query.get("limit", 500))
+        keys = sorted(k for t, p, k in self.rows if t == query["table"] and p == query.get("part", "")
+                      and k >= query.get("from", ""))
+        rows = [self.row(query["table"], query.get("part", ""), k) for k in keys[:limit]]
+        return 200, {"rows": rows, "has-more": len(keys) > limit, "ver": self.version}
+
+    async def feed(self, query):
+        after = int(query["after"])
+        if after < self.oldest:
+            return 410, {"ver": self.version}
+        deadline = asyncio.get_running_loop().time() + int(query.get("wait-ms", 0)) / 1000
+        while True:
+            seen = {(p, k): v for v, t, p, k in self.log if t == query["table"] and v > after}
+            left = deadline - asyncio.get_running_loop().time()
+            if seen or left <= 0:
+                rows = [self.row(query["table"], p, k) for p, k in sorted(seen, key=seen.get)]
+                for row in rows:
+                    row["ver"] = row["ver"] or self.version
+                return 200, {"rows": rows, "ver": self.version}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,457 @@
+"""Randomized fault soak of the users' platform: real currantlane-sited processes, faults from outside.
+
+Signals stop, pause, kill and restart the processes; the stand-ins of the store and of the
+backend servers delay, refuse, reset, silence, lose and postpone. Clients go on all the
+while. What they and the servers see is checked; one line a promise says how often it was
+exercised, and 0 times is a failure. SCENARIOS are fixed sequences of faults that once broke
+a promise; seeds that did are in REGRESSIONS."""
+
+import argparse
+import asyncio
+import base64
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from site_http import call
+from site_servers import Pool
+from site_store import Store
+
+BUILD = os.environ.get("BUILD", "build")
+VMS = 5
+SERVERS = 12
+PER_RACK = 4
+ATTEMPTS = 3            # of the queue
+CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
+SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
+MIN_FAULTS = 3
+REGRESSIONS = {}        # seed -> what it showed
+
+
+class Job:
+    def __init__(self, rng, number):
+        self.id = "%016x" % (rng.getrandbits(32) << 32 | number)
+        gang = rng.random() < 0.4
+        self.steps = rng.choice([1, 1, 2])
+        self.count = rng.randint(2, 4) if gang else rng.randint(1, 6)
+        self.gpu = rng.choice([1, 1, 2, 4, 8]) if not gang else rng.choice([1, 2, 4])
+        self.spec = {"ms": rng.choice([300, 600, 1500, 3000]), "gang": self.count if gang else 0,
+                     "fail": rng.choice([0, 0, 0, 1, ATTEMPTS] if not gang else [0, 0, 1])}
+        self.route = rng.choice(["urgent", "batch"])
+        self.accepted = self.cancelled = self.refused_only = None
+        self.seen = {}
+
+    def document(self):
+        step = {"count": self.count, "cpu": 1000, "mem-mb": 100, "gpu": self.gpu, "estimate-ms": self.spec["ms"]}
+        if self.spec["gang"]:
+            step["gang"] = True
+        return {"spec": json.dumps(self.spec), "steps": [step] + [dict(step, after=[0])] * (self.steps - 1)}
+
+    def tasks(self):
+        return ["%s.0.%d.%d" % (self.id, s, i) for s in range(self.steps) for i in range(self.count)]
+
+
+def free_ports(count):
+    """Ports that nothing listens on; held together so that they differ."""
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+class Vm:
+    def __init__(self, site, index):
+        self.site, self.name = site, "edge-%d" % index
+        self.front, self.ready, self.peers = free_ports(3)
+        self.process = None
+        self.paused = False
+
+    async def prepare(self):
+        store = await self.site.store.add_door(self.name)
+        self.settings = os.path.join(self.site.dir, self.name + ".toml")
+        with open(self.settings, "w") as f:
+            f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
+                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[platform]\naddr = "127.0.0.1:%d"\n'
+                    % (self.name, int(self.name[-1]) % 3, self.peers, self.peers, self.front, self.ready, store))
+        self.start()
+
+    def start(self):
+        self.metrics = free_ports(1)[0]
+        log = open(os.path.join(self.site.dir, self.name + ".log"), "ab")
+        self.process = subprocess.Popen([BUILD + "/currantlane-sited", "--metrics-port", str(self.metrics)], stdout=log, stderr=log,
+                                        env={"CURRANTLANE_CONFIG": self.settings, "PATH": os.environ["PATH"]})
+        log.close()
+
+    def send(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Site:
+    def __init__(self, seed, directory):
+        self.rng = random.Random(seed)
+        self.dir = directory
+        self.store = Store(self.rng)
+        self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
+        self.vms = [Vm(self, i) for i in range(VMS)]
+        self.jobs = []
+        self.faults = []
+        self.stopping = False
+        self.lies = []          # complete, though not all tasks were done
+        self.said_complete = 0
+
+    async def config(self, version):
+        routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
+                   "priority": priority, "attempts": ATTEMPTS, "stretch-factor": 3.0, "slo-ms": 1000}
+                  for name, priority in (("urgent", 0), ("batch", 1))]
+        text = json.dumps({"version": version, "routes": routes, "services": [{"name": "pool"}], "limits": {},
+                           "tenants": [{"name": "w", "api-keys": ["k"], "guaranteed": {"gpu": 16}}]})
+        await self.store.put("op", "config", base64.b64encode(text.encode()).decode())
+
+    async def start(self):
+        await self.config(1)
+        await self.pool.start()
+        for vm in self.vms:
+            await vm.prepare()
+
+    def leader(self):
+        value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
+        name = json.loads(base64.b64decode(value))["vm"] if value else ""
+        return next((vm for vm in self.vms if vm.name == name), self.vms[0])
+
+    async def ask(self, method, job, path=None, timeout=3.0):
+        vm = self.rng.choice(self.vms)
+        headers = {"Host": "jobs.example", "Authorization": "Bearer k", "Content-Type": "application/json"}
+        return await call(vm.front, method, path or "/%s/%s" % (job.route, job.id), headers,
+                          job.document() if method == "POST" else None, timeout)
+
+    # ---- clients ----
+
+    async def submit(self, job):
+        answers = []
+        for _ in range(5):
+            answer = await self.ask("POST", job)
+            answers.append(answer[0] if answer else None)
+            if answer and answer[0] == 200:
+                job.accepted = time.monotonic()
+                return
+            await asyncio.sleep(0.5)
+        job.refused_only = all(a in (429, 503) for a in answers)
+
+    async def follow(self, job):
+        await self.submit(job)
+        if job.accepted and self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0, 2))
+            answer = await self.ask("DELETE", job)
+            if answer and answer[0] == 200:
+                job.cancelled = time.monotonic()
+        while job.accepted and not job.cancelled:
+            await asyncio.sleep(0.3)
+            answer = await self.ask("GET", job)
+            if answer and answer[0] == 200:
+                self.told(job, answer[2]["state"])
+            elif answer and answer[0] == 410:
+                job.seen["unknown"] = time.monotonic()
+            if job.seen.keys() & {"complete", "failed"}:
+                return
+
+    def told(self, job, state):
+        job.seen.setdefault(state, time.monotonic())
+        if state != "complete":
+            return
+        self.said_complete += 1
+        done = {r.task for r in self.pool.runs if r.how == "done"}
+        missing = [t for t in job.tasks() if t not in done]
+        if missing:
+            self.lies.append((job.id, missing))
+
+    async def clients(self, per_second):
+        following = []
+        while not self.stopping:
+            job = Job(self.rng, len(self.jobs))
+            self.jobs.append(job)
+            self.pool.needs[job.id] = job.gpu
+            following.append(asyncio.ensure_future(self.follow(job)))
+            await asyncio.sleep(self.rng.expovariate(per_second))
+        await asyncio.wait(following, timeout=SETTLE_S)
+        for task in following:
+            task.cancel()
+
+    # ---- faults ----
+
+    def victim(self):
+        return self.leader() if self.rng.random() < 0.5 else self.rng.choice(self.vms)
+
+    async def kill(self, vm=None):
+        vm = vm or self.victim()
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        vm.start()
+
+    async def terminate(self):
+        vm = self.victim()
+        vm.send(signal.SIGTERM)
+        for _ in range(70):
+            await asyncio.sleep(0.1)
+            if vm.process.poll() is not None:
+                break
+        else:
+            self.faults.append("not stopped in 7 s: " + vm.name)
+            vm.send(signal.SIGKILL)
+            vm.process.wait()
+        vm.start()
+
+    async def pause(self):
+        vm = self.victim()
+        vm.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.5, 4))
+        vm.send(signal.SIGCONT)
+
+    async def kill_all(self):
+        for vm in self.vms:
+            vm.send(signal.SIGKILL)
+            vm.process.wait()
+        await asyncio.sleep(1)
+        for vm in self.vms:
+            vm.start()
+
+    async def store_mode(self, mode=None, seconds=None):
+        self.store.mode = mode or self.rng.choice(["busy", "silent", "reset"])
+        await asyncio.sleep(seconds or self.rng.uniform(0.5, 5))
+        self.store.mode = "up"
+
+    async def store_slow(self):
+        self.store.slow = self.rng.choice([20, 60])
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        self.store.slow = 1
+
+    async def store_loses(self):
+        self.store.lose, self.store.late = 0.3, 0.1
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        self.store.lose = self.store.late = 0.0
+
+    async def history(self):
+        self.store.forget_history()
+
+    async def vm_cut(self, vm=None, seconds=None):
+        door = self.store.doors[(vm or self.victim()).name]
+        door.mode = self.rng.choice(["busy", "silent", "reset"])
+        await asyncio.sleep(seconds or self.rng.uniform(1, 5))
+        door.mode = "up"
+
+    async def server_silent(self):
+        server = self.rng.choice(self.pool.servers)
+        server.silent = True
+        server.http.reset_connections()
+        await asyncio.sleep(self.rng.uniform(0.5, 9))
+        server.silent = False
+
+    async def server_crash(self):
+        server = self.rng.choice(self.pool.servers)
+        server.http.reset_connections()
+        server.reborn()
+
+    async def server_orders(self):
+        for server in self.rng.sample(self.pool.servers, 4):
+            server.late, server.lose = 0.1, 0.2
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        for server in self.pool.servers:
+            server.late = server.lose = 0.0
+
+    async def server_hangs(self):
+        server = self.rng.choice(self.pool.servers)
+        server.hang = True
+        await asyncio.sleep(self.rng.uniform(3, 8))
+        server.hang = False
+
+    async def server_drains(self):
+        server = self.rng.choice(self.pool.servers)
+        server.draining = True
+        await asyncio.sleep(4)
+        await self.server_crash_of(server)
+
+    async def server_crash_of(self, server):
+        server.http.reset_connections()
+        server.reborn()
+        server.draining = False
+
+    async def silent_connections(self):
+        """Open connections end without a word; new ones work."""
+        for door in self.store.doors.values():
+            for writer in list(door.writers):
+                writer.transport.pause_reading()
+
+    async def chaos(self, seconds):
+        kinds = [self.kill, self.kill, self.terminate, self.pause, self.kill_all, self.store_mode, self.store_slow,
+                 self.store_loses, self.history, self.vm_cut, self.server_silent, self.server_crash,
+                 self.server_orders, self.server_hangs, self.server_drains, self.silent_connections]
+        running = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            kind = self.rng.choice(kinds)
+            self.faults.append(kind.__name__)
+            running.append(asyncio.ensure_future(kind()))
+            if self.rng.random() < 0.6:
+                await asyncio.sleep(self.rng.uniform(0.3, 3))
+        await asyncio.gather(*running)
+
+    # ---- checks ----
+
+    def check(self):
+        """Rows of (promise, times exercised, violations)."""
+        runs, jobs = self.pool.runs, {j.id: j for j in self.jobs}
+        accepted = [j for j in self.jobs if j.accepted]
+        by_task = {}
+        for run in runs:
+            by_task.setdefault(run.task, []).append(run)
+        again = [(t, a.attempt, b.attempt) for t, list_ in by_task.items() for a in list_ for b in list_
+                 if a is not b and a.began <= b.began and (a.ended is None or b.began < a.ended)]
+        after_done = [r.task for r in runs if r.began > self.pool.done_noted.get(r.task, float("inf"))]
+        failed = {}
+        for run in runs:
+            if run.how == "failed":
+                failed.setdefault(run.task, []).append(run.ended)
+        budget = [r.task for r in runs if len([e for e in failed.get(r.task, []) if e < r.began]) >= ATTEMPTS]
+        late = [r.task for r in runs if jobs[r.task[:16]].cancelled
+                and r.began > jobs[r.task[:16]].cancelled + CANCEL_S]
+        done_at = {r.task: r.ended for r in runs if r.how == "done"}
+        order = [r.task for r in runs if r.task.split(".")[2] == "1" and not all(
+            done_at.get("%s.0.0.%d" % (r.task[:16], i), float("inf")) <= r.began
+            for i in range(jobs[r.task[:16]].count))]
+        refused = [j for j in self.jobs if j.refused_only]
+        refused_ran = [j.id for j in refused if any(t in by_task for t in j.tasks())]
+        unfinished = [(j.id, list(j.seen)) for j in accepted if not j.cancelled
+                      and not j.seen.keys() & {"complete", "failed"}]
+        wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS
+                   and not any(len(v) >= ATTEMPTS for t, v in failed.items() if t.startswith(j.id))]
+        return [("one run of a task at a time", len(runs), again),
+                ("no start after an end as done was acknowledged", len(self.pool.done_noted), after_done),
+                ("no start beyond the attempts", len(failed), budget),
+                ("no start on a full server", len(runs), self.pool.starts_over_capacity),
+                ("no start before the steps it follows", sum(j.steps > 1 for j in accepted), order),
+                ("no start after a cancellation", sum(bool(j.cancelled) for j in self.jobs), late),
+                ("a refused job never runs", len(refused) or 1, refused_ran),
+                ("an accepted job ends", len(accepted), unfinished),
+                ("an accepted job is never unknown", len(accepted), [j.id for j in accepted if "unknown" in j.seen]),
+                ("complete means that all is done", self.said_complete, self.lies),
+                ("failed means that the attempts are used up", len(accepted), wrongly),
+                ("every process stops in its grace time", 1, [f for f in self.faults if f.startswith("not ")])]
+
+    def stop(self):
+        for vm in self.vms:
+            if vm.process and vm.process.poll() is None:
+                vm.process.send_signal(signal.SIGCONT)
+                vm.process.kill()
+                vm.process.wait()
+
+
+# ---- fixed sequences; each broke a promise once ----
+
+async def end_while_store_is_away(site):
+    """Ends of a gang that could not be stored were acknowledged; the next leader ran it again."""
+    for _ in range(3):
+        outage = asyncio.ensure_future(site.store_mode("busy", 5))
+        await asyncio.sleep(4.5)
+        await site.kill(site.leader())
+        await outage
+        await asyncio.sleep(2)
+
+
+async def history_is_lost(site):
+    """After a lost history the lead was not confirmed any more, and all looks ended 10 s later."""
+    site.store.forget_history()
+    await asyncio.sleep(16)
+
+
+async def old_transaction_comes_late(site):
+    """A leader that was cut off placed work by a transaction that the store performed after the next took over."""
+    site.store.late = 0.5
+    await site.vm_cut(site.leader(), 3)
+    site.store.late = 0.0
+    await site.kill(site.leader())
+
+
+async def leaders_die_in_turn(site):
+    """VMs that saw an old leader gone replaced the one that had just won, for ever."""
+    for _ in range(5):
+        await site.kill(site.leader())
+        await asyncio.sleep(1.5)
+
+
+async def server_answers_no_more(site):
+    """Looks without an answer put off the end of the leases, so its tasks never ran elsewhere."""
+    server = max(site.pool.servers, key=lambda s: len(s.runs))
+    server.silent = True
+    server.http.reset_connections()
+    await asyncio.sleep(12)
+
+
+SCENARIOS = [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+             server_answers_no_more]
+
+
+async def play(seed, seconds, scenario, directory, per_second):
+    site = Site(seed, directory)
+    try:
+        await site.start()
+        await asyncio.sleep(1.5)
+        clients = asyncio.ensure_future(site.clients(per_second))
+        if scenario:
+            await asyncio.sleep(2)
+            await scenario(site)
+        else:
+            await site.chaos(seconds)
+        site.stopping = True
+        await clients
+        return site, site.check()
+    finally:
+        site.stop()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="play so many seeds, one after the other")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--per-second", type=float, default=4, help="jobs submitted")
+    parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS] + ["all"])
+    parser.add_argument("--keep", help="folder for the logs of failed plays")
+    args = parser.parse_args()
+    if args.scenario:
+        plays = [(args.seed, s) for s in SCENARIOS if args.scenario in ("all", s.__name__)]
+    else:
+        plays = [(seed, None) for seed in range(args.seed, args.seed + args.seeds)]
+    failed = 0
+    for seed, scenario in plays:
+        directory = tempfile.mkdtemp(prefix="currantlane-soak-")
+        site, rows = asyncio.run(play(seed, args.seconds, scenario, directory, args.per_second))
+        name = scenario.__name__ if scenario else "%d faults" % len(site.faults)
+        bad = [r for r in rows if r[2] or not r[1]]
+        print("seed %d, %s: %d jobs, %d runs: %s" % (seed, name, len(site.jobs), len(site.pool.runs),
+                                                     "FAIL" if bad else "ok"), flush=True)
+        for promise, times, violations in rows:
+            if violations or not times or len(plays) == 1:
+                print("  %-50s exercised %5d, %s" % (promise, times, "VIOLATED %d: %s" % (
+                    len(violations), violations[:3]) if violations else "ok" if times else "TOO LITTLE"), flush=True)
+        if bad:
+            failed += 1
+            print("  faults: %s\n  logs: %s" % (" ".join(site.faults), directory if args.keep else "not kept"))
+        if bad and args.keep:
+            os.makedirs(args.keep, exist_ok=True)
+            os.rename(directory, os.path.join(args.keep, "%d-%s" % (seed, os.path.basename(directory))))
+        else:
+            subprocess.run(["rm", "-rf", directory], check=True)
+    print("%d plays, %d failed" % (len(plays), failed))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
