--- /dev/null
+++ b/tests/test_callers.c
@@ -0,0 +1,78 @@
+/**
+ * DOC: test_callers - submitted jobs, good and bad
+ */
+#include <check.h>
+#include <string.h>
+
+#include "platform/callers.h"
+#include "runner.h"
+
+static const struct queue queue = {.name = "q",
+				   .service = "s",
+				   .priority = 2,
+				   .attempts = 3,
+				   .stretch = 3,
+				   .slo_ms = 100};
+
+static struct work_job *decode(const char *body, const char **fault)
+{
+	return callers_decode_job(NULL, &queue, "w", str_from("00000000000000ab"), str_from(body),
+				  fault);
+}
+
+START_TEST(a_job_takes_what_its_queue_says)
+{
+	const char *fault;
+	struct work_job *job =
+		decode("{\"spec\":\"t\",\"times\":2,\"start-ms\":5,\"interval-ms\":7,\"steps\":["
+		       "{\"count\":4,\"cpu\":500,\"mem-mb\":256,\"estimate-ms\":900,"
+		       "\"affinity\":\"r1\",\"gang\":true,\"same-rack\":true},"
+		       "{\"count\":2,\"gpu\":8,\"after\":[0],\"checkpoints\":true,"
+		       "\"required-label\":\"a\",\"max-per-server\":1}]}",
+		       &fault);
+
+	ck_assert_ptr_nonnull(job);
+	ck_assert_int_eq(job->priority, 2);
+	ck_assert_int_eq(job->attempts, 3);
+	ck_assert_int_eq(job->every_ms, 7);
+	ck_assert_str_eq(job->step[0].data_rack, "r1");
+	ck_assert(job->step[0].is_gang && job->step[0].same_rack);
+	ck_assert_uint_eq(job->step[1].after_count, 1);
+	ck_assert_uint_eq(job->step[1].per_server_max, 1);
+	talloc_free(job);
+}
+END_TEST
+
+START_TEST(bad_bodies_are_refused_with_a_reason)
+{
+	static const char *const bad[] = {
+		"", "x", "[]", "{}", "{\"steps\":[]}", "{\"steps\":[3]}",
+		"{\"steps\":[{\"count\":0}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[\"x\"]}]}",
+		"{\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+		"{\"steps\":[{\"count\":99999999}]}",
+		"{\"times\":-1,\"steps\":[{\"count\":1}]}",
+		"{\"steps\":[{\"count\":1,\"long-running\":true}]}",
+		"{\"steps\":[{\"count\":1,\"fills\":true}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		const char *fault;
+
+		ck_assert_msg(!decode(bad[i], &fault), "body %zu was taken", i);
+		ck_assert_ptr_nonnull(fault);
+	}
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_job_takes_what_its_queue_says);
+	tcase_add_test(t, bad_bodies_are_refused_with_a_reason);
+}
+
+int main(void)
+{
+	return run_suite("callers", add_tests);
+}
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,100 @@
+/**
+ * DOC: test_fleet - incarnations, room, and judging servers by failures
+ */
+#include <check.h>
+
+#include "runner.h"
+#include "sample.h"
+
+START_TEST(a_new_incarnation_replaces_the_old_one)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *old = sample_server(f, 0);
+	struct fleet_server *born = fleet_add(f, "s0", 2000);
+
+	ck_assert_int_eq(old->presence, FLEET_REPLACED);
+	ck_assert_ptr_eq(fleet_find(f, "s0"), born);
+	ck_assert(!fleet_takes_work(old, 0));
+	talloc_free(f);
+}
+END_TEST
+
+/* Torenuurwerk trouble-1: runs of an earlier leader took no room, and starts went over capacity */
+START_TEST(runs_that_no_task_answers_for_take_room)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+
+	sv->unclaimed.accelerators = 6;
+	ck_assert_int_eq(fleet_room(sv).accelerators, 2);
+	ck_assert_int_eq(fleet_unused(sv).accelerators, 2);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(one_bad_job_condemns_no_server)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+
+	for (int i = 0; i < 10; i++)
+		ck_assert(!fleet_note_failure(sv, "poison", 100));
+	ck_assert(fleet_takes_work(sv, 100));
+	ck_assert(fleet_note_failure(sv, "another", 100));
+	ck_assert(!fleet_takes_work(sv, 100));
+	ck_assert(fleet_takes_work(sv, 100 + FLEET_SUSPECT_MS));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(suspicion_grows_and_ends_with_a_success)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+
+	fleet_suspect(sv, 0);
+	fleet_suspect(sv, 0);
+	ck_assert_int_eq(sv->suspect_until, 2 * FLEET_SUSPECT_MS);
+	fleet_note_success(sv);
+	fleet_suspect(sv, 0);
+	ck_assert_int_eq(sv->suspect_until, FLEET_SUSPECT_MS);
+	talloc_free(f);
+}
+END_TEST
+
+static bool may_free(struct fleet_server *sv)
+{
+	return sv->user == NULL;
+}
+
+START_TEST(only_servers_that_are_gone_and_empty_are_forgotten)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 4);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 1));
+
+	sample_server(f, 0)->presence = FLEET_UNLISTED;
+	sample_server(f, 1)->presence = FLEET_UNLISTED;
+	sample_run(&g->task[0], sample_server(f, 1), 0);
+	sample_server(f, 2)->presence = FLEET_UNLISTED;
+	sample_server(f, 2)->user = f;
+	fleet_prune(f, may_free);
+	ck_assert_uint_eq(f->all->len, 3);
+	ck_assert_ptr_null(fleet_find(f, "s0"));
+	ck_assert_ptr_nonnull(fleet_find(f, "s1"));
+	talloc_free(f);
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_new_incarnation_replaces_the_old_one);
+	tcase_add_test(t, runs_that_no_task_answers_for_take_room);
+	tcase_add_test(t, one_bad_job_condemns_no_server);
+	tcase_add_test(t, suspicion_grows_and_ends_with_a_success);
+	tcase_add_test(t, only_servers_that_are_gone_and_empty_are_forgotten);
+}
+
+int main(void)
+{
+	return run_suite("fleet", add_tests);
+}
--- /dev/null
+++ b/tests/test_operator.c
@@ -0,0 +1,76 @@
+/**
+ * DOC: test_operator - the operator's configuration, and look-ups in it
+ */
+#include <check.h>
+
+#include "platform/operator.h"
+#include "runner.h"
+
+static const char good[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"a\",\"host\":\"x.example\",\"prefix\":\"/p/\",\"service\":\"s\",\"priority\":0,"
+	"\"attempts\":3,\"stretch-factor\":1.5,\"slo-ms\":250},"
+	"{\"name\":\"b\",\"host\":\"x.example\",\"prefix\":\"/p/long/\",\"service\":\"s\","
+	"\"public\":true,\"advisor\":{\"decide-ms\":1}}],"
+	"\"limits\":{\"max-body-bytes\":1000},"
+	"\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":72}}]}";
+
+START_TEST(a_configuration_is_decoded)
+{
+	struct queues *q = operator_decode(NULL, str_from(good));
+
+	ck_assert_ptr_nonnull(q);
+	ck_assert_int_eq(q->version, 7);
+	ck_assert_int_eq(q->body_max, 1000);
+	ck_assert_int_eq(q->queue[0].slo_ms, 250);
+	ck_assert(q->queue[0].stretch > 1.4 && q->queue[0].stretch < 1.6);
+	ck_assert(q->queue[1].is_public && q->queue[1].needs_advice);
+	ck_assert_int_eq(q->workspace[0].guaranteed_accelerators, 72);
+	talloc_free(q);
+}
+END_TEST
+
+START_TEST(the_longest_prefix_of_the_host_decides)
+{
+	struct queues *q = operator_decode(NULL, str_from(good));
+
+	ck_assert_str_eq(queues_match(q, str_from("X.example"), str_from("/p/1"))->name, "a");
+	ck_assert_str_eq(queues_match(q, str_from("x.example"), str_from("/p/long/1"))->name, "b");
+	ck_assert_ptr_null(queues_match(q, str_from("y.example"), str_from("/p/1")));
+	ck_assert_ptr_null(queues_match(q, str_from("x.example"), str_from("/")));
+	talloc_free(q);
+}
+END_TEST
+
+START_TEST(a_key_belongs_to_one_workspace)
+{
+	struct queues *q = operator_decode(NULL, str_from(good));
+
+	ck_assert_str_eq(queues_workspace_of(q, str_from("k2"))->name, "t");
+	ck_assert_ptr_null(queues_workspace_of(q, str_from("k")));
+	ck_assert_ptr_null(queues_workspace_of(q, str_from("")));
+	talloc_free(q);
+}
+END_TEST
+
+START_TEST(what_can_not_be_read_is_no_configuration)
+{
+	ck_assert_ptr_null(operator_decode(NULL, str_from("")));
+	ck_assert_ptr_null(operator_decode(NULL, str_from("{\"version\":7}")));
+	ck_assert_ptr_null(operator_decode(NULL, str_from("{\"routes\":[]}")));
+	ck_assert_ptr_null(operator_decode(NULL, str_from("\xff\xfe")));
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_configuration_is_decoded);
+	tcase_add_test(t, the_longest_prefix_of_the_host_decides);
+	tcase_add_test(t, a_key_belongs_to_one_workspace);
+	tcase_add_test(t, what_can_not_be_read_is_no_configuration);
+}
+
+int main(void)
+{
+	return run_suite("operator", add_tests);
+}
--- /dev/null
+++ b/tests/test_orders.c
@@ -0,0 +1,199 @@
+/**
+ * DOC: test_orders - orders to backend servers and what their answers mean
+ */
+#include <check.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "httpd/httpd.h"
+#include "platform/orders.h"
+#include "runner.h"
+#include "sample.h"
+
+#define PORT 17932
+
+struct fixture {
+	struct tevent_context *ev;
+	struct httpd *server;
+	struct orders *orders;
+	struct fleet *fleet;
+	struct work_group *group;
+	unsigned int status;
+	const char *answer;
+	bool drop;
+	char *asked;
+	bool is_done;
+	enum order_status result;
+	int64_t clock_ms;
+	unsigned int runs;
+	unsigned int ended;
+	enum order_end how;
+};
+
+static void on_request(struct httpd_request *req)
+{
+	struct fixture *f = req->server_data;
+
+	talloc_free(f->asked);
+	f->asked = talloc_asprintf(f, "%s %s %.*s", req->path,
+				   httpd_header(req, "X-Currantlane-Target-Instance"),
+				   (int)req->body.len, req->body.ptr);
+	if (f->drop)
+		httpd_drop(req);
+	else
+		httpd_reply(req, f->status, str_from(f->answer));
+}
+
+static struct fixture *fixture_new(unsigned int status, const char *answer)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct httpd_options opt = {.ip = "127.0.0.1",
+				    .port = PORT,
+				    .body_max = 10000,
+				    .connections_max = 10,
+				    .idle_s = 10};
+
+	f->ev = tevent_context_init(f);
+	f->server = httpd_new(f, f->ev, &opt, on_request, f);
+	ck_assert_ptr_nonnull(f->server);
+	f->orders = orders_new(f, httpc_new(f, f->ev, 2));
+	f->fleet = sample_fleet(f, 1, 1);
+	sample_server(f->fleet, 0)->address = talloc_asprintf(f->fleet, "127.0.0.1:%d", PORT);
+	f->group = sample_begin(sample_job(f, 0xab, 1, 2, 1));
+	work_task_assign(&f->group->task[1], sample_server(f->fleet, 0));
+	f->status = status;
+	f->answer = answer;
+	return f;
+}
+
+static void on_done(const struct order_result *r, void *data)
+{
+	struct fixture *f = data;
+
+	f->is_done = true;
+	f->result = r->status;
+	f->clock_ms = r->clock_ms;
+	f->runs = r->run_count;
+	f->ended = r->ended_count;
+	f->how = r->ended_count ? r->ended[0].how : END_OTHER;
+}
+
+static struct order_target target(struct fixture *f)
+{
+	struct order_target to = {.server = sample_server(f->fleet, 0),
+				  .term = 7,
+				  .deadline = base_deadline_in(1000)};
+
+	f->is_done = false;
+	return to;
+}
+
+static void start(struct fixture *f)
+{
+	struct order_target to = target(f);
+
+	orders_start(f->orders, &to, &f->group->task[1], 486000, on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+}
+
+START_TEST(a_start_names_task_attempt_fence_and_server)
+{
+	struct fixture *f = fixture_new(200, "{\"clock-ms\":482113}");
+
+	start(f);
+	ck_assert_int_eq(f->result, ORDER_DONE);
+	ck_assert_int_eq(f->clock_ms, 482113);
+	ck_assert_ptr_nonnull(strstr(f->asked, "/-/run-start s0 "));
+	ck_assert_ptr_nonnull(strstr(f->asked, "\"task\":\"00000000000000ab.0.0.1\""));
+	ck_assert_ptr_nonnull(strstr(f->asked, "\"attempt\":1"));
+	ck_assert_ptr_nonnull(strstr(f->asked, "\"fence\":7"));
+	ck_assert_ptr_null(strstr(f->asked, "snapshot"));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(refusals_are_told_apart)
+{
+	static const struct {
+		unsigned int status;
+		const char *answer;
+		enum order_status result;
+	} cases[] = {
+		{409, "{\"reason\":\"fence\"}", ORDER_FENCED},
+		{409, "{\"reason\":\"old\"}", ORDER_STALE},
+		{409, "{\"reason\":\"late\"}", ORDER_EXPIRED},
+		{409, "{\"reason\":\"room\"}", ORDER_NO_ROOM},
+		{409, "{}", ORDER_REFUSED},
+		{421, "{}", ORDER_OTHER_SERVER},
+		{400, "{}", ORDER_INVALID},
+		{503, "{}", ORDER_REFUSED},
+		{429, "{}", ORDER_REFUSED},
+		{200, "x", ORDER_UNKNOWN},
+		{500, "{}", ORDER_UNKNOWN},
+	};
+	struct fixture *f = fixture_new(200, "{}");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		f->status = cases[i].status;
+		f->answer = cases[i].answer;
+		start(f);
+		ck_assert_int_eq(f->result, cases[i].result);
+	}
+	f->drop = true;
+	start(f);
+	ck_assert_int_eq(f->result, ORDER_UNKNOWN);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_look_lists_runs_and_ends)
+{
+	struct fixture *f = fixture_new(
+		200, "{\"clock-ms\":5,\"running\":[[\"00000000000000ab.0.0.1\",2,\"s\",41]],"
+		     "\"ended\":[[58,\"00000000000000ab.0.0.0\",1,\"lapsed\",\"\"]]}");
+	struct order_target to = target(f);
+	struct order_look look = {.acknowledged = 57, .lease_until = 9, .wait_ms = 100};
+
+	orders_look(f->orders, &to, &look, on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+	ck_assert_uint_eq(f->runs, 1);
+	ck_assert_uint_eq(f->ended, 1);
+	ck_assert_int_eq(f->how, END_LAPSED);
+	ck_assert_ptr_nonnull(strstr(f->asked, "\"last-seen\":57"));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(names_of_tasks_are_parsed_or_refused)
+{
+	char id[WORK_ID_LEN + 1];
+	unsigned int k;
+	unsigned int step;
+	unsigned int index;
+
+	ck_assert(orders_parse_name(str_from("00000000000000ab.3.1.17"), id, &k, &step, &index));
+	ck_assert_uint_eq(k, 3);
+	ck_assert_uint_eq(step, 1);
+	ck_assert_uint_eq(index, 17);
+	ck_assert(!orders_parse_name(str_from("00000000000000ab.3.1"), id, &k, &step, &index));
+	ck_assert(!orders_parse_name(str_from(""), id, &k, &step, &index));
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_start_names_task_attempt_fence_and_server);
+	tcase_add_test(t, refusals_are_told_apart);
+	tcase_add_test(t, a_look_lists_runs_and_ends);
+	tcase_add_test(t, names_of_tasks_are_parsed_or_refused);
+}
+
+int main(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return run_suite("orders", add_tests);
+}
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,86 @@
+/**
+ * DOC: test_site - the settings that the platform hands to a process
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "platform/site.h"
+#include "runner.h"
+
+static char path[] = "/tmp/currantlane-site-XXXXXX";
+
+static const char good[] = "node = \"edge-1\"\nzone = \"z1\"\nip = \"10.1.0.19\"\n"
+			   "port-range = [7000,7015]\nunknown = 3\n"
+			   "[listen]\nfront = \"10.1.0.19:8521\"\nready = \"10.1.0.19:8523\"\n"
+			   "[limits]\ncpu-share = 0.25\ncores = 2\n"
+			   "[bounds]\nhold-max-ms = 5000\ngrace-s = 2.5\nremote-slowdown = 2\n"
+			   "[platform]\naddr = \"10.200.1.7:8524\"\n";
+
+static struct site *load(const char *text, char **error)
+{
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	return site_load(NULL, path, error);
+}
+
+START_TEST(settings_are_read_and_what_is_left_out_has_a_default)
+{
+	char *error;
+	struct site *s = load(good, &error);
+
+	ck_assert_ptr_nonnull(s);
+	ck_assert_str_eq(s->vm, "edge-1");
+	ck_assert_str_eq(s->peers.ip, "10.1.0.19");
+	ck_assert_uint_eq(s->peers.port, 7000);
+	ck_assert_uint_eq(s->store.port, 8524);
+	ck_assert_int_eq(s->lease_max_ms, 5000);
+	ck_assert_int_eq(s->grace_ms, 2500);
+	ck_assert_int_eq(s->stop_ms, 400);
+	ck_assert(s->cores > 0.49 && s->cores < 0.51);
+	talloc_free(s);
+}
+END_TEST
+
+START_TEST(a_missing_address_is_named)
+{
+	char *error;
+	char *text = strdup(good);
+
+	memcpy(strstr(text, "front"), "frond", 5);
+	ck_assert_ptr_null(load(text, &error));
+	ck_assert_ptr_nonnull(strstr(error, "listen.front"));
+	talloc_free(error);
+	free(text);
+}
+END_TEST
+
+START_TEST(a_file_that_is_no_toml_is_refused_with_its_line)
+{
+	char *error;
+
+	ck_assert_ptr_null(load("node = \"a\"\nzone = = 3\n", &error));
+	ck_assert_ptr_nonnull(strstr(error, ":2:"));
+	talloc_free(error);
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, settings_are_read_and_what_is_left_out_has_a_default);
+	tcase_add_test(t, a_missing_address_is_named);
+	tcase_add_test(t, a_file_that_is_no_toml_is_refused_with_its_line);
+}
+
+int main(void)
+{
+	int fd = mkstemp(path);
+	int code;
+
+	if (fd < 0)
+		return EXIT_FAILURE;
+	close(fd);
+	code = run_suite("site", add_tests);
+	unlink(path);
+	return code;
+}
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,179 @@
+/**
+ * DOC: test_store - answers of the platform's store: refusals, conflicts, lost answers, lost history
+ */
+#include <check.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "httpd/httpd.h"
+#include "platform/store.h"
+#include "runner.h"
+
+#define PORT 17931
+
+/* a server that gives one answer, and what came of a call */
+struct fixture {
+	struct tevent_context *ev;
+	struct httpd *server;
+	struct store *store;
+	unsigned int status;
+	const char *answer;
+	bool drop;
+	char *asked;
+	bool is_done;
+	enum store_status result;
+	unsigned int count;
+	int64_t version;
+	char *value;
+};
+
+static void on_request(struct httpd_request *req)
+{
+	struct fixture *f = req->server_data;
+
+	talloc_free(f->asked);
+	f->asked = talloc_asprintf(f, "%s %s %.*s", req->method, req->path, (int)req->body.len,
+				   req->body.ptr);
+	if (f->drop)
+		httpd_drop(req);
+	else
+		httpd_reply(req, f->status, str_from(f->answer));
+}
+
+static struct fixture *fixture_new(unsigned int status, const char *answer)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct site_address address = {"127.0.0.1", PORT};
+	struct httpd_options opt = {.ip = "127.0.0.1",
+				    .port = PORT,
+				    .body_max = 10000,
+				    .connections_max = 10,
+				    .idle_s = 10};
+
+	f->ev = tevent_context_init(f);
+	f->server = httpd_new(f, f->ev, &opt, on_request, f);
+	ck_assert_ptr_nonnull(f->server);
+	f->store = store_new(f, httpc_new(f, f->ev, 0), &address);
+	f->status = status;
+	f->answer = answer;
+	return f;
+}
+
+static void on_done(const struct store_result *r, void *data)
+{
+	struct fixture *f = data;
+
+	f->is_done = true;
+	f->result = r->status;
+	f->count = r->count;
+	f->version = r->version;
+	if (r->count)
+		f->value = str_dup(f, r->rows[0].value);
+}
+
+static void commit(struct fixture *f)
+{
+	struct store_tx *tx = store_tx_new(f, "p1");
+
+	store_tx_expect(tx, "t", "k", 0);
+	store_tx_put(tx, "t", "k", str_from("node-1"));
+	f->is_done = false;
+	store_commit(f->store, tx, base_deadline_in(1000), on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+	talloc_free(tx);
+}
+
+START_TEST(a_transaction_says_what_it_expects_and_puts)
+{
+	struct fixture *f = fixture_new(200, "{\"ver\":412,\"now-ms\":1}");
+
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_int_eq(f->version, 412);
+	ck_assert_ptr_nonnull(strstr(f->asked, "POST /-/rows-tx"));
+	ck_assert_ptr_nonnull(strstr(f->asked, "\"ver\":0"));
+	ck_assert_ptr_nonnull(strstr(f->asked, "bm9kZS0x"));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_conflict_brings_the_rows_in_the_way)
+{
+	struct fixture *f = fixture_new(412, "{\"rows\":[{\"table\":\"t\",\"part\":\"p1\",\"key\":\"k\","
+					     "\"value\":\"bm9kZS0x\",\"ver\":9}],\"ver\":12}");
+
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_CONFLICT);
+	ck_assert_uint_eq(f->count, 1);
+	ck_assert_str_eq(f->value, "node-1");
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(only_a_definite_answer_says_that_nothing_was_done)
+{
+	struct fixture *f = fixture_new(503, "{}");
+
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_REFUSED);
+	ck_assert_int_gt(store_failing_ms(f->store), 0);
+	f->status = 429;
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_REFUSED);
+	f->drop = true;
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_UNKNOWN);
+	f->drop = false;
+	f->status = 200;
+	f->answer = "not json";
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_UNKNOWN);
+	f->answer = "{\"ver\":1}";
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_int_eq(store_failing_ms(f->store), 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_feed_whose_history_is_gone_says_so)
+{
+	struct fixture *f = fixture_new(410, "{}");
+
+	store_feed(f->store, "op", 5, 10, base_deadline_in(1000), on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+	ck_assert_int_eq(f->result, STORE_HISTORY_GONE);
+	ck_assert_int_eq(store_failing_ms(f->store), 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_store_that_is_not_there_has_done_nothing)
+{
+	struct fixture *f = fixture_new(200, "{}");
+
+	TALLOC_FREE(f->server);
+	commit(f);
+	ck_assert_int_eq(f->result, STORE_REFUSED);
+	talloc_free(f);
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_transaction_says_what_it_expects_and_puts);
+	tcase_add_test(t, a_conflict_brings_the_rows_in_the_way);
+	tcase_add_test(t, only_a_definite_answer_says_that_nothing_was_done);
+	tcase_add_test(t, a_feed_whose_history_is_gone_says_so);
+	tcase_add_test(t, a_store_that_is_not_there_has_done_nothing);
+}
+
+int main(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return run_suite("store", add_tests);
+}
