--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,11 @@
 	@$(MAKE) --no-print-directory all
 	BUILD=$(BUILD) python3 tools/faults.py --seed $(SEED) --seconds $(SECONDS)
 
+# fault soak of the users' platform; SEED and SECONDS as for faults
+soak: deps
+	@$(MAKE) --no-print-directory all
+	BUILD=$(BUILD) python3 tools/soak.py --seed $(SEED) --seconds $(SECONDS)
+
 bench-quick: deps
 	@$(MAKE) --no-print-directory all $(BENCHES)
 	BUILD=$(BUILD) python3 tools/bench.py --quick
@@ -123,5 +128,5 @@
 		"-Djson_object_foreach(o,k,v)=for(k=json_next(o,&v);k;)" \
 		$(filter %.c,$(SOURCES))
 
-.PHONY: all clean deps demo check faults bench bench-quick tsan asan format lint
+.PHONY: all clean deps demo check faults soak bench bench-quick tsan asan format lint
 .DEFAULT_GOAL := all
--- a/src/cli.h
+++ b/src/cli.h
@@ -62,6 +62,10 @@
 
 /* cli_status.c */
 int cli_status(struct cli *cli, const char *const *addresses, int count);
+
+/* cli_log.c */
+int cli_log(struct cli *cli, const char *id, const char *const *files, int count);
+
 int cli_trace(struct cli *cli, const char *id, const char *const *files, int count);
 
 #endif
--- a/tools/check.py
+++ b/tools/check.py
@@ -50,11 +50,17 @@
             if "." not in os.path.basename(p)]
     jobs += [("bench_policy --quick", [BUILD + "/bench/bench_policy", "--quick"], 120),
              ("bench_cost --quick", [BUILD + "/bench/bench_cost", "--quick"], 120),
+             ("bench_plan", [BUILD + "/bench/bench_plan"], 60),
              ("bad input", [sys.executable, "tools/bad_input.py"], 120),
              ("reclaim and urgent starts", [sys.executable, "tools/reclaim.py"], 120),
              ("gangs lapse without a scheduler", [sys.executable, "tools/lapse.py"], 120),
              ("scheduler cut off from its servers", [sys.executable, "tools/handover.py"], 120),
              ("planned stop under load", [sys.executable, "tools/planned_stop.py"], 120),
+             ("soak: scenarios and seeds that once failed",
+              [sys.executable, "tools/soak.py", "--scenario", "all", "--regressions", "--seconds", "12", "--jobs", "4"],
+              400),
+             ("soak: three seeds", [sys.executable, "tools/soak.py", "--seed", "7", "--seeds", "3", "--seconds", "12",
+                                    "--jobs", "3"], 240),
              ("faults --seed 1", [sys.executable, "tools/faults.py", "--seed", "1", "--seconds", "45"], 240),
              ("faults --seed 2", [sys.executable, "tools/faults.py", "--seed", "2", "--seconds", "45"], 240)]
     passed, failed, red = 0, 0, []
--- a/tools/site_http.py
+++ b/tools/site_http.py
@@ -1,6 +1,7 @@
 """Small HTTP/1.1 server and client on asyncio for the stand-ins of the users' platform."""
 
 import asyncio
+import contextlib
 import json
 from urllib.parse import parse_qsl, urlsplit
 
@@ -66,7 +67,8 @@
             pass
         finally:
             self.writers.discard(writer)
-            writer.transport.abort()
+            with contextlib.suppress(RuntimeError):  # the loop has ended
+                writer.transport.abort()
 
 
 async def call(port, method, path, headers, document, timeout):
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -50,16 +50,16 @@
 
     def reborn(self):
         """A new incarnation: nothing runs, nothing is known."""
-        for run in getattr(self, "runs", {}).values():
-            self.pool.close(run, "crashed")
+        crashed, self.runs = list(getattr(self, "runs", {}).values()), {}
         self.born = int(time.time() * 1000)
-        self.runs = {}
         self.barred = {}        # task -> highest attempt that may not start any more
         self.ends = []
         self.next_end = 1
         self.fence = 0
         self.lease = 0
         self.event = asyncio.Event()
+        for run in crashed:
+            self.pool.close(run, "crashed")
 
     def clock(self):
         return int(time.time() * 1000) - self.born + 1
@@ -217,7 +217,7 @@
             members.remove(run)
         if run.spec["gang"] and how != "done":
             for other in list(members):
-                if not other.ended and not other.server.silent:
+                if not other.ended and other.server.runs.get(other.task) is other and not other.server.silent:
                     other.server.end(other, "broken")
 
     def noted(self, task, _attempt, how):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,9 +9,11 @@
 import argparse
 import asyncio
 import base64
+import concurrent.futures
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -31,7 +33,7 @@
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
 MIN_FAULTS = 3
-REGRESSIONS = {}        # seed -> what it showed
+REGRESSIONS = {1: "a leader conflicted for ever, because an answer named a newer version than its transaction's"}
 
 
 class Job:
@@ -431,39 +433,54 @@
         site.stop()
 
 
+def play_and_report(seed, scenario, args, is_alone):
+    """Text of the report, and whether a promise was broken."""
+    directory = tempfile.mkdtemp(prefix="currantlane-soak-")
+    function = next((f for f in SCENARIOS if f.__name__ == scenario), None)
+    site, rows = asyncio.run(play(seed, args.seconds, function, directory, args.per_second))
+    bad = any(violations or not times for _, times, violations in rows)
+    lines = ["seed %d, %s: %d jobs, %d runs: %s" % (seed, scenario or "%d faults" % len(site.faults), len(site.jobs),
+                                                    len(site.pool.runs), "FAIL" if bad else "ok")]
+    for promise, times, violations in rows:
+        if violations or not times or is_alone:
+            lines.append("  %-50s exercised %5d, %s" % (promise, times, "VIOLATED %d: %s" % (
+                len(violations), violations[:3]) if violations else "ok" if times else "TOO LITTLE"))
+    if bad:
+        lines.append("  faults: %s" % " ".join(site.faults))
+    if bad and args.keep:
+        kept = os.path.join(args.keep, "%d-%s" % (seed, os.path.basename(directory)))
+        os.makedirs(args.keep, exist_ok=True)
+        shutil.move(directory, kept)
+        lines.append("  logs: %s" % kept)
+    shutil.rmtree(directory, ignore_errors=True)
+    return "\n".join(lines), bad
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seeds", type=int, default=1, help="play so many seeds, one after the other")
+    parser.add_argument("--seeds", type=int, default=1, help="play so many seeds from the first on")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--per-second", type=float, default=4, help="jobs submitted")
     parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS] + ["all"])
+    parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
+    parser.add_argument("--jobs", type=int, default=1, help="plays side by side")
     parser.add_argument("--keep", help="folder for the logs of failed plays")
     args = parser.parse_args()
+    plays = []
     if args.scenario:
-        plays = [(args.seed, s) for s in SCENARIOS if args.scenario in ("all", s.__name__)]
-    else:
+        plays += [(args.seed, s.__name__) for s in SCENARIOS if args.scenario in ("all", s.__name__)]
+    if args.regressions:
+        plays += [(seed, None) for seed in REGRESSIONS]
+    if not plays:
         plays = [(seed, None) for seed in range(args.seed, args.seed + args.seeds)]
     failed = 0
-    for seed, scenario in plays:
-        directory = tempfile.mkdtemp(prefix="currantlane-soak-")
-        site, rows = asyncio.run(play(seed, args.seconds, scenario, directory, args.per_second))
-        name = scenario.__name__ if scenario else "%d faults" % len(site.faults)
-        bad = [r for r in rows if r[2] or not r[1]]
-        print("seed %d, %s: %d jobs, %d runs: %s" % (seed, name, len(site.jobs), len(site.pool.runs),
-                                                     "FAIL" if bad else "ok"), flush=True)
-        for promise, times, violations in rows:
-            if violations or not times or len(plays) == 1:
-                print("  %-50s exercised %5d, %s" % (promise, times, "VIOLATED %d: %s" % (
-                    len(violations), violations[:3]) if violations else "ok" if times else "TOO LITTLE"), flush=True)
-        if bad:
-            failed += 1
-            print("  faults: %s\n  logs: %s" % (" ".join(site.faults), directory if args.keep else "not kept"))
-        if bad and args.keep:
-            os.makedirs(args.keep, exist_ok=True)
-            os.rename(directory, os.path.join(args.keep, "%d-%s" % (seed, os.path.basename(directory))))
-        else:
-            subprocess.run(["rm", "-rf", directory], check=True)
+    with concurrent.futures.ProcessPoolExecutor(args.jobs) as pool:
+        waiting = [pool.submit(play_and_report, seed, scenario, args, len(plays) == 1) for seed, scenario in plays]
+        for future in concurrent.futures.as_completed(waiting):
+            text, bad = future.result()
+            print(text, flush=True)
+            failed += bad
     print("%d plays, %d failed" % (len(plays), failed))
     sys.exit(1 if failed else 0)
 
