--- a/tools/soak.py
+++ b/tools/soak.py
@@ -36,6 +36,7 @@
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
     105: "a start that a restarted server had taken was forgotten and given to another",
+    124: "the same",
 }
 
 
@@ -88,11 +89,15 @@
         self.start()
 
     def start(self):
+        """Start it again, unless another fault has done so already."""
+        if self.process and self.process.poll() is None:
+            return
         self.metrics = free_ports(1)[0]
         log = open(os.path.join(self.site.dir, self.name + ".log"), "ab")
         self.process = subprocess.Popen([BUILD + "/currantlane-sited", "--metrics-port", str(self.metrics)], stdout=log, stderr=log,
                                         env={"CURRANTLANE_CONFIG": self.settings, "PATH": os.environ["PATH"]})
         log.close()
+        self.site.processes.append(self.process)
 
     def send(self, number):
         if self.process.poll() is None:
@@ -108,6 +113,7 @@
         self.vms = [Vm(self, i) for i in range(VMS)]
         self.jobs = []
         self.faults = []
+        self.processes = []     # all that were ever started
         self.stopping = False
         self.lies = []          # complete, though not all tasks were done
         self.said_complete = 0
@@ -357,11 +363,11 @@
                 ("every process stops in its grace time", 1, [f for f in self.faults if f.startswith("not ")])]
 
     def stop(self):
-        for vm in self.vms:
-            if vm.process and vm.process.poll() is None:
-                vm.process.send_signal(signal.SIGCONT)
-                vm.process.kill()
-                vm.process.wait()
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
 
 
 # ---- fixed sequences; each broke a promise once ----
