--- a/src/sited.h
+++ b/src/sited.h
@@ -9,8 +9,10 @@
  *   sited_config.c   the operator's configuration
  *   sited_elect.c    which VM leads
  *   sited_lead.c     the leader's rounds: due work, placement, reclaim
- *   sited_rows.c     what the leader loads and stores
- *   sited_servers.c  list of backend servers, looks and leases
+ *   sited_load.c     what a new leader claims and reads
+ *   sited_rows.c     what it stores
+ *   sited_list.c     list of backend servers
+ *   sited_servers.c  looks at them, and leases
  *   sited_tasks.c    orders, ends, and what follows from them
  */
 #ifndef SITED_H
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -61,6 +61,66 @@
 		lead_rows_sweep(l);
 }
 
+struct lead_feed *lead_feed_new(struct lead *l)
+{
+	struct lead_feed *feed = talloc_zero(l->d, struct lead_feed);
+
+	feed->d = l->d;
+	feed->serial = l->serial;
+	feed->sent_at = sited_now_ms();
+	return feed;
+}
+
+/* ---- the lead, as the store says: it bounds how long leases are renewed ---- */
+
+static void confirm_lead(struct lead *l);
+
+static void on_confirm_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	confirm_lead(data);
+}
+
+static void on_confirmed(const struct store_result *r, void *data)
+{
+	struct lead_feed *c = data;
+	struct sited *d = c->d;
+	struct lead *l = lead_current(d, c->serial);
+	int64_t sent_at = c->sent_at;
+
+	talloc_free(c);
+	if (!l)
+		return;
+	if (r->status == STORE_HISTORY_GONE) {
+		l->followed_version = -1;
+	} else if (r->status == STORE_OK) {
+		l->confirmed_at = sent_at;
+		l->followed_version = MAX(l->followed_version, r->version);
+		for (unsigned int i = 0; i < r->count && d->lead == l; i++)
+			sited_check_row(d, &r->rows[i]);
+	} else {
+		mtimer_add(l, d->ev, base_deadline_in(SITED_RETRY_MS), on_confirm_timer, l);
+		return;
+	}
+	if (d->lead == l)
+		confirm_lead(l);
+}
+
+/* the row itself is read when the feed can't go on */
+static void confirm_lead(struct lead *l)
+{
+	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+	struct lead_feed *c = lead_feed_new(l);
+
+	if (l->followed_version < 0)
+		store_read(l->d->store, &range, base_deadline_in(SITED_CALL_MS), on_confirmed, c);
+	else
+		store_feed(l->d->store, SITED_LEAD_TABLE, l->followed_version, LEAD_FEED_WAIT_MS,
+			   base_deadline_in(LEAD_FEED_WAIT_MS + LEAD_FEED_ANSWER_MS), on_confirmed,
+			   c);
+}
+
+/* ---- life of a lead ---- */
+
 struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version)
 {
 	struct lead *l = talloc_zero(d, struct lead);
@@ -82,7 +142,8 @@
 	sited_count(&d->metrics, COUNT_TERMS);
 	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
 		  (json_int_t)row_version);
-	lead_servers_load(l);
+	lead_list_load(l);
+	confirm_lead(l);
 	mtimer_add(l, d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
 	mtimer_add(l, d->ev, base_deadline_in(SWEEP_EVERY_MS), on_sweep, l);
 	return l;
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -94,11 +94,28 @@
 	struct mtimer *timer;
 };
 
-static inline int64_t lead_now(const struct lead *l G_GNUC_UNUSED)
+/** lead_current() - the lead whose term a call belongs to, or NULL when that is over */
+static inline struct lead *lead_current(const struct sited *d, uint64_t serial)
 {
-	return sited_now_ms();
+	return d->lead && d->lead->serial == serial ? d->lead : NULL;
 }
 
+/**
+ * struct lead_feed - a call that follows a table, recognised when its answer comes late
+ * @sent_at: monotonic ms
+ */
+struct lead_feed {
+	struct sited *d;
+	uint64_t serial;
+	int64_t sent_at;
+};
+
+#define LEAD_FEED_WAIT_MS 1000	/* a connection that went silent is noticed after this */
+#define LEAD_FEED_ANSWER_MS 600 /* on top of the wait */
+
+/** lead_feed_new() - to be freed by whoever gets the answer */
+struct lead_feed *lead_feed_new(struct lead *l);
+
 /** lead_new() - begin a term; the row has been written */
 struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
 /** lead_kick() - have a round soon */
@@ -112,19 +129,33 @@
 
 /* ---- sited_rows.c ---- */
 
-void lead_rows_load(struct lead *l);
 /** lead_rows_flush() - store what has changed, one transaction a part at a time */
 void lead_rows_flush(struct lead *l);
-void lead_job_activate(struct lead *l, struct work_job *job);
 /** lead_rows_sweep() - drop rows of jobs that ended long ago */
 void lead_rows_sweep(struct lead *l);
 /** lead_rows_are_stored() - nothing waits to be stored */
 bool lead_rows_are_stored(const struct lead *l);
 
+/** lead_job_row() - a newer row of a known job, found by somebody's transaction */
+void lead_job_row(struct lead *l, struct work_job *job, const struct store_row *row);
+/** lead_settle_deadline() - when a task of an earlier leader surely runs no more, ms */
+int64_t lead_settle_deadline(const struct lead *l);
+
+/* ---- sited_load.c ---- */
+
+/** lead_rows_load() - claim all parts, read their rows, then follow what callers write */
+void lead_rows_load(struct lead *l);
+const char *sited_part_name(unsigned int part);
+
+/* ---- sited_list.c ---- */
+
+/** lead_list_load() - read the list of backend servers, then follow it */
+void lead_list_load(struct lead *l);
+
 /* ---- sited_servers.c ---- */
 
-/** lead_servers_load() - read the list, then follow it */
-void lead_servers_load(struct lead *l);
+/** lead_server_replaced() - @sv is the incarnation after @old */
+void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv);
 struct server_io *lead_io(struct lead *l, struct fleet_server *sv);
 /** lead_server_look() - look at the server now if there is a reason */
 void lead_server_look(struct lead *l, struct fleet_server *sv);
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -1,5 +1,5 @@
 /*
- * Backend servers: the list, looks and leases.
+ * Backend servers: looks, leases, acknowledging ends.
  *
  * A look renews the leases of all that runs on a server and waits for the next
  * end. Only servers that run something, or whose ends are not acknowledged, are
@@ -12,9 +12,6 @@
 
 #include "mtimer/mtimer.h"
 
-#define LIST_WAIT_MS 1000
-#define LIST_ANSWER_MS 600  /* on top of the wait */
-#define LIST_LAPSE_MS 2500  /* after an outage, entries of live servers are back in 2 s */
 #define LOOK_ANSWER_MS 500  /* on top of the wait; the way there and back takes 3 ms at most */
 #define LOOK_RETRY_MS 250   /* to a server that does not answer */
 #define MISSES_MAX 2	    /* looks in a row without an answer, before it gets no new work */
@@ -42,11 +39,6 @@
 	int64_t acknowledged;
 };
 
-static struct lead *current(struct sited *d, uint64_t serial)
-{
-	return d->lead && d->lead->serial == serial ? d->lead : NULL;
-}
-
 struct server_io *lead_io(struct lead *l, struct fleet_server *sv)
 {
 	struct server_io *io = sv->user;
@@ -99,7 +91,7 @@
  * The id does not tell incarnations apart: a start that was under way may have
  * been taken by the new one. Its attempt is stopped there, which bars it.
  */
-static void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv)
+void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv)
 {
 	GPtrArray *tasks = g_ptr_array_copy(old->tasks, NULL, NULL);
 
@@ -285,7 +277,7 @@
 static void on_looked(const struct order_result *r, void *data)
 {
 	struct look *look = data;
-	struct lead *l = current(look->d, look->serial);
+	struct lead *l = lead_current(look->d, look->serial);
 	struct fleet_server *sv = look->sv;
 
 	if (!l)
@@ -392,236 +384,6 @@
 	}
 }
 
-/* ---- the list ---- */
-
-struct feed {
-	struct sited *d;
-	uint64_t serial;
-	GHashTable *found; /* ids read so far, when the whole list is read */
-	char *from;
-	int64_t version;
-};
-
-static void follow_list(struct lead *l);
-static void read_list(struct feed *feed);
-
-static int feed_destructor(struct feed *feed)
-{
-	if (feed->found)
-		g_hash_table_destroy(feed->found);
-	return 0;
-}
-
-static struct feed *feed_new(struct lead *l)
-{
-	struct feed *feed = talloc_zero(l->d, struct feed);
-
-	feed->d = l->d;
-	feed->serial = l->serial;
-	talloc_set_destructor(feed, feed_destructor);
-	return feed;
-}
-
-static void note_presence(struct lead *l, const struct fleet_server *sv, int64_t version)
-{
-	log_event("server_listed", "{ss ss sI ss sI si}", "server", sv->id, "presence",
-		  fleet_presence_name(sv->presence), "born", (json_int_t)sv->born, "rack",
-		  fleet_rack_name(l->fleet, sv->rack), "row_version", (json_int_t)version, "tasks",
-		  (int)sv->tasks->len);
-}
-
-static void take_entry(struct lead *l, const struct store_row *row)
-{
-	struct fleet_server *before = fleet_find(l->fleet, row->key);
-	enum fleet_presence was = before ? before->presence : FLEET_UNLISTED;
-	const char *fault = NULL;
-	struct fleet_server *sv;
-
-	if (row->removed) {
-		if (before && before->presence != FLEET_REPLACED) {
-			before->presence = FLEET_UNLISTED;
-			note_presence(l, before, row->version);
-		}
-		return;
-	}
-	sv = members_apply(l->fleet, row->key, row->value, sited_now_ms(), &fault);
-	if (!sv) {
-		log_event("server_entry_unusable", "{ss ss sI}", "server", row->key, "fault", fault,
-			  "row_version", (json_int_t)row->version);
-		return;
-	}
-	if (before && before != sv)
-		lead_server_replaced(l, before, sv);
-	if (sv != before || sv->presence != was)
-		note_presence(l, sv, row->version);
-	if (!sv->is_fenced)
-		lead_server_look(l, sv);
-	lead_kick(l);
-}
-
-static void on_list_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	follow_list(data);
-}
-
-static void on_read_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	read_list(data);
-}
-
-static void on_list_change(const struct store_result *r, void *data)
-{
-	struct feed *feed = data;
-	struct lead *l = current(feed->d, feed->serial);
-
-	talloc_free(feed);
-	if (!l)
-		return;
-	switch (r->status) {
-	case STORE_OK:
-		for (unsigned int i = 0; i < r->count; i++)
-			take_entry(l, &r->rows[i]);
-		l->list_version = MAX(l->list_version, r->version);
-		follow_list(l);
-		break;
-	case STORE_HISTORY_GONE:
-		log_event("feed_history_gone", "{ss sI}", "table", MEMBERS_TABLE, "after",
-			  (json_int_t)l->list_version);
-		read_list(feed_new(l));
-		break;
-	default:
-		mtimer_add(l, l->d->ev, base_deadline_in(SITED_RETRY_MS), on_list_timer, l);
-		break;
-	}
-}
-
-static void follow_list(struct lead *l)
-{
-	store_feed(l->d->store, MEMBERS_TABLE, l->list_version, LIST_WAIT_MS,
-		   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_list_change, feed_new(l));
-}
-
-/* the whole list was read: what it does not name has left it */
-static void unlist_missing(struct lead *l, const struct feed *feed)
-{
-	for (guint i = 0; i < l->fleet->all->len; i++) {
-		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
-
-		if (sv->presence == FLEET_REPLACED || sv->presence == FLEET_UNLISTED ||
-		    g_hash_table_contains(feed->found, sv->id))
-			continue;
-		sv->presence = FLEET_UNLISTED;
-		note_presence(l, sv, feed->version);
-	}
-}
-
-static void on_list_read(const struct store_result *r, void *data)
-{
-	struct feed *feed = data;
-	struct lead *l = current(feed->d, feed->serial);
-	bool is_first;
-
-	if (!l) {
-		talloc_free(feed);
-		return;
-	}
-	if (r->status != STORE_OK) {
-		mtimer_add(feed, feed->d->ev, base_deadline_in(SITED_RETRY_MS), on_read_timer,
-			   feed);
-		return;
-	}
-	if (!feed->version)
-		feed->version = r->version;
-	for (unsigned int i = 0; i < r->count; i++) {
-		g_hash_table_add(feed->found, g_strdup(r->rows[i].key));
-		take_entry(l, &r->rows[i]);
-	}
-	if (r->has_more && r->count) {
-		talloc_free(feed->from);
-		feed->from = talloc_strdup(feed, r->rows[r->count - 1].key);
-		read_list(feed);
-		return;
-	}
-	is_first = !l->is_loaded;
-	unlist_missing(l, feed);
-	l->list_version = feed->version;
-	talloc_free(feed);
-	follow_list(l);
-	if (is_first)
-		lead_rows_load(l);
-}
-
-static void read_list(struct feed *feed)
-{
-	struct store_range range = {MEMBERS_TABLE, "", feed->from, 0};
-
-	if (!feed->found)
-		feed->found = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	store_read(feed->d->store, &range, base_deadline_in(SITED_CALL_MS), on_list_read, feed);
-}
-
-/* ---- who leads, as the store says: it bounds how long leases are renewed ---- */
-
-struct confirm {
-	struct sited *d;
-	uint64_t serial;
-	int64_t sent_at;
-};
-
-static void confirm_lead(struct lead *l);
-
-static void on_confirm_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	confirm_lead(data);
-}
-
-static void on_confirmed(const struct store_result *r, void *data)
-{
-	struct confirm *c = data;
-	struct sited *d = c->d;
-	struct lead *l = current(d, c->serial);
-	int64_t sent_at = c->sent_at;
-
-	talloc_free(c);
-	if (!l)
-		return;
-	if (r->status == STORE_HISTORY_GONE) {
-		l->followed_version = -1;
-	} else if (r->status == STORE_OK) {
-		l->confirmed_at = sent_at;
-		l->followed_version = MAX(l->followed_version, r->version);
-		for (unsigned int i = 0; i < r->count && d->lead == l; i++)
-			sited_check_row(d, &r->rows[i]);
-	} else {
-		mtimer_add(l, d->ev, base_deadline_in(SITED_RETRY_MS), on_confirm_timer, l);
-		return;
-	}
-	if (d->lead == l)
-		confirm_lead(l);
-}
-
-/* the row itself is read when the feed can't go on */
-static void confirm_lead(struct lead *l)
-{
-	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
-	struct confirm *c = talloc_zero(l->d, struct confirm);
-
-	c->d = l->d;
-	c->serial = l->serial;
-	c->sent_at = sited_now_ms();
-	if (l->followed_version < 0)
-		store_read(l->d->store, &range, base_deadline_in(SITED_CALL_MS), on_confirmed, c);
-	else
-		store_feed(l->d->store, SITED_LEAD_TABLE, l->followed_version, LIST_WAIT_MS,
-			   base_deadline_in(LIST_WAIT_MS + LIST_ANSWER_MS), on_confirmed, c);
-}
-
-void lead_servers_load(struct lead *l)
-{
-	read_list(feed_new(l));
-	confirm_lead(l);
-}
-
 /* ---- what time alone brings ---- */
 
 static void lapse(struct lead *l, struct fleet_server *sv, int64_t now)
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -31,11 +31,6 @@
 	char *name;
 };
 
-static struct lead *current(struct sited *d, uint64_t serial)
-{
-	return d->lead && d->lead->serial == serial ? d->lead : NULL;
-}
-
 static void send_stop(struct order *o);
 static void send_start(struct order *o);
 
@@ -54,7 +49,7 @@
 
 static void order_free(struct order *o)
 {
-	struct lead *l = current(o->d, o->serial);
+	struct lead *l = lead_current(o->d, o->serial);
 
 	if (l)
 		lead_io(l, o->sv)->orders_in_flight--;
@@ -122,7 +117,7 @@
 
 static void send_start(struct order *o)
 {
-	struct lead *l = current(o->d, o->serial);
+	struct lead *l = lead_current(o->d, o->serial);
 	struct order_target to = {.server = o->sv,
 				  .term = l->term,
 				  .deadline = base_deadline_in(START_ANSWER_MS),
@@ -190,7 +185,7 @@
 static void on_started(const struct order_result *r, void *data)
 {
 	struct order *o = data;
-	struct lead *l = current(o->d, o->serial);
+	struct lead *l = lead_current(o->d, o->serial);
 
 	if (!l)
 		goto out;
@@ -227,7 +222,7 @@
 {
 	struct order *o = data;
 
-	if (current(o->d, o->serial) && (!o->task || is_current(o)))
+	if (lead_current(o->d, o->serial) && (!o->task || is_current(o)))
 		send_stop(o);
 	else
 		order_free(o);
@@ -236,7 +231,7 @@
 static void on_stopped(const struct order_result *r, void *data)
 {
 	struct order *o = data;
-	struct lead *l = current(o->d, o->serial);
+	struct lead *l = lead_current(o->d, o->serial);
 
 	if (!l)
 		goto out;
@@ -268,7 +263,7 @@
 
 static void send_stop(struct order *o)
 {
-	struct lead *l = current(o->d, o->serial);
+	struct lead *l = lead_current(o->d, o->serial);
 	struct order_target to = {.server = o->sv,
 				  .term = l->term,
 				  .deadline = base_deadline_in(STOP_ANSWER_MS),
