--- a/tools/soak.py
+++ b/tools/soak.py
@@ -51,6 +51,7 @@
                      "fail": rng.choice([0, 0, 0, 1, ATTEMPTS] if not gang else [0, 0, 1])}
         self.route = rng.choice(["urgent", "batch"])
         self.accepted = self.cancelled = self.refused_only = None
+        self.asked_to_cancel = False  # a cancellation without an answer may have been performed
         self.seen = {}
 
     def document(self):
@@ -160,6 +161,7 @@
         await self.submit(job)
         if job.accepted and self.rng.random() < 0.1:
             await asyncio.sleep(self.rng.uniform(0, 2))
+            job.asked_to_cancel = True
             answer = await self.ask("DELETE", job)
             if answer and answer[0] == 200:
                 job.cancelled = time.monotonic()
@@ -170,9 +172,13 @@
                 self.told(job, answer[2]["state"])
             elif answer and answer[0] == 410:
                 job.seen["unknown"] = time.monotonic()
-            if job.seen.keys() & {"complete", "failed"}:
+            if job.seen.keys() & self.ends_of(job):
                 return
 
+    @staticmethod
+    def ends_of(job):
+        return {"complete", "failed", "cancelled"} if job.asked_to_cancel else {"complete", "failed"}
+
     def told(self, job, state):
         job.seen.setdefault(state, time.monotonic())
         if state != "complete":
@@ -342,7 +348,7 @@
         refused = [j for j in self.jobs if j.refused_only]
         refused_ran = [j.id for j in refused if any(t in by_task for t in j.tasks())]
         unfinished = [(j.id, list(j.seen)) for j in accepted if not j.cancelled
-                      and not j.seen.keys() & {"complete", "failed"}]
+                      and not j.seen.keys() & self.ends_of(j)]
         wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS
                    and not any(len(v) >= ATTEMPTS for t, v in failed.items() if t.startswith(j.id))]
         value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
