--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -71,6 +71,11 @@
 		httpd_reply_header(req, "Connection", "close");
 }
 
+static unsigned int retry_after_s(const struct sited *d)
+{
+	return store_failing_ms(d->store) ? RETRY_AFTER_OUTAGE_S : RETRY_AFTER_S;
+}
+
 static void finish_error(struct front_call *c, unsigned int status, const char *reason)
 {
 	struct httpd_request *req = c->req;
@@ -79,7 +84,7 @@
 	sited_count(&c->d->metrics, status == 504 ? COUNT_UNANSWERED : COUNT_REFUSED);
 	if (req) {
 		close_if_stopping(c->d, req);
-		callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
+		callers_reply_error(req, status, reason, status == 503 ? retry_after_s(c->d) : 0);
 		c->req = NULL;
 	}
 	talloc_free(c);
@@ -367,7 +372,7 @@
 		  "status", (json_int_t)status, "reason", reason, "config",
 		  (json_int_t)(d->queues ? d->queues->version : 0));
 	close_if_stopping(d, req);
-	callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
+	callers_reply_error(req, status, reason, status == 503 ? retry_after_s(d) : 0);
 }
 
 static void reply_pending(struct sited *d, struct httpd_request *req, const struct queue *queue)
