--- a/src/sited.c
+++ b/src/sited.c
@@ -15,9 +15,8 @@
 
 #define EXIT_USAGE 2
 #define SETTINGS_VARIABLE "CURRANTLANE_CONFIG"
-#define FRONT_CONNECTIONS_MAX                                              \
-	2000 /* descriptors of the smallest entry VM, less those of others \
-	      */
+/* descriptors of the smallest entry VM, less those of others */
+#define FRONT_CONNECTIONS_MAX 2000
 #define READY_CONNECTIONS_MAX 32
 #define IDLE_S 30
 #define SMALL_BODY_MAX 4096
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -10,13 +10,13 @@
 
 #include "mtimer/mtimer.h"
 
-#define RETRY_AFTER_S 1	       /* an outage of the store or a missing leader is over in seconds */
+#define RETRY_AFTER_S 1	       /* a missing configuration or leader is there in a second */
+#define RETRY_AFTER_OUTAGE_S 2 /* outages last several seconds, callers retry a few times only */
 #define CONFIRM_RESERVE_MS 250 /* of the caller's time, kept to answer */
 #define SETTLE_PAUSE_MS 60     /* before a transaction without an answer is sent again */
 #define STATE_CALL_MS 300      /* the leader answers from memory */
-#define READY_FAILING_MAX_MS                                                \
-	1500 /* a VM whose store is away for longer sends callers elsewhere \
-	      */
+/* a VM whose store is away for longer sends callers elsewhere */
+#define READY_FAILING_MAX_MS 1500
 
 enum front_kind { FRONT_SUBMIT, FRONT_STATE, FRONT_CANCEL };
 
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -12,13 +12,13 @@
 
 #include "mtimer/mtimer.h"
 
-#define START_ANSWER_MS \
-	400 /* the way there and back takes 3 ms at most; the rest is for slow servers */
+/* the way there and back takes 3 ms at most; the rest is for slow servers */
+#define START_ANSWER_MS 400
 #define START_TRIES_MAX 3
 #define STOP_ANSWER_MS 400
 #define STOP_RETRY_MS 150
-#define ROOM_SUSPECT_MS \
-	500 /* a server that has less room than thought is asked again after so long */
+/* a server that has less room than thought is asked again after so long */
+#define ROOM_SUSPECT_MS 500
 
 /* an order, recognised when its answer comes late */
 struct order {
