--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -19,8 +19,8 @@
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
 #define CLOCK_SLOW_PERCENT 103 /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 60
-/* a stop takes 400 ms at most, and must be listed before it leaves */
-#define EVACUATE_RESERVE_MS 700
+/* a stop takes 400 ms at most, and the entry in the list is up to 1 s old */
+#define EVACUATE_RESERVE_MS 1400
 #define LEAVE_SLACK_MS 500 /* a server that leaves stays at least as long as it says */
 
 /* an end that was taken into account; to be acknowledged once the group is stored */
