--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -193,6 +193,7 @@
         self.runs = []          # every Run ever begun
         self.open = {}          # (group, attempt) -> runs under way
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
+        self.failed_noted = set()  # (task, attempt) whose end as failed was acknowledged
         self.starts_over_capacity = []
         self.needs = {}         # id of a job -> accelerators of a task
 
@@ -220,9 +221,11 @@
                 if not other.ended and other.server.runs.get(other.task) is other and not other.server.silent:
                     other.server.end(other, "broken")
 
-    def noted(self, task, _attempt, how):
+    def noted(self, task, attempt, how):
         if how == "done":
             self.done_noted.setdefault(task, time.monotonic())
+        elif how == "failed":
+            self.failed_noted.add((task, attempt))
 
     def work(self, run, passed):
         members = self.open.get(run.group, [])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -336,7 +336,7 @@
         after_done = [r.task for r in runs if r.began > self.pool.done_noted.get(r.task, float("inf"))]
         failed = {}
         for run in runs:
-            if run.how == "failed":
+            if run.how == "failed" and (run.task, run.attempt) in self.pool.failed_noted:
                 failed.setdefault(run.task, []).append(run.ended)
         budget = [r.task for r in runs if len([e for e in failed.get(r.task, []) if e < r.began]) >= ATTEMPTS]
         late = [r.task for r in runs if jobs[r.task[:16]].cancelled
@@ -350,7 +350,7 @@
         unfinished = [(j.id, list(j.seen)) for j in accepted if not j.cancelled
                       and not j.seen.keys() & self.ends_of(j)]
         wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS
-                   and not any(len(v) >= ATTEMPTS for t, v in failed.items() if t.startswith(j.id))]
+                   and all(sum(r.how == "failed" for r in by_task.get(t, [])) < ATTEMPTS for t in j.tasks())]
         value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
         terms = json.loads(base64.b64decode(value))["term"] if value else 0
         return [("one run of a task at a time", len(runs), again),
