--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -94,8 +94,11 @@
 
 struct fleet_server *fleet_reborn(struct fleet *f, const struct fleet_server *old, int64_t born)
 {
-	struct fleet_server *sv = fleet_add(f, old->id, born);
+	struct fleet_server *sv = fleet_find(f, old->id);
 
+	if (sv && sv->born >= born)
+		return sv;
+	sv = fleet_add(f, old->id, born);
 	sv->address = talloc_strdup(sv, old->address);
 	sv->service = talloc_strdup(sv, old->service);
 	sv->failure_domain = talloc_strdup(sv, old->failure_domain);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -121,7 +121,12 @@
 struct fleet *fleet_new(TALLOC_CTX *ctx);
 /** fleet_add() - a new incarnation; an older one of the same id becomes replaced */
 struct fleet_server *fleet_add(struct fleet *f, const char *id, int64_t born);
-/** fleet_reborn() - the same server, started again; unlisted until the list has it */
+/**
+ * fleet_reborn() - the incarnation of @old's id that started at @born or later
+ *
+ * It is added when it is not known, or has been forgotten; then it is unlisted
+ * until the list has it.
+ */
 struct fleet_server *fleet_reborn(struct fleet *f, const struct fleet_server *old, int64_t born);
 struct fleet_server *fleet_find(const struct fleet *f, const char *id);
 /** fleet_rack() - index of a rack; it is added when new */
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -217,6 +217,15 @@
 	return n;
 }
 
+bool work_group_lost_promise(const struct work_group *group)
+{
+	unsigned int promised = 0;
+
+	for (unsigned int i = 0; i < group->count; i++)
+		promised += group->task[i].state == TASK_PROMISED;
+	return group->step->is_gang && promised && promised < group->count;
+}
+
 bool work_group_is_ready(const struct work_group *group)
 {
 	const struct work_step *s = group->step;
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -234,6 +234,9 @@
 /** work_group_waiting() - number of tasks without a server */
 unsigned int work_group_waiting(const struct work_group *group);
 
+/** work_group_lost_promise() - a gang of which some members were promised room, but not all */
+bool work_group_lost_promise(const struct work_group *group);
+
 /* ---- changes of a task ---- */
 
 /** work_task_promise() - hold room at @sv, to be freed by others that stop */
--- a/src/sited.c
+++ b/src/sited.c
@@ -130,7 +130,8 @@
 		return false;
 	metrics.port = (uint16_t)metrics_port;
 	if (metrics_port && !httpd_new(d, d->ev, &metrics, on_metrics, d))
-		return false;
+		log_warn("no_metrics", "cannot listen on %s:%d; callers are served all the same",
+			 metrics.ip, metrics_port);
 	return onc_server_new(d, d->ev, &peers, sited_on_peer, d) != NULL;
 }
 
@@ -161,9 +162,8 @@
 	d->store = store_new(d, d->store_http, &d->site->store);
 	d->orders = orders_new(d, d->server_http);
 	if (!listen_all(d, metrics_port)) {
-		log_warn("not_listening", "cannot listen on %s:%u, %u, %u or %d",
-			 d->site->callers.ip, d->site->callers.port, d->site->readiness.port,
-			 d->site->peers.port, metrics_port);
+		log_warn("not_listening", "cannot listen on %s:%u, %u or %u", d->site->callers.ip,
+			 d->site->callers.port, d->site->readiness.port, d->site->peers.port);
 		code = 1;
 		goto out;
 	}
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -392,10 +392,11 @@
 	if (!has_promise)
 		return;
 	if (g->step->is_gang) {
-		if (all_promises_kept(g, at->now))
-			redeem_gang(l, g);
-		else if (is_overdue)
+		/* the server of a member may have gone meanwhile */
+		if (is_overdue || work_group_lost_promise(g))
 			drop_promises(g);
+		else if (all_promises_kept(g, at->now))
+			redeem_gang(l, g);
 		return;
 	}
 	for (unsigned int i = 0; i < g->count; i++) {
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -120,11 +120,7 @@
 	struct server_io *io = lead_io(l, sv);
 
 	if (r->born && r->born > sv->born) {
-		struct fleet_server *newest = fleet_find(l->fleet, sv->id);
-
-		if (newest->born != r->born)
-			newest = fleet_reborn(l->fleet, sv, r->born);
-		lead_server_replaced(l, sv, newest);
+		lead_server_replaced(l, sv, fleet_reborn(l->fleet, sv, r->born));
 		return;
 	}
 	if (r->clock_ms) {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -6,6 +6,11 @@
 #include "runner.h"
 #include "sample.h"
 
+static bool may_free(struct fleet_server *sv)
+{
+	return sv->user == NULL;
+}
+
 START_TEST(a_new_incarnation_replaces_the_old_one)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -19,6 +24,26 @@
 }
 END_TEST
 
+/* deploy/days/servers-cut.toml, seed 2 on Kolkhi: an answer of a forgotten incarnation ended the
+ * leader */
+START_TEST(an_incarnation_that_was_forgotten_is_known_again)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *old = sample_server(f, 0);
+	struct fleet_server *born = fleet_reborn(f, old, 2000);
+
+	ck_assert_int_eq(born->born, 2000);
+	ck_assert_str_eq(born->address, old->address);
+	ck_assert_ptr_eq(fleet_reborn(f, old, 2000), born);
+	ck_assert_ptr_eq(fleet_reborn(f, old, 1500), born);
+	old->user = f;
+	fleet_prune(f, may_free);
+	ck_assert_ptr_null(fleet_find(f, "s0"));
+	ck_assert_int_eq(fleet_reborn(f, old, 2000)->born, 2000);
+	talloc_free(f);
+}
+END_TEST
+
 /* Torenuurwerk trouble-1: runs of an earlier leader took no room, and starts went over capacity */
 START_TEST(runs_that_no_task_answers_for_take_room)
 {
@@ -62,11 +87,6 @@
 }
 END_TEST
 
-static bool may_free(struct fleet_server *sv)
-{
-	return sv->user == NULL;
-}
-
 START_TEST(only_servers_that_are_gone_and_empty_are_forgotten)
 {
 	struct fleet *f = sample_fleet(NULL, 4, 4);
@@ -88,6 +108,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_new_incarnation_replaces_the_old_one);
+	tcase_add_test(t, an_incarnation_that_was_forgotten_is_known_again);
 	tcase_add_test(t, runs_that_no_task_answers_for_take_room);
 	tcase_add_test(t, one_bad_job_condemns_no_server);
 	tcase_add_test(t, suspicion_grows_and_ends_with_a_success);
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -103,6 +103,25 @@
 }
 END_TEST
 
+/* deploy/days/servers-cut.toml, seed 2 on Kolkhi: the leader ended when it placed such a gang */
+START_TEST(a_gang_whose_member_lost_its_promise_is_not_placed_on_it)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct work_job *job = sample_job(f, 1, 0, 2, 4);
+	struct work_group *g;
+
+	job->step[0].is_gang = true;
+	g = sample_begin(job);
+	ck_assert(!work_group_lost_promise(g));
+	work_task_promise(&g->task[0], sample_server(f, 0));
+	work_task_promise(&g->task[1], sample_server(f, 1));
+	ck_assert(!work_group_lost_promise(g));
+	work_task_release(&g->task[1]);
+	ck_assert(work_group_lost_promise(g));
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_gang_fails_once_an_attempt)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -231,6 +250,7 @@
 	tcase_add_test(t, occurrences_begin_when_due);
 	tcase_add_test(t, room_is_held_until_the_task_has_left);
 	tcase_add_test(t, members_of_a_gang_that_is_done_hold_their_room_until_listed);
+	tcase_add_test(t, a_gang_whose_member_lost_its_promise_is_not_placed_on_it);
 	tcase_add_test(t, a_gang_fails_once_an_attempt);
 	tcase_add_test(t, members_of_a_gang_share_attempt_and_snapshot);
 	tcase_add_test(t, a_job_survives_its_row);
