--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -393,10 +393,12 @@
 		return;
 	if (g->step->is_gang) {
 		/* the server of a member may have gone meanwhile */
-		if (is_overdue || work_group_lost_promise(g))
+		if (work_group_lost_promise(g))
 			drop_promises(g);
 		else if (all_promises_kept(g, at->now))
 			redeem_gang(l, g);
+		else if (is_overdue)
+			drop_promises(g);
 		return;
 	}
 	for (unsigned int i = 0; i < g->count; i++) {
