--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 import concurrent.futures
+import ctypes
 import json
 import os
 import random
@@ -32,7 +33,7 @@
 ATTEMPTS = 3            # of the queue
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
-MIN_FAULTS = 3
+PR_SET_PDEATHSIG = 1    # of <sys/prctl.h>
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
     105: "a start that a restarted server had taken was forgotten and given to another",
@@ -73,6 +74,11 @@
     return ports
 
 
+def end_with_parent():
+    """The process ends when the soak does, however that ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Vm:
     def __init__(self, site, index):
         self.site, self.name = site, "edge-%d" % index
@@ -96,7 +102,8 @@
         self.metrics = free_ports(1)[0]
         log = open(os.path.join(self.site.dir, self.name + ".log"), "ab")
         self.process = subprocess.Popen([BUILD + "/currantlane-sited", "--metrics-port", str(self.metrics)], stdout=log, stderr=log,
-                                        env={"CURRANTLANE_CONFIG": self.settings, "PATH": os.environ["PATH"]})
+                                        env={"CURRANTLANE_CONFIG": self.settings, "PATH": os.environ["PATH"]},
+                                        preexec_fn=end_with_parent)
         log.close()
         self.site.processes.append(self.process)
 
