--- a/src/sited.h
+++ b/src/sited.h
@@ -5,6 +5,7 @@
  * them, elected through a row of the store, also places and runs them. One
  * thread; the parts are
  *
+ *   sited_table.c    reading and following tables of the store
  *   sited_front.c    callers' requests
  *   sited_config.c   the operator's configuration
  *   sited_elect.c    which VM leads
@@ -23,6 +24,7 @@
 #include "proto/proto.h"
 #include "queues/queues.h"
 #include "sited_metrics.h"
+#include "sited_table.h"
 #include "platform/callers.h"
 #include "platform/members.h"
 #include "platform/operator.h"
@@ -38,9 +40,7 @@
 /* a part takes one transaction after another, 0.5 s each when the store is 60 times slower */
 #define SITED_PARTS 32
 
-#define SITED_CALL_MS 1500     /* a store that is 60 times slower than usual still answers in it */
 #define SITED_LARGE_CORES 0.25 /* an entry VM with less leads only when no larger one will */
-#define SITED_RETRY_MS 150     /* pause before a call that the store turned away is made again */
 
 struct lead;
 
@@ -69,7 +69,6 @@
 /**
  * struct sited - the daemon
  * @queues: configuration in force, NULL before the first
- * @config_version: version of the store up to which the configuration is known
  * @lead: set while this VM leads
  * @lead_serial: counts terms of this process, so that late answers are recognised
  * @is_contending: a transaction for the lead is in flight
@@ -86,7 +85,6 @@
 	struct orders *orders;
 	struct httpd *front;
 	struct queues *queues;
-	int64_t config_version;
 	struct lead *lead;
 	uint64_t lead_serial;
 	struct sited_leader leader;
--- a/src/sited_config.c
+++ b/src/sited_config.c
@@ -2,27 +2,13 @@
 
 #include <string.h>
 
-#include "mtimer/mtimer.h"
-
 /*
- * A change must be in force 2 s after it was stored. A feed that waits answers
- * at once; its wait bounds how long a connection that went silent is believed.
+ * A change must be in force 2 s after it was stored, also when the connection
+ * went silent while a call waited.
  */
 #define CONFIG_WAIT_MS 1200
-#define CONFIG_ANSWER_MS 600 /* on top of the wait */
-
-static void read_config(struct sited *d);
-static void follow_config(struct sited *d);
-
-static void on_read_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	read_config(data);
-}
 
-static void on_follow_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	follow_config(data);
-}
+static void read_config(void *data);
 
 static void take_config(struct sited *d, const struct store_row *row)
 {
@@ -49,52 +35,31 @@
 	d->queues = q;
 }
 
-static void on_config(const struct store_result *r, void *data)
+static void on_rows(const struct table_page *page, void *data)
 {
-	struct sited *d = data;
-
-	if (r->status != STORE_OK) {
-		mtimer_add(d, d->ev, base_deadline_in(SITED_RETRY_MS), on_read_timer, d);
-		return;
-	}
-	for (unsigned int i = 0; i < r->count; i++)
-		take_config(d, &r->rows[i]);
-	d->config_version = r->version;
-	follow_config(d);
+	for (unsigned int i = 0; i < page->count; i++)
+		take_config(data, &page->rows[i]);
 }
 
-static void read_config(struct sited *d)
+static struct table_source config_source(struct sited *d)
 {
-	struct store_range range = {OPERATOR_TABLE, "", OPERATOR_CONFIG_KEY, 1};
+	struct table_source source = {d, d->ev, d->store, OPERATOR_TABLE, "", OPERATOR_CONFIG_KEY};
 
-	store_read(d->store, &range, base_deadline_in(SITED_CALL_MS), on_config, d);
+	return source;
 }
 
-static void on_change(const struct store_result *r, void *data)
+static void follow_config(int64_t version, void *data)
 {
-	struct sited *d = data;
+	struct table_source source = config_source(data);
 
-	switch (r->status) {
-	case STORE_OK:
-		for (unsigned int i = 0; i < r->count; i++)
-			take_config(d, &r->rows[i]);
-		d->config_version = MAX(d->config_version, r->version);
-		follow_config(d);
-		break;
-	case STORE_HISTORY_GONE:
-		log_event("config_history_gone", "{sI}", "after", (json_int_t)d->config_version);
-		read_config(d);
-		break;
-	default:
-		mtimer_add(d, d->ev, base_deadline_in(SITED_RETRY_MS), on_follow_timer, d);
-		break;
-	}
+	table_follow(&source, version, CONFIG_WAIT_MS, on_rows, read_config, data);
 }
 
-static void follow_config(struct sited *d)
+static void read_config(void *data)
 {
-	store_feed(d->store, OPERATOR_TABLE, d->config_version, CONFIG_WAIT_MS,
-		   base_deadline_in(CONFIG_WAIT_MS + CONFIG_ANSWER_MS), on_change, d);
+	struct table_source source = config_source(data);
+
+	table_read(&source, on_rows, follow_config, data);
 }
 
 void sited_config_start(struct sited *d)
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -61,62 +61,49 @@
 		lead_rows_sweep(l);
 }
 
-struct lead_feed *lead_feed_new(struct lead *l)
+/* ---- the lead, as the store says: it bounds how long leases are renewed ---- */
+
+static void read_lead(void *data);
+
+static void on_lead_rows(const struct table_page *page, void *data)
 {
-	struct lead_feed *feed = talloc_zero(l->d, struct lead_feed);
+	struct lead *l = data;
+	struct sited *d = l->d;
 
-	feed->d = l->d;
-	feed->serial = l->serial;
-	feed->sent_at = sited_now_ms();
-	return feed;
+	l->confirmed_at = page->sent_at / BASE_NS_PER_MS;
+	for (unsigned int i = 0; i < page->count && d->lead == l; i++)
+		sited_check_row(d, &page->rows[i]);
 }
 
-/* ---- the lead, as the store says: it bounds how long leases are renewed ---- */
+static struct table_source lead_source(struct lead *l)
+{
+	struct table_source source = {l,  l->d->ev,	 l->d->store, SITED_LEAD_TABLE,
+				      "", SITED_LEAD_KEY};
 
-static void confirm_lead(struct lead *l);
+	return source;
+}
 
-static void on_confirm_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+static void follow_lead(int64_t version, void *data)
 {
-	confirm_lead(data);
+	struct table_source source = lead_source(data);
+
+	table_follow(&source, version, LEAD_FEED_WAIT_MS, on_lead_rows, read_lead, data);
 }
 
-static void on_confirmed(const struct store_result *r, void *data)
+static void read_lead(void *data)
 {
-	struct lead_feed *c = data;
-	struct sited *d = c->d;
-	struct lead *l = lead_current(d, c->serial);
-	int64_t sent_at = c->sent_at;
+	struct table_source source = lead_source(data);
 
-	talloc_free(c);
-	if (!l)
-		return;
-	if (r->status == STORE_HISTORY_GONE) {
-		l->followed_version = -1;
-	} else if (r->status == STORE_OK) {
-		l->confirmed_at = sent_at;
-		l->followed_version = MAX(l->followed_version, r->version);
-		for (unsigned int i = 0; i < r->count && d->lead == l; i++)
-			sited_check_row(d, &r->rows[i]);
-	} else {
-		mtimer_add(l, d->ev, base_deadline_in(SITED_RETRY_MS), on_confirm_timer, l);
-		return;
-	}
-	if (d->lead == l)
-		confirm_lead(l);
+	table_read(&source, on_lead_rows, follow_lead, data);
 }
 
-/* the row itself is read when the feed can't go on */
-static void confirm_lead(struct lead *l)
+int64_t lead_term_of(const struct store_row *row)
 {
-	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
-	struct lead_feed *c = lead_feed_new(l);
-
-	if (l->followed_version < 0)
-		store_read(l->d->store, &range, base_deadline_in(SITED_CALL_MS), on_confirmed, c);
-	else
-		store_feed(l->d->store, SITED_LEAD_TABLE, l->followed_version, LEAD_FEED_WAIT_MS,
-			   base_deadline_in(LEAD_FEED_WAIT_MS + LEAD_FEED_ANSWER_MS), on_confirmed,
-			   c);
+	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+	int64_t term = base_json_int(v, "term", 0);
+
+	json_decref(v);
+	return term;
 }
 
 /* ---- life of a lead ---- */
@@ -131,9 +118,6 @@
 	l->started_at = base_now();
 	l->row_version = row_version;
 	l->confirmed_at = sited_now_ms();
-	l->jobs_version = row_version;
-	l->list_version = row_version;
-	l->followed_version = row_version;
 	l->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	l->active = g_ptr_array_new();
 	l->fleet = fleet_new(l);
@@ -143,7 +127,7 @@
 	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
 		  (json_int_t)row_version);
 	lead_list_load(l);
-	confirm_lead(l);
+	follow_lead(row_version, l);
 	mtimer_add(l, d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
 	mtimer_add(l, d->ev, base_deadline_in(SWEEP_EVERY_MS), on_sweep, l);
 	return l;
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -27,9 +27,8 @@
  * @claims: version of the row by which this leader holds each part, 0 before
  * @commits: transaction in flight of each part, or NULL
  * @commit_after: no transaction of the part before, ms
- * @jobs_version: the feed of jobs has been followed up to this version
- * @list_version: the same for the list of servers
- * @followed_version: the feed of the lead's row likewise; -1 when the row must be read
+ * @reread_version: oldest version at which a part's jobs were read again
+ * @list_version: version up to which the list of servers is known
  * @round: pending call of the next round, or NULL
  * @next_round: no round before, on base_now()'s clock
  * @is_handing_over: planned stop; nothing new is placed
@@ -50,9 +49,8 @@
 	int64_t claims[SITED_PARTS];
 	struct commit *commits[SITED_PARTS];
 	int64_t commit_after[SITED_PARTS];
-	int64_t jobs_version;
+	int64_t reread_version;
 	int64_t list_version;
-	int64_t followed_version;
 	struct mtimer *round;
 	int64_t next_round;
 	bool is_handing_over;
@@ -100,24 +98,12 @@
 	return d->lead && d->lead->serial == serial ? d->lead : NULL;
 }
 
-/**
- * struct lead_feed - a call that follows a table, recognised when its answer comes late
- * @sent_at: monotonic ms
- */
-struct lead_feed {
-	struct sited *d;
-	uint64_t serial;
-	int64_t sent_at;
-};
-
-#define LEAD_FEED_WAIT_MS 1000	/* a connection that went silent is noticed after this */
-#define LEAD_FEED_ANSWER_MS 600 /* on top of the wait */
-
-/** lead_feed_new() - to be freed by whoever gets the answer */
-struct lead_feed *lead_feed_new(struct lead *l);
+#define LEAD_FEED_WAIT_MS 1000 /* a connection that went silent is noticed after this */
 
 /** lead_new() - begin a term; the row has been written */
 struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
+/** lead_term_of() - term in the row of a leader or of a claim, 0 when it can't be read */
+int64_t lead_term_of(const struct store_row *row);
 /** lead_kick() - have a round soon */
 void lead_kick(struct lead *l);
 /** lead_gauges() - appends what is taken and free to @text, in the common text format */
@@ -133,8 +119,6 @@
 void lead_rows_flush(struct lead *l);
 /** lead_rows_sweep() - drop rows of jobs that ended long ago */
 void lead_rows_sweep(struct lead *l);
-/** lead_rows_are_stored() - nothing waits to be stored */
-bool lead_rows_are_stored(const struct lead *l);
 
 /** lead_job_row() - a newer row of a known job, found by somebody's transaction */
 void lead_job_row(struct lead *l, struct work_job *job, const struct store_row *row);
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#include "mtimer/mtimer.h"
-
 const char *sited_part_name(unsigned int part)
 {
 	static char names[SITED_PARTS][8];
@@ -108,26 +106,14 @@
  * leader expects. What an earlier leader sent and the store performs late then
  * conflicts, so rows read after the claim stay as they were read.
  */
-enum load_stage { LOAD_READ_CLAIM, LOAD_WRITE_CLAIM, LOAD_JOBS, LOAD_GROUPS };
-
-/* a part being claimed and read, page by page */
 struct load {
-	struct sited *d;
-	uint64_t serial;
-	enum load_stage stage;
+	struct lead *lead;
 	unsigned int part;
-	char *from;
-	char *claim; /* value of the row that claims the part */
-	int64_t claim_version;
+	char *claim;	       /* value of the row that claims the part */
+	int64_t claim_version; /* of the row that it replaces, 0 when there is none */
 };
 
-static void follow_jobs(struct lead *l);
-static void send_load(struct load *load);
-
-static void on_load_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	send_load(data);
-}
+static void follow_jobs(struct lead *l, int64_t after);
 
 static void loads_are_done(struct lead *l)
 {
@@ -136,7 +122,7 @@
 	l->is_loaded = true;
 	if (!is_first) {
 		/* all was read again; the feed goes on from the oldest of these reads */
-		follow_jobs(l);
+		follow_jobs(l, l->reread_version);
 		lead_kick(l);
 		return;
 	}
@@ -152,192 +138,180 @@
 	lead_kick(l);
 }
 
-/* false when a later leader has claimed the part */
-static bool take_claim(struct lead *l, struct load *load, const struct store_result *r)
+static struct table_source part_source(struct load *load, const char *table, const char *key)
 {
-	const struct store_row *row = r->count ? &r->rows[0] : NULL;
-	json_t *v;
-	int64_t term;
+	struct lead *l = load->lead;
+	struct table_source source = {
+		load, l->d->ev, l->d->store, table, sited_part_name(load->part), key};
 
-	if (!row || strcmp(row->key, SITED_LEAD_KEY)) {
-		load->claim_version = 0;
-		return true;
-	}
-	v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
-	term = base_json_int(v, "term", 0);
-	json_decref(v);
-	if (term > l->term)
-		return false;
-	load->claim_version = row->version;
-	/* an earlier sending of this claim that got no answer was performed */
-	if (str_eq(row->value, str_from(load->claim)))
-		l->claims[load->part] = row->version;
-	return true;
+	return source;
 }
 
-static void next_stage(struct load *load, enum load_stage stage)
+static void on_group_rows(const struct table_page *page, void *data)
 {
-	load->stage = stage;
-	TALLOC_FREE(load->from);
-	send_load(load);
-}
-
-static void claim_answered(struct lead *l, struct load *load, const struct store_result *r)
-{
-	if (load->stage == LOAD_WRITE_CLAIM) {
-		if (r->status == STORE_OK)
-			l->claims[load->part] = r->version;
-		next_stage(load, r->status == STORE_OK ? LOAD_JOBS : LOAD_READ_CLAIM);
-		return;
-	}
-	if (!take_claim(l, load, r)) {
-		struct sited *d = load->d;
+	struct load *load = data;
 
-		talloc_free(load);
-		sited_step_down(d, "a later leader has claimed the rows");
-		return;
-	}
-	next_stage(load, l->claims[load->part] ? LOAD_JOBS : LOAD_WRITE_CLAIM);
+	for (unsigned int i = 0; i < page->count; i++)
+		take_group(load->lead, &page->rows[i]);
 }
 
-static void rows_answered(struct lead *l, struct load *load, const struct store_result *r)
+static void on_part_end(int64_t version G_GNUC_UNUSED, void *data)
 {
-	if (l->is_loaded)
-		l->jobs_version = MIN(l->jobs_version, r->version);
-	for (unsigned int i = 0; i < r->count; i++) {
-		if (load->stage == LOAD_JOBS)
-			take_job(l, &r->rows[i]);
-		else
-			take_group(l, &r->rows[i]);
-	}
-	if (r->has_more && r->count) {
-		/* the range begins with @from, which was read already and is taken twice */
-		talloc_free(load->from);
-		load->from = talloc_strdup(load, r->rows[r->count - 1].key);
-		send_load(load);
-		return;
-	}
-	if (load->stage == LOAD_JOBS && !l->is_loaded) {
-		next_stage(load, LOAD_GROUPS);
-		return;
-	}
+	struct load *load = data;
+	struct lead *l = load->lead;
+
 	talloc_free(load);
 	if (!--l->loads)
 		loads_are_done(l);
 }
 
-static void on_loaded(const struct store_result *r, void *data)
+static void on_job_rows(const struct table_page *page, void *data)
 {
 	struct load *load = data;
-	struct lead *l = lead_current(load->d, load->serial);
 
-	if (!l)
-		talloc_free(load);
-	else if (r->status != STORE_OK && load->stage != LOAD_WRITE_CLAIM)
-		mtimer_add(load, load->d->ev, base_deadline_in(SITED_RETRY_MS), on_load_timer,
-			   load);
-	else if (load->stage == LOAD_READ_CLAIM || load->stage == LOAD_WRITE_CLAIM)
-		claim_answered(l, load, r);
+	for (unsigned int i = 0; i < page->count; i++)
+		take_job(load->lead, &page->rows[i]);
+}
+
+static void on_jobs_end(int64_t version, void *data)
+{
+	struct load *load = data;
+	struct table_source groups = part_source(load, SITED_GROUPS_TABLE, NULL);
+
+	load->lead->reread_version = MIN(load->lead->reread_version, version);
+	/* what is in memory is newer than stored groups, once they were read */
+	if (load->lead->is_loaded)
+		on_part_end(version, load);
 	else
-		rows_answered(l, load, r);
+		table_read(&groups, on_group_rows, on_part_end, load);
+}
+
+static void read_jobs(struct load *load)
+{
+	struct table_source jobs = part_source(load, SITED_JOBS_TABLE, NULL);
+
+	table_read(&jobs, on_job_rows, on_jobs_end, load);
+}
+
+/* ---- claims ---- */
+
+/* a claim being written; the load is valid while the lead is */
+struct claim_call {
+	struct sited *d;
+	uint64_t serial;
+	struct load *load;
+};
+
+static void read_claim(struct load *load);
+
+static void on_claimed(const struct store_result *r, void *data)
+{
+	struct claim_call *call = data;
+	struct lead *l = lead_current(call->d, call->serial);
+	struct load *load = call->load;
+
+	talloc_free(call);
+	if (!l)
+		return;
+	if (r->status != STORE_OK) {
+		/* it may have been performed: the row says so */
+		read_claim(load);
+		return;
+	}
+	l->claims[load->part] = r->version;
+	read_jobs(load);
 }
 
 static void write_claim(struct load *load)
 {
-	struct store_tx *tx = store_tx_new(load, sited_part_name(load->part));
+	struct lead *l = load->lead;
+	struct claim_call *call = talloc_zero(l->d, struct claim_call);
+	struct store_tx *tx = store_tx_new(call, sited_part_name(load->part));
 
+	call->d = l->d;
+	call->serial = l->serial;
+	call->load = load;
 	store_tx_expect(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, load->claim_version);
 	store_tx_put(tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, str_from(load->claim));
-	store_commit(load->d->store, tx, base_deadline_in(SITED_CALL_MS), on_loaded, load);
+	store_commit(l->d->store, tx, base_deadline_in(SITED_CALL_MS), on_claimed, call);
 	talloc_free(tx);
 }
 
-static void send_load(struct load *load)
+static void on_claim_rows(const struct table_page *page, void *data)
 {
-	struct store_range range = {SITED_CLAIM_TABLE, sited_part_name(load->part), SITED_LEAD_KEY,
-				    1};
+	struct load *load = data;
+	struct lead *l = load->lead;
+	const struct store_row *row = page->count ? &page->rows[0] : NULL;
 
-	if (!lead_current(load->d, load->serial)) {
-		talloc_free(load);
+	load->claim_version = row ? row->version : 0;
+	if (!row)
 		return;
-	}
-	switch (load->stage) {
-	case LOAD_READ_CLAIM:
-		break;
-	case LOAD_WRITE_CLAIM:
+	if (lead_term_of(row) > l->term)
+		sited_step_down(l->d, "a later leader has claimed the rows");
+	else if (str_eq(row->value, str_from(load->claim)))
+		l->claims[load->part] = row->version;
+}
+
+static void on_claim_end(int64_t version G_GNUC_UNUSED, void *data)
+{
+	struct load *load = data;
+
+	/* an earlier sending that got no answer may have been performed */
+	if (load->lead->claims[load->part])
+		read_jobs(load);
+	else
 		write_claim(load);
-		return;
-	case LOAD_JOBS:
-	case LOAD_GROUPS:
-		range.table = load->stage == LOAD_JOBS ? SITED_JOBS_TABLE : SITED_GROUPS_TABLE;
-		range.from = load->from;
-		range.limit = 0;
-		break;
-	}
-	store_read(load->d->store, &range, base_deadline_in(SITED_CALL_MS), on_loaded, load);
 }
 
-static void load_parts(struct lead *l, enum load_stage from)
+static void read_claim(struct load *load)
 {
+	struct table_source claim = part_source(load, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
+
+	table_read(&claim, on_claim_rows, on_claim_end, load);
+}
+
+/* @begin: claim the parts first, or only read their jobs again */
+static void load_parts(struct lead *l, void (*begin)(struct load *load))
+{
+	l->reread_version = INT64_MAX;
 	for (unsigned int i = 0; i < SITED_PARTS; i++) {
-		struct load *load = talloc_zero(l->d, struct load);
+		struct load *load = talloc_zero(l, struct load);
 
-		load->d = l->d;
-		load->serial = l->serial;
-		load->stage = from;
+		load->lead = l;
 		load->part = i;
 		load->claim = talloc_asprintf(load, "{\"vm\":\"%s\",\"term\":%" PRId64 "}",
 					      l->d->site->vm, l->term);
 		l->loads++;
-		send_load(load);
+		begin(load);
 	}
 }
 
-void lead_rows_load(struct lead *l)
+/* ---- following what callers write ---- */
+
+static void on_change(const struct table_page *page, void *data)
 {
-	load_parts(l, LOAD_READ_CLAIM);
-	follow_jobs(l);
-}
+	struct lead *l = data;
 
-/* ---- following what callers write ---- */
+	for (unsigned int i = 0; i < page->count; i++)
+		take_job(l, &page->rows[i]);
+	if (page->count)
+		lead_kick(l);
+}
 
-static void on_follow_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+static void on_history_gone(void *data)
 {
-	follow_jobs(data);
+	load_parts(data, read_jobs);
 }
 
-static void on_jobs(const struct store_result *r, void *data)
+static void follow_jobs(struct lead *l, int64_t after)
 {
-	struct lead_feed *feed = data;
-	struct lead *l = lead_current(feed->d, feed->serial);
+	struct table_source jobs = {l, l->d->ev, l->d->store, SITED_JOBS_TABLE, "", NULL};
 
-	talloc_free(feed);
-	if (!l)
-		return;
-	switch (r->status) {
-	case STORE_OK:
-		for (unsigned int i = 0; i < r->count; i++)
-			take_job(l, &r->rows[i]);
-		l->jobs_version = MAX(l->jobs_version, r->version);
-		if (r->count)
-			lead_kick(l);
-		follow_jobs(l);
-		break;
-	case STORE_HISTORY_GONE:
-		log_event("feed_history_gone", "{ss sI}", "table", SITED_JOBS_TABLE, "after",
-			  (json_int_t)l->jobs_version);
-		l->jobs_version = INT64_MAX;
-		load_parts(l, LOAD_JOBS);
-		break;
-	default:
-		mtimer_add(l, l->d->ev, base_deadline_in(SITED_RETRY_MS), on_follow_timer, l);
-		break;
-	}
+	table_follow(&jobs, after, LEAD_FEED_WAIT_MS, on_change, on_history_gone, l);
 }
 
-static void follow_jobs(struct lead *l)
+void lead_rows_load(struct lead *l)
 {
-	store_feed(l->d->store, SITED_JOBS_TABLE, l->jobs_version, LEAD_FEED_WAIT_MS,
-		   base_deadline_in(LEAD_FEED_WAIT_MS + LEAD_FEED_ANSWER_MS), on_jobs,
-		   lead_feed_new(l));
+	load_parts(l, read_claim);
+	follow_jobs(l, l->row_version);
 }
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -186,22 +186,13 @@
 	sited_doubt(l->d, "a row was written by somebody else");
 }
 
-static bool claim_is_ours(const struct lead *l, const struct store_row *row)
-{
-	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
-	bool ours = base_json_int(v, "term", 0) == l->term;
-
-	json_decref(v);
-	return ours;
-}
-
 /* false when this VM leads no more */
 static bool commit_conflicts(struct lead *l, struct commit *c, const struct store_result *r)
 {
 	const struct store_row *claim = find_row(r, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
 
 	sited_count(&l->d->metrics, COUNT_CONFLICTS);
-	if (claim && !claim_is_ours(l, claim)) {
+	if (claim && lead_term_of(claim) != l->term) {
 		sited_step_down(l->d, "a later leader has claimed the rows");
 		return false;
 	}
@@ -388,14 +379,6 @@
 	}
 }
 
-bool lead_rows_are_stored(const struct lead *l)
-{
-	for (guint i = 0; i < l->active->len; i++)
-		if (is_dirty(g_ptr_array_index(l->active, i)))
-			return false;
-	return true;
-}
-
 /* ---- sweeping ---- */
 
 static void on_swept(const struct store_result *r, void *data G_GNUC_UNUSED)
--- /dev/null
+++ b/src/sited_table.c
@@ -0,0 +1,180 @@
+#include "sited_table.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+enum table_mode { TABLE_READ, TABLE_FOLLOW };
+
+/**
+ * struct table - a read or a feed, owned by the source's owner
+ * @call: call in flight, or NULL
+ * @from: of a read: where the next page begins, or NULL
+ * @version: of a read: the store's at the first page, 0 before; of a feed: followed up to
+ */
+struct table {
+	struct tevent_context *ev;
+	struct store *store;
+	enum table_mode mode;
+	char *name;
+	char *part;
+	char *key;
+	struct table_call *call;
+	char *from;
+	int64_t version;
+	int64_t wait_ms;
+	table_rows *on_rows;
+	table_end *on_end;
+	table_gone *on_gone;
+	void *data;
+};
+
+/* a call in flight; it outlives its table when the owner is freed */
+struct table_call {
+	struct table *table;
+	int64_t sent_at;
+};
+
+static void send_call(struct table *t);
+
+static int table_destructor(struct table *t)
+{
+	if (t->call)
+		t->call->table = NULL;
+	return 0;
+}
+
+static void on_retry(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	send_call(data);
+}
+
+/* true when another page follows */
+static bool next_page(struct table *t, const struct store_result *r)
+{
+	if (!t->version)
+		t->version = r->version;
+	if (t->key || !r->has_more || !r->count)
+		return false;
+	/* the next page begins with this row once more */
+	talloc_free(t->from);
+	t->from = talloc_strdup(t, r->rows[r->count - 1].key);
+	return true;
+}
+
+static void end_read(struct table *t)
+{
+	table_end *on_end = t->on_end;
+	int64_t version = t->version;
+	void *data = t->data;
+
+	talloc_free(t);
+	on_end(version, data);
+}
+
+static void end_follow(struct table *t)
+{
+	table_gone *on_gone = t->on_gone;
+	void *data = t->data;
+
+	log_event("feed_history_gone", "{ss sI}", "table", t->name, "after",
+		  (json_int_t)t->version);
+	talloc_free(t);
+	on_gone(data);
+}
+
+/* the row that was asked for; the range begins there and may go on with others */
+static bool is_wanted(const struct table *t, const struct store_result *r)
+{
+	return !t->key || (r->count && !strcmp(r->rows[0].key, t->key));
+}
+
+static void on_answer(const struct store_result *r, void *data)
+{
+	struct table_call *call = data;
+	struct table *t = call->table;
+	struct table_page page = {r->rows, r->count, r->version, call->sent_at};
+	bool goes_on;
+
+	if (!t)
+		goto out;
+	t->call = NULL;
+	if (r->status == STORE_HISTORY_GONE && t->mode == TABLE_FOLLOW) {
+		end_follow(t);
+		goto out;
+	}
+	if (r->status != STORE_OK) {
+		mtimer_add(t, t->ev, base_deadline_in(SITED_RETRY_MS), on_retry, t);
+		goto out;
+	}
+	if (!is_wanted(t, r))
+		page.count = 0;
+	goes_on = t->mode == TABLE_FOLLOW || next_page(t, r);
+	if (t->mode == TABLE_FOLLOW)
+		t->version = MAX(t->version, r->version);
+	/* the owner may be freed by what the rows bring */
+	t->call = call;
+	t->on_rows(&page, t->data);
+	t = call->table;
+	if (!t)
+		goto out;
+	t->call = NULL;
+	if (goes_on)
+		send_call(t);
+	else
+		end_read(t);
+out:
+	talloc_free(call);
+}
+
+static void send_call(struct table *t)
+{
+	struct table_call *call = talloc_zero(t->store, struct table_call);
+	struct store_range range = {t->name, t->part, t->key ? t->key : t->from, t->key ? 1 : 0};
+
+	call->table = t;
+	call->sent_at = base_now();
+	t->call = call;
+	if (t->mode == TABLE_READ)
+		store_read(t->store, &range, base_deadline_in(SITED_CALL_MS), on_answer, call);
+	else
+		store_feed(t->store, t->name, t->version, t->wait_ms,
+			   base_deadline_in(t->wait_ms + TABLE_ANSWER_MS), on_answer, call);
+}
+
+static struct table *table_new(const struct table_source *source, enum table_mode mode,
+			       table_rows *on_rows, void *data)
+{
+	struct table *t = talloc_zero(source->owner, struct table);
+
+	t->ev = source->ev;
+	t->store = source->store;
+	t->mode = mode;
+	t->name = talloc_strdup(t, source->table);
+	t->part = talloc_strdup(t, source->part ? source->part : "");
+	t->key = source->key ? talloc_strdup(t, source->key) : NULL;
+	t->on_rows = on_rows;
+	t->data = data;
+	talloc_set_destructor(t, table_destructor);
+	return t;
+}
+
+void table_read(const struct table_source *source, table_rows *on_rows, table_end *on_end,
+		void *data)
+{
+	struct table *t = table_new(source, TABLE_READ, on_rows, data);
+
+	t->on_end = on_end;
+	send_call(t);
+}
+
+void table_follow(const struct table_source *source, int64_t after, int64_t wait_ms,
+		  table_rows *on_rows, table_gone *on_gone, void *data)
+{
+	struct table *t = table_new(source, TABLE_FOLLOW, on_rows, data);
+
+	t->version = after;
+	t->wait_ms = wait_ms;
+	t->on_gone = on_gone;
+	send_call(t);
+}
