--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -167,6 +167,13 @@
 	return json_is_integer(v) ? json_integer_value(v) : fallback;
 }
 
+double base_json_number(const json_t *obj, const char *key, double fallback)
+{
+	const json_t *v = json_object_get(obj, key);
+
+	return json_is_number(v) ? json_number_value(v) : fallback;
+}
+
 bool base_json_bool(const json_t *obj, const char *key, bool fallback)
 {
 	const json_t *v = json_object_get(obj, key);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -99,6 +99,8 @@
 
 const char *base_json_str(const json_t *obj, const char *key, const char *fallback);
 int64_t base_json_int(const json_t *obj, const char *key, int64_t fallback);
+/** base_json_number() - an integer or real member */
+double base_json_number(const json_t *obj, const char *key, double fallback);
 bool base_json_bool(const json_t *obj, const char *key, bool fallback);
 /** base_json_text() - compact text of @v owned by @ctx */
 char *base_json_text(TALLOC_CTX *ctx, const json_t *v);
--- a/lib/daemon/daemon.c
+++ b/lib/daemon/daemon.c
@@ -19,6 +19,13 @@
 	setrlimit(RLIMIT_NOFILE, &files);
 }
 
+void daemon_prepare(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+	raise_file_limit();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
 static struct settings *open_all(TALLOC_CTX *ctx, const char *name, const char *path,
 				 bool only_check, int *code)
 {
@@ -39,9 +46,7 @@
 		*code = EXIT_USAGE;
 		return NULL;
 	}
-	signal(SIGPIPE, SIG_IGN);
-	raise_file_limit();
-	curl_global_init(CURL_GLOBAL_DEFAULT);
+	daemon_prepare();
 	return s;
 }
 
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -6,6 +6,9 @@
 
 #include "settings/settings.h"
 
+/** daemon_prepare() - signals, descriptors and libraries, before the first connection */
+void daemon_prepare(void);
+
 /**
  * daemon_start() - read the command line and the settings, open log and spans
  * @name: "entryd" or "schedd"
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -481,7 +481,7 @@
 	job->payload = talloc_strdup(job, base_json_str(v, "payload", ""));
 	job->priority = base_json_int(v, "priority", 1);
 	job->attempts = base_json_int(v, "attempts", 1);
-	job->stretch = json_number_value(json_object_get(v, "stretch"));
+	job->stretch = base_json_number(v, "stretch", 0);
 	job->slo_ms = base_json_int(v, "slo_ms", 0);
 	job->accepted_ms = base_json_int(v, "accepted_ms", 0);
 	job->times = base_json_int(v, "times", 0);
--- a/src/sited.c
+++ b/src/sited.c
@@ -4,12 +4,12 @@
 #include "sited_lead.h"
 
 #include <argtable2.h>
-#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "daemon/daemon.h"
 #include "mtimer/mtimer.h"
 #include "version.h"
 
@@ -154,8 +154,7 @@
 		goto out;
 	}
 	base_log_init("sited", d->site->vm, "stdout");
-	signal(SIGPIPE, SIG_IGN);
-	curl_global_init(CURL_GLOBAL_NOTHING);
+	daemon_prepare();
 	sited_metrics_init(&d->metrics);
 	d->store_http = httpc_new(d, ev, 0);
 	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX);
--- a/src/sited.h
+++ b/src/sited.h
@@ -56,7 +56,7 @@
  */
 struct sited_leader {
 	char vm[64];
-	struct site_address address;
+	struct address address;
 	int64_t term;
 	int64_t version;
 	struct onc_client *client;
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -45,7 +45,7 @@
 static struct fixture *fixture_new(unsigned int status, const char *answer)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct site_address address = {"127.0.0.1", PORT};
+	struct address address = {"127.0.0.1", PORT};
 	struct httpd_options opt = {.ip = "127.0.0.1",
 				    .port = PORT,
 				    .body_max = 10000,
