Settle what a backend server's answer says in one place

Looks, starts and stops each handled a newer term, a changed incarnation and another server at the address themselves, with small differences: a start or a stop that met another server could first take over that server's incarnation as if it were a restart. lead_server_answered() now decides all three, and says when this VM no longer leads.

Also: one bound for slow clocks of backend servers (it stood in two files), one function for the read of a job's row at the front, and code that nothing calls any more is gone.

--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -67,8 +67,6 @@
 
 void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  const struct plan_clock *at, struct plan_verdict *verdict);
-/** plan_fits_ever() - some listed server could hold one task, were it empty */
-bool plan_fits_ever(const struct fleet *fleet, const struct work_group *group);
 
 /* ---- reclaim ---- */
 
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -389,14 +389,3 @@
 		verdict->free_accelerators += MAX(s->tries[i].room.accelerators, 0);
 	}
 }
-
-bool plan_fits_ever(const struct fleet *fleet, const struct work_group *group)
-{
-	for (guint i = 0; i < fleet->all->len; i++) {
-		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
-
-		if (suits(sv, group) && fleet_amount_fits(&group->step->need, &sv->capacity))
-			return true;
-	}
-	return false;
-}
--- a/lib/queues/queues.c
+++ b/lib/queues/queues.c
@@ -32,11 +32,3 @@
 	}
 	return NULL;
 }
-
-const struct workspace *queues_workspace(const struct queues *q, const char *name)
-{
-	for (unsigned int i = 0; i < q->workspace_count; i++)
-		if (!strcmp(q->workspace[i].name, name))
-			return &q->workspace[i];
-	return NULL;
-}
--- a/lib/queues/queues.h
+++ b/lib/queues/queues.h
@@ -64,6 +64,5 @@
 const struct queue *queues_match(const struct queues *q, struct str host, struct str path);
 /** queues_workspace_of() - the workspace that holds @key, or NULL */
 const struct workspace *queues_workspace_of(const struct queues *q, struct str key);
-const struct workspace *queues_workspace(const struct queues *q, const char *name);
 
 #endif
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -203,7 +203,7 @@
 
 /* ---- groups ---- */
 
-void work_group_touch(struct work_group *group)
+static void group_touch(struct work_group *group)
 {
 	group->row.changes++;
 }
@@ -300,7 +300,7 @@
 	t->stopped_at = 0;
 	t->percent = 0;
 	t->first_percent = -1;
-	work_group_touch(t->group);
+	group_touch(t->group);
 	t->assigned_change = t->group->row.changes;
 }
 
@@ -331,14 +331,14 @@
 
 	leave_server(t);
 	enter_server(t, sv, state);
-	work_group_touch(t->group);
+	group_touch(t->group);
 }
 
 void work_task_release(struct work_task *t)
 {
 	leave_server(t);
 	t->state = TASK_WAITING;
-	work_group_touch(t->group);
+	group_touch(t->group);
 }
 
 void work_task_done(struct work_task *t)
@@ -348,7 +348,7 @@
 	leave_server(t);
 	if (t->state != TASK_ENDING) {
 		t->group->done++;
-		work_group_touch(t->group);
+		group_touch(t->group);
 	}
 	t->state = TASK_DONE;
 	TALLOC_FREE(t->snapshot);
@@ -366,14 +366,14 @@
 		t->started_at = 1; /* by an earlier leader; the next look settles it */
 	t->state = TASK_ENDING;
 	t->group->done++;
-	work_group_touch(t->group);
+	group_touch(t->group);
 }
 
 bool work_task_failed(struct work_task *t)
 {
 	struct work_group *g = t->group;
 
-	work_group_touch(g);
+	group_touch(g);
 	TALLOC_FREE(t->avoid);
 	if (t->server)
 		t->avoid = talloc_strdup(g, t->server->id);
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -259,7 +259,6 @@
 void work_task_set_snapshot(struct work_task *t, struct str snapshot);
 /** work_task_is_placed() - counts as used on its server */
 bool work_task_is_placed(const struct work_task *t);
-void work_group_touch(struct work_group *group);
 
 /* ---- rows ---- */
 
--- a/src/sited.h
+++ b/src/sited.h
@@ -49,7 +49,6 @@
  * @vm: its name, empty when nobody leads
  * @version: version of the row that says so, -1 while it is not known
  * @client: RPC client to it, or NULL
- * @heard_at: when it last answered as leader, on base_now()'s clock; 0 never
  * @known_at: when its row was read, on base_now()'s clock
  * @misses: pings in a row without an answer
  * @pending: jobs not begun by queue, as it last said; name to int64_t
@@ -60,7 +59,6 @@
 	int64_t term;
 	int64_t version;
 	struct onc_client *client;
-	int64_t heard_at;
 	int64_t known_at;
 	unsigned int misses;
 	GHashTable *pending;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -330,7 +330,6 @@
 		contend(d, "the VM that should lead does not");
 		return;
 	}
-	d->leader.heard_at = base_now();
 	take_pending(d, answer);
 	if (answer->store_failing_ms > LEADER_CUT_OFF_MS && !store_failing_ms(d->store))
 		contend(d, "the leader is cut off from the store");
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -132,6 +132,14 @@
 	return MIN(own, theirs);
 }
 
+/* the row of the job that the request is about */
+static void read_row(struct front_call *c, store_done *done)
+{
+	struct store_range range = {SITED_JOBS_TABLE, sited_part(c->id), c->id, 1};
+
+	store_read(c->d->store, &range, call_deadline(c), done, c);
+}
+
 /* ---- submit ---- */
 
 static void send_submit(struct front_call *c);
@@ -249,13 +257,6 @@
 		finish_state(c, job->state, "store");
 }
 
-static void read_state_row(struct front_call *c)
-{
-	struct store_range range = {SITED_JOBS_TABLE, sited_part(c->id), c->id, 1};
-
-	store_read(c->d->store, &range, call_deadline(c), on_state_row, c);
-}
-
 static void on_leader_state(enum onc_result result, void *res, void *data)
 {
 	struct front_call *c = data;
@@ -266,7 +267,7 @@
 		state = work_state_parse(answer->state);
 	if (state == WORK_STATE_COUNT ||
 	    (c->workspace[0] && strcmp(answer->workspace, c->workspace)))
-		read_state_row(c);
+		read_row(c, on_state_row);
 	else
 		finish_state(c, state, "leader");
 }
@@ -284,23 +285,23 @@
 		    (!c->workspace[0] || !strcmp(workspace, c->workspace)))
 			finish_state(c, state, "leader");
 		else
-			read_state_row(c);
+			read_row(c, on_state_row);
 	} else if (d->leader.client && !d->leader.misses) {
 		onc_call(d->leader.client, &sited_peer_procs[SITED_PROC_STATE], &args,
 			 sizeof(cl_lead_state_res), base_deadline_in(STATE_CALL_MS),
 			 on_leader_state, c);
 	} else {
-		read_state_row(c);
+		read_row(c, on_state_row);
 	}
 }
 
 /* ---- cancel ---- */
 
-static void read_cancel_row(struct front_call *c);
+static void on_cancel_row(const struct store_result *r, void *data);
 
 static void on_cancel_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
-	read_cancel_row(data);
+	read_row(data, on_cancel_row);
 }
 
 static void retry_cancel(struct front_call *c, const char *reason)
@@ -356,13 +357,6 @@
 	store_commit(c->d->store, c->tx, call_deadline(c), on_cancelled, c);
 }
 
-static void read_cancel_row(struct front_call *c)
-{
-	struct store_range range = {SITED_JOBS_TABLE, sited_part(c->id), c->id, 1};
-
-	store_read(c->d->store, &range, call_deadline(c), on_cancel_row, c);
-}
-
 /* ---- dispatch ---- */
 
 static void reply_now(struct sited *d, struct httpd_request *req, unsigned int status,
@@ -415,7 +409,7 @@
 		begin_state(c);
 		break;
 	case FRONT_CANCEL:
-		read_cancel_row(c);
+		read_row(c, on_cancel_row);
 		break;
 	}
 }
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -12,6 +12,9 @@
  */
 #define LEAD_UNCONFIRMED_MAX_MS 10000
 
+/* time on our clock in which a server's has surely moved on by 100; it may be 2 % slow */
+#define LEAD_CLOCK_SLOW_PERCENT 103
+
 struct commit;
 
 /**
@@ -143,8 +146,11 @@
 struct server_io *lead_io(struct lead *l, struct fleet_server *sv);
 /** lead_server_look() - look at the server now if there is a reason */
 void lead_server_look(struct lead *l, struct fleet_server *sv);
-/** lead_server_answered() - take over clock and incarnation from any answer */
-void lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r);
+/**
+ * lead_server_answered() - take over what any answer says: term, incarnation, clock
+ * Return: false when a newer term was seen; this VM leads no more, and @l is gone.
+ */
+bool lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r);
 /** lead_server_lost() - this incarnation runs nothing any more */
 void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why);
 /** lead_server_lease() - lease to ask for, on the server's clock */
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -71,8 +71,8 @@
 int64_t lead_settle_deadline(const struct lead *l)
 {
 	/* an earlier leader may have renewed for a while, and a server's clock may be slow */
-	return sited_now_ms() + LEAD_UNCONFIRMED_MAX_MS + l->d->site->lease_max_ms * 103 / 100 +
-	       l->d->site->stop_ms;
+	return sited_now_ms() + LEAD_UNCONFIRMED_MAX_MS +
+	       l->d->site->lease_max_ms * LEAD_CLOCK_SLOW_PERCENT / 100 + l->d->site->stop_ms;
 }
 
 static void take_group(struct lead *l, const struct store_row *row)
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -17,7 +17,6 @@
 #define MISSES_MAX 2	    /* looks in a row without an answer, before it gets no new work */
 #define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
-#define CLOCK_SLOW_PERCENT 103 /* a server's clock may be 2 % slow */
 #define LEASE_MARGIN_MS 60
 /* a stop takes 400 ms at most, and the entry in the list is up to 1 s old */
 #define EVACUATE_RESERVE_MS 1400
@@ -73,7 +72,7 @@
 /* when every lease there is over for certain, on our clock */
 static int64_t lapsed_at(const struct server_io *io)
 {
-	return io->clock_at + (io->lease_until - io->clock_ms) * CLOCK_SLOW_PERCENT / 100 +
+	return io->clock_at + (io->lease_until - io->clock_ms) * LEAD_CLOCK_SLOW_PERCENT / 100 +
 	       LEASE_MARGIN_MS;
 }
 
@@ -115,18 +114,23 @@
 	lead_kick(l);
 }
 
-void lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r)
+bool lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r)
 {
 	struct server_io *io = lead_io(l, sv);
 
-	if (r->born && r->born > sv->born) {
-		lead_server_replaced(l, sv, fleet_reborn(l->fleet, sv, r->born));
-		return;
+	if (r->status == ORDER_FENCED) {
+		sited_step_down(l->d, "a backend server has seen a newer term");
+		return false;
 	}
-	if (r->clock_ms) {
+	if (r->status == ORDER_OTHER_SERVER) {
+		lead_server_lost(l, sv, "another server answers at its address");
+	} else if (r->born && r->born > sv->born) {
+		lead_server_replaced(l, sv, fleet_reborn(l->fleet, sv, r->born));
+	} else if (r->clock_ms) {
 		io->clock_ms = r->clock_ms;
 		io->clock_at = sited_now_ms();
 	}
+	return true;
 }
 
 /* ---- acknowledging ends ---- */
@@ -279,24 +283,12 @@
 	if (!l)
 		goto out;
 	lead_io(l, sv)->look_in_flight = false;
-	if (r->status == ORDER_FENCED) {
-		sited_step_down(l->d, "a backend server has seen a newer term");
-		goto out;
-	}
-	lead_server_answered(l, sv, r);
-	if (sv->presence == FLEET_REPLACED)
+	if (!lead_server_answered(l, sv, r) || sv->presence == FLEET_REPLACED)
 		goto out;
-	switch (r->status) {
-	case ORDER_DONE:
+	if (r->status == ORDER_DONE)
 		look_answered(l, look, r);
-		break;
-	case ORDER_OTHER_SERVER:
-		lead_server_lost(l, sv, "another server answers at its address");
-		break;
-	default:
+	else
 		look_missed(l, sv, r->status);
-		break;
-	}
 	lead_server_look(l, sv);
 out:
 	talloc_free(look);
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -139,10 +139,7 @@
 	t->start_tries = 0;
 	sited_count(&l->d->metrics, COUNT_STARTS);
 	send_start(order_new(l, sv, t));
-	if (t->attempt == 1)
-		note_task("task_start", t, sv, "first start");
-	else
-		note_task("task_start", t, sv, "started again");
+	note_task("task_start", t, sv, t->attempt == 1 ? "first start" : "started again");
 }
 
 static void confirm_start(struct lead *l, struct work_task *t)
@@ -187,14 +184,7 @@
 	struct order *o = data;
 	struct lead *l = lead_current(o->d, o->serial);
 
-	if (!l)
-		goto out;
-	if (r->status == ORDER_FENCED) {
-		sited_step_down(l->d, "a backend server has seen a newer term");
-		goto out;
-	}
-	lead_server_answered(l, o->sv, r);
-	if (!is_current(o))
+	if (!l || !lead_server_answered(l, o->sv, r) || !is_current(o))
 		goto out;
 	if (r->status == ORDER_DONE) {
 		confirm_start(l, o->task);
@@ -203,10 +193,6 @@
 	note_task("task_start_failed", o->task, o->sv, order_status_name(r->status));
 	if (o->task->state != TASK_STARTING)
 		goto out;
-	if (r->status == ORDER_OTHER_SERVER) {
-		lead_server_lost(l, o->sv, "another server answers at its address");
-		goto out;
-	}
 	if (r->status == ORDER_UNKNOWN && ++o->task->start_tries < START_TRIES_MAX) {
 		send_start(o);
 		return;
@@ -233,26 +219,15 @@
 	struct order *o = data;
 	struct lead *l = lead_current(o->d, o->serial);
 
-	if (!l)
-		goto out;
-	if (r->status == ORDER_FENCED) {
-		sited_step_down(l->d, "a backend server has seen a newer term");
-		goto out;
-	}
-	lead_server_answered(l, o->sv, r);
-	if (!o->task || !is_current(o))
+	if (!l || !lead_server_answered(l, o->sv, r) || !is_current(o))
 		goto out;
 	switch (r->status) {
 	case ORDER_UNKNOWN:
 	case ORDER_REFUSED:
 		mtimer_add(o, l->d->ev, base_deadline_in(STOP_RETRY_MS), on_stop_timer, o);
 		return;
-	case ORDER_OTHER_SERVER:
-		lead_server_lost(l, o->sv, "another server answers at its address");
-		break;
 	default:
-		/* from now on the attempt can't start there; a later look says whether it is gone
-		 */
+		/* the attempt can't start there any more; a later look says if it is gone */
 		o->task->stopped_at = sited_now_ms();
 		lead_server_look(l, o->sv);
 		break;
