--- a/tests/sample.h
+++ b/tests/sample.h
@@ -65,6 +65,16 @@
 	return work_job_group(job, 0, 0);
 }
 
+/* the group of a job whose one step is a gang */
+static inline struct work_group *sample_gang(TALLOC_CTX *ctx, unsigned int n, int64_t priority,
+					     unsigned int members, int64_t accelerators)
+{
+	struct work_job *job = sample_job(ctx, n, priority, members, accelerators);
+
+	job->step[0].is_gang = true;
+	return sample_begin(job);
+}
+
 /* @t runs on @sv since @started_at */
 static inline void sample_run(struct work_task *t, struct fleet_server *sv, int64_t started_at)
 {
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -6,23 +6,19 @@
 #include <signal.h>
 #include <string.h>
 
-#include "httpd/httpd.h"
 #include "platform/orders.h"
 #include "runner.h"
 #include "sample.h"
+#include "scripted.h"
 
 #define PORT 17932
 
 struct fixture {
 	struct tevent_context *ev;
-	struct httpd *server;
+	struct scripted *http;
 	struct orders *orders;
 	struct fleet *fleet;
 	struct work_group *group;
-	unsigned int status;
-	const char *answer;
-	bool drop;
-	char *asked;
 	bool is_done;
 	enum order_status result;
 	int64_t clock_ms;
@@ -31,39 +27,18 @@
 	enum order_end how;
 };
 
-static void on_request(struct httpd_request *req)
-{
-	struct fixture *f = req->server_data;
-
-	talloc_free(f->asked);
-	f->asked = talloc_asprintf(f, "%s %s %.*s", req->path,
-				   httpd_header(req, "X-Currantlane-Target-Instance"),
-				   (int)req->body.len, req->body.ptr);
-	if (f->drop)
-		httpd_drop(req);
-	else
-		httpd_reply(req, f->status, str_from(f->answer));
-}
-
 static struct fixture *fixture_new(unsigned int status, const char *answer)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct httpd_options opt = {.ip = "127.0.0.1",
-				    .port = PORT,
-				    .body_max = 10000,
-				    .connections_max = 10,
-				    .idle_s = 10};
 
 	f->ev = tevent_context_init(f);
-	f->server = httpd_new(f, f->ev, &opt, on_request, f);
-	ck_assert_ptr_nonnull(f->server);
+	f->http = scripted_new(f, f->ev, PORT, status, answer);
+	f->http->header = "X-Currantlane-Target-Instance";
 	f->orders = orders_new(f, httpc_new(f, f->ev, 2));
 	f->fleet = sample_fleet(f, 1, 1);
 	sample_server(f->fleet, 0)->address = talloc_asprintf(f->fleet, "127.0.0.1:%d", PORT);
 	f->group = sample_begin(sample_job(f, 0xab, 1, 2, 1));
 	work_task_assign(&f->group->task[1], sample_server(f->fleet, 0));
-	f->status = status;
-	f->answer = answer;
 	return f;
 }
 
@@ -105,11 +80,11 @@
 	start(f);
 	ck_assert_int_eq(f->result, ORDER_DONE);
 	ck_assert_int_eq(f->clock_ms, 482113);
-	ck_assert_ptr_nonnull(strstr(f->asked, "/-/run-start s0 "));
-	ck_assert_ptr_nonnull(strstr(f->asked, "\"task\":\"00000000000000ab.0.0.1\""));
-	ck_assert_ptr_nonnull(strstr(f->asked, "\"attempt\":1"));
-	ck_assert_ptr_nonnull(strstr(f->asked, "\"fence\":7"));
-	ck_assert_ptr_null(strstr(f->asked, "snapshot"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "/-/run-start s0 "));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"task\":\"00000000000000ab.0.0.1\""));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"attempt\":1"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"fence\":7"));
+	ck_assert_ptr_null(strstr(f->http->asked, "snapshot"));
 	talloc_free(f);
 }
 END_TEST
@@ -136,12 +111,12 @@
 	struct fixture *f = fixture_new(200, "{}");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		f->status = cases[i].status;
-		f->answer = cases[i].answer;
+		f->http->status = cases[i].status;
+		f->http->answer = cases[i].answer;
 		start(f);
 		ck_assert_int_eq(f->result, cases[i].result);
 	}
-	f->drop = true;
+	f->http->drop = true;
 	start(f);
 	ck_assert_int_eq(f->result, ORDER_UNKNOWN);
 	talloc_free(f);
@@ -162,7 +137,7 @@
 	ck_assert_uint_eq(f->runs, 1);
 	ck_assert_uint_eq(f->ended, 1);
 	ck_assert_int_eq(f->how, END_LAPSED);
-	ck_assert_ptr_nonnull(strstr(f->asked, "\"last-seen\":57"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"last-seen\":57"));
 	talloc_free(f);
 }
 END_TEST
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -249,15 +249,12 @@
 START_TEST(a_member_of_a_gang_counts_and_stops_with_its_gang)
 {
 	struct fleet *f = sample_fleet(NULL, 3, 3);
-	struct work_job *gang = sample_job(f, 1, 1, 2, 8);
+	struct work_group *g = sample_gang(f, 1, 1, 2, 8);
 	struct work_group *single = sample_begin(sample_job(f, 2, 1, 1, 8));
 	struct work_group *urgent = sample_begin(sample_job(f, 3, 0, 2, 8));
 	GPtrArray *victims = g_ptr_array_new();
 	struct fleet_server *out[2];
-	struct work_group *g;
 
-	gang->step[0].is_gang = true;
-	g = sample_begin(gang);
 	sample_run(&g->task[0], sample_server(f, 0), start.now - 1000);
 	sample_run(&g->task[1], sample_server(f, 1), start.now - 1000);
 	sample_run(&single->task[0], sample_server(f, 2), start.now - 1500);
@@ -332,11 +329,8 @@
 START_TEST(a_member_of_a_gang_that_waits_for_the_others_is_not_stalled)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
-	struct work_job *job = sample_job(f, 1, 1, 2, 1);
-	struct work_group *g;
+	struct work_group *g = sample_gang(f, 1, 1, 2, 1);
 
-	job->step[0].is_gang = true;
-	g = sample_begin(job);
 	sample_run(&g->task[0], sample_server(f, 0), start.now - 9000);
 	see(&g->task[0], start.now - 8000, 10, start.now - 4000, 100);
 	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_GOOD);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -7,9 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "httpd/httpd.h"
 #include "platform/platform.h"
 #include "runner.h"
+#include "scripted.h"
 
 #define PORT 17902
 
@@ -66,15 +66,9 @@
 static struct fixture *fixture_new(void)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct httpd_options opt = {.ip = "127.0.0.1",
-				    .port = PORT,
-				    .body_max = 10000,
-				    .connections_max = 10,
-				    .idle_s = 10};
 
 	f->ev = tevent_context_init(f);
-	f->server = httpd_new(f, f->ev, &opt, on_request, f);
-	ck_assert_ptr_nonnull(f->server);
+	f->server = scripted_listen(f, f->ev, PORT, on_request, f);
 	f->platform = platform_new(f, f->ev, httpc_new(f, f->ev, 0), "127.0.0.1", PORT, "e0");
 	return f;
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -7,21 +7,17 @@
 #include <signal.h>
 #include <string.h>
 
-#include "httpd/httpd.h"
 #include "platform/store.h"
 #include "runner.h"
+#include "scripted.h"
 
 #define PORT 17931
 
-/* a server that gives one answer, and what came of a call */
+/* what came of a call */
 struct fixture {
 	struct tevent_context *ev;
-	struct httpd *server;
+	struct scripted *http;
 	struct store *store;
-	unsigned int status;
-	const char *answer;
-	bool drop;
-	char *asked;
 	bool is_done;
 	enum store_status result;
 	unsigned int count;
@@ -29,35 +25,14 @@
 	char *value;
 };
 
-static void on_request(struct httpd_request *req)
-{
-	struct fixture *f = req->server_data;
-
-	talloc_free(f->asked);
-	f->asked = talloc_asprintf(f, "%s %s %.*s", req->method, req->path, (int)req->body.len,
-				   req->body.ptr);
-	if (f->drop)
-		httpd_drop(req);
-	else
-		httpd_reply(req, f->status, str_from(f->answer));
-}
-
 static struct fixture *fixture_new(unsigned int status, const char *answer)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 	struct address address = {"127.0.0.1", PORT};
-	struct httpd_options opt = {.ip = "127.0.0.1",
-				    .port = PORT,
-				    .body_max = 10000,
-				    .connections_max = 10,
-				    .idle_s = 10};
 
 	f->ev = tevent_context_init(f);
-	f->server = httpd_new(f, f->ev, &opt, on_request, f);
-	ck_assert_ptr_nonnull(f->server);
+	f->http = scripted_new(f, f->ev, PORT, status, answer);
 	f->store = store_new(f, httpc_new(f, f->ev, 0), &address);
-	f->status = status;
-	f->answer = answer;
 	return f;
 }
 
@@ -93,9 +68,9 @@
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_OK);
 	ck_assert_int_eq(f->version, 412);
-	ck_assert_ptr_nonnull(strstr(f->asked, "POST /-/rows-tx"));
-	ck_assert_ptr_nonnull(strstr(f->asked, "\"ver\":0"));
-	ck_assert_ptr_nonnull(strstr(f->asked, "bm9kZS0x"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "POST /-/rows-tx"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"ver\":0"));
+	ck_assert_ptr_nonnull(strstr(f->http->asked, "bm9kZS0x"));
 	talloc_free(f);
 }
 END_TEST
@@ -121,18 +96,18 @@
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_REFUSED);
 	ck_assert_int_gt(store_failing_ms(f->store), 0);
-	f->status = 429;
+	f->http->status = 429;
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_REFUSED);
-	f->drop = true;
+	f->http->drop = true;
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_UNKNOWN);
-	f->drop = false;
-	f->status = 200;
-	f->answer = "not json";
+	f->http->drop = false;
+	f->http->status = 200;
+	f->http->answer = "not json";
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_UNKNOWN);
-	f->answer = "{\"ver\":1}";
+	f->http->answer = "{\"ver\":1}";
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_OK);
 	ck_assert_int_eq(store_failing_ms(f->store), 0);
@@ -157,7 +132,7 @@
 {
 	struct fixture *f = fixture_new(200, "{}");
 
-	TALLOC_FREE(f->server);
+	TALLOC_FREE(f->http->server);
 	commit(f);
 	ck_assert_int_eq(f->result, STORE_REFUSED);
 	talloc_free(f);
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -83,17 +83,14 @@
 START_TEST(members_of_a_gang_that_is_done_hold_their_room_until_listed)
 {
 	struct fleet *f = sample_fleet(NULL, 2, 2);
-	struct work_job *job = sample_job(f, 1, 0, 2, 4);
-	struct work_group *g;
+	struct work_group *g = sample_gang(f, 1, 0, 2, 4);
 
-	job->step[0].is_gang = true;
-	g = sample_begin(job);
 	sample_run(&g->task[0], sample_server(f, 0), 10);
 	sample_run(&g->task[1], sample_server(f, 1), 10);
 	work_task_done(&g->task[0]);
 	work_task_ending(&g->task[1]);
 	ck_assert_uint_eq(g->done, 2);
-	ck_assert(work_job_is_done(job));
+	ck_assert(work_job_is_done(g->job));
 	ck_assert_int_eq(fleet_room(sample_server(f, 0)).accelerators, 8);
 	ck_assert_int_eq(fleet_room(sample_server(f, 1)).accelerators, 4);
 	work_task_done(&g->task[1]);
@@ -107,11 +104,8 @@
 START_TEST(a_gang_whose_member_lost_its_promise_is_not_placed_on_it)
 {
 	struct fleet *f = sample_fleet(NULL, 2, 2);
-	struct work_job *job = sample_job(f, 1, 0, 2, 4);
-	struct work_group *g;
+	struct work_group *g = sample_gang(f, 1, 0, 2, 4);
 
-	job->step[0].is_gang = true;
-	g = sample_begin(job);
 	ck_assert(!work_group_lost_promise(g));
 	work_task_promise(&g->task[0], sample_server(f, 0));
 	work_task_promise(&g->task[1], sample_server(f, 1));
@@ -125,12 +119,9 @@
 START_TEST(a_gang_fails_once_an_attempt)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
-	struct work_job *job = sample_job(f, 1, 1, 3, 1);
+	struct work_group *g = sample_gang(f, 1, 1, 3, 1);
 	struct fleet_server *servers[3];
-	struct work_group *g;
 
-	job->step[0].is_gang = true;
-	g = sample_begin(job);
 	for (int i = 0; i < 3; i++)
 		servers[i] = sample_server(f, 0);
 	work_task_assign_gang(g, servers);
@@ -148,12 +139,9 @@
 START_TEST(members_of_a_gang_share_attempt_and_snapshot)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
-	struct work_job *job = sample_job(f, 1, 1, 2, 1);
+	struct work_group *g = sample_gang(f, 1, 1, 2, 1);
 	struct fleet_server *servers[2] = {sample_server(f, 0), sample_server(f, 0)};
-	struct work_group *g;
 
-	job->step[0].is_gang = true;
-	g = sample_begin(job);
 	g->task[0].attempt = 4;
 	work_task_set_snapshot(&g->task[1], str_from("saved"));
 	work_task_assign_gang(g, servers);
