--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -90,11 +90,21 @@
 	} = 1;
 } = 0x20004c02;
 
-/* the entry VMs of one site: who leads, and what only the leader knows */
+/* the entry VMs of one site: who leads, what only the leader knows, calls passed on */
 
-struct cl_lead_ping_args {
+/* the row of the store that says who leads; a higher row_version is newer */
+struct cl_leader {
 	string vm<CL_ID_MAX>;
+	string ip<CL_ID_MAX>;
+	int port;
 	hyper term;
+	hyper row_version;
+};
+
+struct cl_vm {
+	string vm<CL_ID_MAX>;
+	string ip<CL_ID_MAX>;
+	int port;
 };
 
 struct cl_queue_pending {
@@ -102,12 +112,21 @@
 	hyper pending;
 };
 
+struct cl_lead_ping_args {
+	cl_vm sender;
+	cl_leader leader;
+	hyper store_failing_ms;
+	bool wants_vms;
+};
+
 struct cl_lead_ping_res {
 	bool is_leading;
 	bool is_contending;
-	hyper term;
+	cl_leader leader;
 	hyper store_failing_ms;
+	hyper config_version;
 	cl_queue_pending pending<CL_NOTES_MAX>;
+	cl_vm vms<CL_NOTES_MAX>;
 };
 
 struct cl_lead_state_args {
@@ -121,9 +140,48 @@
 	string workspace<CL_ID_MAX>;
 };
 
+/* a caller's request that the receiver carries out with its own path to the store */
+struct cl_relay_args {
+	int kind;
+	string id<CL_ID_MAX>;
+	string workspace<CL_ID_MAX>;
+	string row<CL_TEXT_MAX>;
+	hyper remaining_ms;
+};
+
+struct cl_relay_res {
+	int status;
+	string state<CL_ID_MAX>;
+	string reason<CL_ID_MAX>;
+};
+
+/* the sender has stored a row of a job, which the leader would learn later from the store */
+struct cl_stored_args {
+	string id<CL_ID_MAX>;
+	string row<CL_TEXT_MAX>;
+	hyper row_version;
+};
+
+struct cl_ack {
+	bool done;
+};
+
+struct cl_config_args {
+	hyper config_version;
+};
+
+struct cl_config_res {
+	hyper config_version;
+	string value<CL_BLOB_MAX>;
+};
+
 program CL_LEAD {
 	version CL_LEAD_V1 {
 		cl_lead_ping_res LEAD_PING(cl_lead_ping_args) = 1;
 		cl_lead_state_res LEAD_STATE(cl_lead_state_args) = 2;
+		cl_relay_res LEAD_RELAY(cl_relay_args) = 3;
+		cl_ack LEAD_STORED(cl_stored_args) = 4;
+		cl_ack LEAD_VACANT(cl_leader) = 5;
+		cl_config_res LEAD_CONFIG(cl_config_args) = 6;
 	} = 1;
 } = 0x20004c03;
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -145,14 +145,34 @@
 }
 
 bool_t
-xdr_cl_lead_ping_args (XDR *xdrs, cl_lead_ping_args *objp)
+xdr_cl_leader (XDR *xdrs, cl_leader *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->vm, CL_ID_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ip, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->port))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->term))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->row_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_vm (XDR *xdrs, cl_vm *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ip, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->port))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -168,6 +188,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cl_lead_ping_args (XDR *xdrs, cl_lead_ping_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cl_vm (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_cl_leader (xdrs, &objp->leader))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->store_failing_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->wants_vms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cl_lead_ping_res (XDR *xdrs, cl_lead_ping_res *objp)
 {
@@ -177,13 +213,18 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_contending))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->term))
+	 if (!xdr_cl_leader (xdrs, &objp->leader))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->store_failing_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->pending.pending_val, (u_int *) &objp->pending.pending_len, CL_NOTES_MAX,
 		sizeof (cl_queue_pending), (xdrproc_t) xdr_cl_queue_pending))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->vms.vms_val, (u_int *) &objp->vms.vms_len, CL_NOTES_MAX,
+		sizeof (cl_vm), (xdrproc_t) xdr_cl_vm))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -212,3 +253,81 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cl_relay_args (XDR *xdrs, cl_relay_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->workspace, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->row, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_relay_res (XDR *xdrs, cl_relay_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->state, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, CL_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_stored_args (XDR *xdrs, cl_stored_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->id, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->row, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->row_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_ack (XDR *xdrs, cl_ack *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->done))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_config_args (XDR *xdrs, cl_config_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_config_res (XDR *xdrs, cl_config_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->value, CL_BLOB_MAX))
+		 return FALSE;
+	return TRUE;
+}
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -94,11 +94,21 @@
 };
 typedef struct cl_job_res cl_job_res;
 
-struct cl_lead_ping_args {
+struct cl_leader {
 	char *vm;
+	char *ip;
+	int port;
 	quad_t term;
+	quad_t row_version;
 };
-typedef struct cl_lead_ping_args cl_lead_ping_args;
+typedef struct cl_leader cl_leader;
+
+struct cl_vm {
+	char *vm;
+	char *ip;
+	int port;
+};
+typedef struct cl_vm cl_vm;
 
 struct cl_queue_pending {
 	char *queue;
@@ -106,15 +116,28 @@
 };
 typedef struct cl_queue_pending cl_queue_pending;
 
+struct cl_lead_ping_args {
+	cl_vm sender;
+	cl_leader leader;
+	quad_t store_failing_ms;
+	bool_t wants_vms;
+};
+typedef struct cl_lead_ping_args cl_lead_ping_args;
+
 struct cl_lead_ping_res {
 	bool_t is_leading;
 	bool_t is_contending;
-	quad_t term;
+	cl_leader leader;
 	quad_t store_failing_ms;
+	quad_t config_version;
 	struct {
 		u_int pending_len;
 		cl_queue_pending *pending_val;
 	} pending;
+	struct {
+		u_int vms_len;
+		cl_vm *vms_val;
+	} vms;
 };
 typedef struct cl_lead_ping_res cl_lead_ping_res;
 
@@ -131,6 +154,45 @@
 };
 typedef struct cl_lead_state_res cl_lead_state_res;
 
+struct cl_relay_args {
+	int kind;
+	char *id;
+	char *workspace;
+	char *row;
+	quad_t remaining_ms;
+};
+typedef struct cl_relay_args cl_relay_args;
+
+struct cl_relay_res {
+	int status;
+	char *state;
+	char *reason;
+};
+typedef struct cl_relay_res cl_relay_res;
+
+struct cl_stored_args {
+	char *id;
+	char *row;
+	quad_t row_version;
+};
+typedef struct cl_stored_args cl_stored_args;
+
+struct cl_ack {
+	bool_t done;
+};
+typedef struct cl_ack cl_ack;
+
+struct cl_config_args {
+	quad_t config_version;
+};
+typedef struct cl_config_args cl_config_args;
+
+struct cl_config_res {
+	quad_t config_version;
+	char *value;
+};
+typedef struct cl_config_res cl_config_res;
+
 #define CL_PEER 0x20004c01
 #define CL_PEER_V1 1
 
@@ -197,6 +259,18 @@
 #define LEAD_STATE 2
 extern  cl_lead_state_res * lead_state_1(cl_lead_state_args *, CLIENT *);
 extern  cl_lead_state_res * lead_state_1_svc(cl_lead_state_args *, struct svc_req *);
+#define LEAD_RELAY 3
+extern  cl_relay_res * lead_relay_1(cl_relay_args *, CLIENT *);
+extern  cl_relay_res * lead_relay_1_svc(cl_relay_args *, struct svc_req *);
+#define LEAD_STORED 4
+extern  cl_ack * lead_stored_1(cl_stored_args *, CLIENT *);
+extern  cl_ack * lead_stored_1_svc(cl_stored_args *, struct svc_req *);
+#define LEAD_VACANT 5
+extern  cl_ack * lead_vacant_1(cl_leader *, CLIENT *);
+extern  cl_ack * lead_vacant_1_svc(cl_leader *, struct svc_req *);
+#define LEAD_CONFIG 6
+extern  cl_config_res * lead_config_1(cl_config_args *, CLIENT *);
+extern  cl_config_res * lead_config_1_svc(cl_config_args *, struct svc_req *);
 extern int cl_lead_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -206,6 +280,18 @@
 #define LEAD_STATE 2
 extern  cl_lead_state_res * lead_state_1();
 extern  cl_lead_state_res * lead_state_1_svc();
+#define LEAD_RELAY 3
+extern  cl_relay_res * lead_relay_1();
+extern  cl_relay_res * lead_relay_1_svc();
+#define LEAD_STORED 4
+extern  cl_ack * lead_stored_1();
+extern  cl_ack * lead_stored_1_svc();
+#define LEAD_VACANT 5
+extern  cl_ack * lead_vacant_1();
+extern  cl_ack * lead_vacant_1_svc();
+#define LEAD_CONFIG 6
+extern  cl_config_res * lead_config_1();
+extern  cl_config_res * lead_config_1_svc();
 extern int cl_lead_1_freeresult ();
 #endif /* K&R C */
 
@@ -221,11 +307,19 @@
 extern  bool_t xdr_cl_job_args (XDR *, cl_job_args*);
 extern  bool_t xdr_cl_sched_status (XDR *, cl_sched_status*);
 extern  bool_t xdr_cl_job_res (XDR *, cl_job_res*);
-extern  bool_t xdr_cl_lead_ping_args (XDR *, cl_lead_ping_args*);
+extern  bool_t xdr_cl_leader (XDR *, cl_leader*);
+extern  bool_t xdr_cl_vm (XDR *, cl_vm*);
 extern  bool_t xdr_cl_queue_pending (XDR *, cl_queue_pending*);
+extern  bool_t xdr_cl_lead_ping_args (XDR *, cl_lead_ping_args*);
 extern  bool_t xdr_cl_lead_ping_res (XDR *, cl_lead_ping_res*);
 extern  bool_t xdr_cl_lead_state_args (XDR *, cl_lead_state_args*);
 extern  bool_t xdr_cl_lead_state_res (XDR *, cl_lead_state_res*);
+extern  bool_t xdr_cl_relay_args (XDR *, cl_relay_args*);
+extern  bool_t xdr_cl_relay_res (XDR *, cl_relay_res*);
+extern  bool_t xdr_cl_stored_args (XDR *, cl_stored_args*);
+extern  bool_t xdr_cl_ack (XDR *, cl_ack*);
+extern  bool_t xdr_cl_config_args (XDR *, cl_config_args*);
+extern  bool_t xdr_cl_config_res (XDR *, cl_config_res*);
 
 #else /* K&R C */
 extern bool_t xdr_cl_note ();
@@ -237,11 +331,19 @@
 extern bool_t xdr_cl_job_args ();
 extern bool_t xdr_cl_sched_status ();
 extern bool_t xdr_cl_job_res ();
-extern bool_t xdr_cl_lead_ping_args ();
+extern bool_t xdr_cl_leader ();
+extern bool_t xdr_cl_vm ();
 extern bool_t xdr_cl_queue_pending ();
+extern bool_t xdr_cl_lead_ping_args ();
 extern bool_t xdr_cl_lead_ping_res ();
 extern bool_t xdr_cl_lead_state_args ();
 extern bool_t xdr_cl_lead_state_res ();
+extern bool_t xdr_cl_relay_args ();
+extern bool_t xdr_cl_relay_res ();
+extern bool_t xdr_cl_stored_args ();
+extern bool_t xdr_cl_ack ();
+extern bool_t xdr_cl_config_args ();
+extern bool_t xdr_cl_config_res ();
 
 #endif /* K&R C */
 
--- a/src/sited.c
+++ b/src/sited.c
@@ -24,7 +24,8 @@
 #define SERVER_CONNECTIONS_MAX 3     /* one that waits for ends, two for orders */
 #define LINGER_MS 2600 /* after SIGTERM, so that the balancer has missed two readiness answers */
 #define LINGER_TICK_MS 50
-#define HAND_OVER_MS 400     /* after SIGTERM, so that orders in flight are answered */
+#define HAND_OVER_MS 400 /* after SIGTERM at the latest, so that transactions are answered */
+#define HAND_OVER_TICK_MS 10
 #define GRACE_RESERVE_MS 800 /* of the grace time, kept to end by ourselves */
 
 /* ---- stopping ---- */
@@ -44,9 +45,15 @@
 	exit(0);
 }
 
+/* what is being stored is answered first: the next leader could not tell how that ended */
 static void on_hand_over(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
-	sited_hand_over(data);
+	struct sited *d = data;
+
+	if (d->lead && !lead_rows_settled(d->lead) && base_now() < d->hand_over_at)
+		mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
+	else
+		sited_hand_over(d);
 }
 
 static void on_term(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
@@ -60,7 +67,8 @@
 	log_event("stopping", "{si sb}", "signal", signum, "leading", d->lead != NULL);
 	if (d->lead)
 		d->lead->is_handing_over = true;
-	mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_MS), on_hand_over, d);
+	d->hand_over_at = base_deadline_in(HAND_OVER_MS);
+	mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
 	mtimer_add(d, d->ev, base_deadline_in(LINGER_TICK_MS), on_linger, d);
 }
 
@@ -122,7 +130,7 @@
 					   .port = d->site->peers.port,
 					   .allow = everybody,
 					   .allow_count = 1,
-					   .procs = sited_peer_procs,
+					   .procs = sited_procs,
 					   .proc_count = SITED_PROC_COUNT};
 
 	d->front = httpd_new(d, d->ev, &front, sited_on_request, d);
@@ -143,6 +151,8 @@
 	int code = EXIT_USAGE;
 
 	d->ev = ev;
+	d->started_at = base_now();
+	d->peers = g_ptr_array_new();
 	d->site = site_load(d, settings, &error);
 	if (!d->site) {
 		fprintf(stderr, "%s\n", error);
--- a/src/sited.h
+++ b/src/sited.h
@@ -7,6 +7,7 @@
  *
  *   sited_table.c    reading and following tables of the store
  *   sited_front.c    callers' requests
+ *   sited_peers.c    calls between the entry VMs
  *   sited_config.c   the operator's configuration
  *   sited_elect.c    which VM leads
  *   sited_lead.c     the leader's rounds: due work, placement, reclaim
@@ -24,6 +25,7 @@
 #include "proto/proto.h"
 #include "queues/queues.h"
 #include "sited_metrics.h"
+#include "sited_peers.h"
 #include "sited_table.h"
 #include "platform/callers.h"
 #include "platform/members.h"
@@ -50,6 +52,8 @@
  * @version: version of the row that says so, -1 while it is not known
  * @client: RPC client to it, or NULL
  * @known_at: when its row was read, on base_now()'s clock
+ * @heard_at: when it last answered, on base_now()'s clock
+ * @store_failing_ms: for how long the store has not served it, as it last said
  * @misses: pings in a row without an answer
  * @pending: jobs not begun by queue, as it last said; name to int64_t
  */
@@ -60,18 +64,42 @@
 	int64_t version;
 	struct onc_client *client;
 	int64_t known_at;
+	int64_t heard_at;
+	int64_t store_failing_ms;
 	unsigned int misses;
 	GHashTable *pending;
 };
 
+/**
+ * struct sited_leader_row - the row that says who leads, as a peer knows it
+ * @vm: empty when nobody leads
+ * @version: of the row; -1 when the peer does not know it
+ */
+struct sited_leader_row {
+	const char *vm;
+	const char *ip;
+	uint16_t port;
+	int64_t term;
+	int64_t version;
+};
+
 /**
  * struct sited - the daemon
  * @queues: configuration in force, NULL before the first
+ * @config_text: the document that it was decoded from, for peers
+ * @config_behind: pings in a row whose answer named a newer configuration
+ * @config_asked: a peer was asked for it
+ * @peers: struct peer of other entry VMs
+ * @next_peer: counts pings to VMs that don't lead
+ * @vms_asked_at: when a list of VMs last came, on base_now()'s clock
+ * @is_probing: the store is being asked whether it still serves this VM
+ * @started_at: when the process began, on base_now()'s clock
  * @lead: set while this VM leads
  * @lead_serial: counts terms of this process, so that late answers are recognised
  * @is_contending: a transaction for the lead is in flight
  * @contended_version: version of the row that it would replace
  * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
+ * @hand_over_at: the lead is handed over then at the latest, on base_now()'s clock
  * @requests: callers' requests in progress
  */
 struct sited {
@@ -83,12 +111,21 @@
 	struct orders *orders;
 	struct httpd *front;
 	struct queues *queues;
+	char *config_text;
+	unsigned int config_behind;
+	bool config_asked;
+	GPtrArray *peers;
+	unsigned int next_peer;
+	int64_t vms_asked_at;
+	bool is_probing;
+	int64_t started_at;
 	struct lead *lead;
 	uint64_t lead_serial;
 	struct sited_leader leader;
 	bool is_contending;
 	int64_t contended_version;
 	int64_t stop_at;
+	int64_t hand_over_at;
 	unsigned int requests;
 	struct sited_metrics metrics;
 };
@@ -110,22 +147,26 @@
 
 /** sited_config_start() - read the configuration and follow it */
 void sited_config_start(struct sited *d);
+/** sited_config_take() - put a document in force if it is newer; @source for the log */
+void sited_config_take(struct sited *d, struct str value, const char *source);
 
 /* ---- sited_front.c ---- */
 
 void sited_on_request(struct httpd_request *req);
 /** sited_on_ready() - tell the balancer whether to send callers here */
 void sited_on_ready(struct httpd_request *req);
+/** sited_on_relay() - carry out a request that a caller sent to another entry VM */
+void sited_on_relay(struct onc_request *req);
 
 /* ---- sited_elect.c ---- */
 
 void sited_elect_start(struct sited *d);
-/** sited_on_peer() - answer a call of another entry VM */
-void sited_on_peer(struct onc_request *req);
-extern const struct onc_proc sited_peer_procs[];
-#define SITED_PROC_PING 0
-#define SITED_PROC_STATE 1
-#define SITED_PROC_COUNT 2
+/** sited_leader_answered() - outcome of a ping to the leader */
+void sited_leader_answered(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer);
+/** sited_leader_heard() - what a peer says of who leads; an older row changes nothing */
+void sited_leader_heard(struct sited *d, const struct sited_leader_row *row, const char *source);
+/** sited_contend_if_vacant() - the lead was handed over: contend at once */
+void sited_contend_if_vacant(struct sited *d);
 /** sited_doubt() - somebody else may lead: read the row and step down if so */
 void sited_doubt(struct sited *d, const char *why);
 /** sited_step_down() - another VM leads for certain */
--- /dev/null
+++ b/src/sited_calls.c
@@ -0,0 +1,277 @@
+/*
+ * What callers ask for, carried out by the store. A job is accepted when its
+ * row is stored; any VM can do that. Answers 429 and 503 say that a job was not
+ * accepted and never will be, so they are given only while no transaction of it
+ * may still be performed; without that certainty the answer is 504, and the
+ * caller asks again.
+ *
+ * Load pattern: the store turns some VMs away, or they are cut off from it,
+ * while others reach it. Such a VM passes requests to a peer that does, and
+ * refuses at once when there is none.
+ */
+#include "sited_front.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+
+#define SETTLE_PAUSE_MS 60 /* before a transaction without an answer is sent again */
+#define STATE_CALL_MS 300  /* the leader answers from memory */
+/* a store that is 60 times slower than usual answers in it; then a peer is asked */
+#define SUBMIT_CALL_MS 1100
+
+/* the row of the job that the request is about */
+static void read_row(struct front_call *c, store_done *done)
+{
+	struct store_range range = {SITED_JOBS_TABLE, sited_part(c->id), c->id, 1};
+
+	store_read(c->d->store, &range, front_own_deadline(c, SUBMIT_CALL_MS), done, c);
+}
+
+/* a peer first, when the store does not serve this VM */
+static bool relay_first(struct front_call *c)
+{
+	return store_failing_ms(c->d->store) && front_relay(c);
+}
+
+static void on_resume_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	front_resume(data);
+}
+
+static void resume_later(struct front_call *c)
+{
+	mtimer_add(c, c->d->ev, base_deadline_in(SETTLE_PAUSE_MS), on_resume_timer, c);
+}
+
+/* ---- submit ---- */
+
+/* the row is there: ours after a lost answer, or that of an earlier request with the same id */
+static void on_existing(struct front_call *c, const struct store_row *row)
+{
+	struct work_job *job = work_job_decode(c, str_from(c->id), row->value);
+
+	if (!job) {
+		front_finish(c, 503, "the id is taken by a row that can't be read");
+	} else if (strcmp(job->workspace, c->job->workspace)) {
+		front_finish(c, 429, "the id is taken by another workspace");
+	} else {
+		sited_tell_stored(c->d, c->id, str_dup(c, row->value), row->version);
+		front_finish(c, 200, c->is_unsure ? "stored earlier" : "known");
+	}
+}
+
+static void on_submitted(const struct store_result *r, void *data)
+{
+	struct front_call *c = data;
+
+	switch (r->status) {
+	case STORE_OK:
+		sited_count(&c->d->metrics, COUNT_ACCEPTED);
+		sited_observe(&c->d->metrics, HIST_ACCEPT, c->started_at);
+		sited_tell_stored(c->d, c->id, c->value, r->version);
+		front_finish(c, 200, "stored");
+		return;
+	case STORE_CONFLICT:
+		if (r->count) {
+			on_existing(c, &r->rows[0]);
+			return;
+		}
+		break;
+	case STORE_UNKNOWN:
+		c->is_unsure = true;
+		if (front_relay(c))
+			return;
+		break;
+	case STORE_REFUSED:
+		if (front_relay(c))
+			return;
+		if (!c->is_unsure) {
+			front_finish(c, 503, "the store does not take the job now");
+			return;
+		}
+		break;
+	default:
+		front_finish(c, 503, "the store does not take such a job");
+		return;
+	}
+	if (front_time_is_left(c))
+		resume_later(c);
+	else
+		front_finish(c, 504, "the store did not say whether the job was stored");
+}
+
+static void send_submit(struct front_call *c)
+{
+	if (!front_time_is_left(c))
+		front_finish(c, c->is_unsure ? 504 : 503, "no time is left to store the job");
+	else
+		store_commit(c->d->store, c->tx, front_own_deadline(c, SUBMIT_CALL_MS),
+			     on_submitted, c);
+}
+
+void front_begin_submit(struct front_call *c)
+{
+	c->value = work_job_encode(c, c->job);
+	if ((int64_t)strlen(c->value) > c->d->site->row_bytes) {
+		front_finish(c, 413, "the job is larger than a row of the store");
+		return;
+	}
+	c->tx = store_tx_new(c, sited_part(c->id));
+	store_tx_expect(c->tx, SITED_JOBS_TABLE, c->id, 0);
+	store_tx_put(c->tx, SITED_JOBS_TABLE, c->id, str_from(c->value));
+	if (!relay_first(c))
+		send_submit(c);
+}
+
+/* ---- state ---- */
+
+static void on_state_row(const struct store_result *r, void *data)
+{
+	struct front_call *c = data;
+	struct work_job *job;
+
+	if (r->status != STORE_OK) {
+		if (!front_relay(c))
+			front_finish(c, 503, "neither the leader nor the store answers");
+		return;
+	}
+	if (!r->count || strcmp(r->rows[0].key, c->id)) {
+		front_finish(c, 410, "no such job");
+		return;
+	}
+	job = work_job_decode(c, str_from(c->id), r->rows[0].value);
+	if (!job)
+		front_finish(c, 503, "the job's row can't be read");
+	else if (c->workspace[0] && strcmp(job->workspace, c->workspace))
+		front_finish(c, 403, "the job is another workspace's");
+	else
+		front_finish_state(c, job->state, "store");
+}
+
+static void read_state(struct front_call *c)
+{
+	if (!relay_first(c))
+		read_row(c, on_state_row);
+}
+
+static void on_leader_state(enum onc_result result, void *res, void *data)
+{
+	struct front_call *c = data;
+	cl_lead_state_res *answer = res;
+	enum work_state state = WORK_STATE_COUNT;
+
+	if (result == ONC_OK && answer->known)
+		state = work_state_parse(answer->state);
+	if (state == WORK_STATE_COUNT ||
+	    (c->workspace[0] && strcmp(answer->workspace, c->workspace)))
+		read_state(c);
+	else
+		front_finish_state(c, state, "leader");
+}
+
+void front_begin_state(struct front_call *c)
+{
+	struct sited *d = c->d;
+	cl_lead_state_args args = {c->id};
+	const char *workspace = "";
+	enum work_state state;
+
+	if (d->lead) {
+		state = lead_job_state(d->lead, c->id, &workspace);
+		if (state != WORK_STATE_COUNT &&
+		    (!c->workspace[0] || !strcmp(workspace, c->workspace)))
+			front_finish_state(c, state, "leader");
+		else
+			read_state(c);
+	} else if (d->leader.client && !d->leader.misses) {
+		onc_call(d->leader.client, &sited_procs[SITED_PROC_STATE], &args,
+			 sizeof(cl_lead_state_res), base_deadline_in(STATE_CALL_MS),
+			 on_leader_state, c);
+	} else {
+		read_state(c);
+	}
+}
+
+/* ---- cancel ---- */
+
+static void on_cancel_row(const struct store_result *r, void *data);
+
+static void retry_cancel(struct front_call *c, const char *reason)
+{
+	if (!front_time_is_left(c))
+		front_finish(c, 504, reason);
+	else if (!front_relay(c))
+		resume_later(c);
+}
+
+static void on_cancelled(const struct store_result *r, void *data)
+{
+	struct front_call *c = data;
+
+	if (r->status == STORE_OK) {
+		sited_count(&c->d->metrics, COUNT_CANCELLED);
+		sited_tell_stored(c->d, c->id, c->value, r->version);
+		front_finish(c, 200, "cancelled");
+	} else if (r->status == STORE_CONFLICT) {
+		/* the row changed: what it says now decides */
+		read_row(c, on_cancel_row);
+	} else {
+		retry_cancel(c, "the store did not say whether the job was cancelled");
+	}
+}
+
+static void on_cancel_row(const struct store_result *r, void *data)
+{
+	struct front_call *c = data;
+	struct work_job *job;
+
+	if (r->status != STORE_OK) {
+		retry_cancel(c, "the store does not answer");
+		return;
+	}
+	if (!r->count || strcmp(r->rows[0].key, c->id)) {
+		front_finish(c, 410, "no such job");
+		return;
+	}
+	job = work_job_decode(c, str_from(c->id), r->rows[0].value);
+	if (!job || (c->workspace[0] && strcmp(job->workspace, c->workspace))) {
+		front_finish(c, 403, "the job is another workspace's");
+		return;
+	}
+	if (work_job_is_over(job)) {
+		front_finish(c, 200, work_state_name(job->state));
+		return;
+	}
+	work_job_set_state(job, WORK_CANCELLED, sited_wall_ms());
+	talloc_free(c->value);
+	c->value = work_job_encode(c, job);
+	talloc_free(c->tx);
+	c->tx = store_tx_new(c, sited_part(c->id));
+	store_tx_expect(c->tx, SITED_JOBS_TABLE, c->id, r->rows[0].version);
+	store_tx_put(c->tx, SITED_JOBS_TABLE, c->id, str_from(c->value));
+	store_commit(c->d->store, c->tx, front_own_deadline(c, SITED_CALL_MS), on_cancelled, c);
+}
+
+void front_begin_cancel(struct front_call *c)
+{
+	if (!relay_first(c))
+		read_row(c, on_cancel_row);
+}
+
+void front_resume(struct front_call *c)
+{
+	switch (c->kind) {
+	case FRONT_SUBMIT:
+		send_submit(c);
+		break;
+	case FRONT_STATE:
+		read_row(c, on_state_row);
+		break;
+	case FRONT_CANCEL:
+		read_row(c, on_cancel_row);
+		break;
+	case FRONT_KIND_COUNT:
+		break;
+	}
+}
--- a/src/sited_config.c
+++ b/src/sited_config.c
@@ -10,35 +10,38 @@
 
 static void read_config(void *data);
 
-static void take_config(struct sited *d, const struct store_row *row)
+void sited_config_take(struct sited *d, struct str value, const char *source)
 {
-	struct queues *q;
+	struct queues *q = operator_decode(d, value);
+	int64_t before = d->queues ? d->queues->version : 0;
 
-	if (strcmp(row->key, OPERATOR_CONFIG_KEY) || row->removed)
-		return;
-	q = operator_decode(d, row->value);
 	if (!q) {
 		log_warn("config_unreadable",
-			 "row version %" PRId64 " holds no configuration; %" PRId64
-			 " stays in force",
-			 row->version, d->queues ? d->queues->version : 0);
+			 "%s holds no configuration; %" PRId64 " stays in force", source, before);
 		return;
 	}
-	if (d->queues && q->version <= d->queues->version) {
+	if (d->queues && q->version <= before) {
 		talloc_free(q);
 		return;
 	}
-	log_event("config_taken", "{sI sI sI sI}", "version", (json_int_t)q->version, "before",
-		  (json_int_t)(d->queues ? d->queues->version : 0), "queues",
-		  (json_int_t)q->queue_count, "row_version", (json_int_t)row->version);
+	log_event("config_taken", "{sI sI sI ss}", "version", (json_int_t)q->version, "before",
+		  (json_int_t)before, "queues", (json_int_t)q->queue_count, "source", source);
 	talloc_free(d->queues);
+	talloc_free(d->config_text);
 	d->queues = q;
+	d->config_text = str_dup(d, value);
+}
+
+static void take_row(struct sited *d, const struct store_row *row)
+{
+	if (!row->removed && !strcmp(row->key, OPERATOR_CONFIG_KEY))
+		sited_config_take(d, row->value, "the store");
 }
 
 static void on_rows(const struct table_page *page, void *data)
 {
 	for (unsigned int i = 0; i < page->count; i++)
-		take_config(data, &page->rows[i]);
+		take_row(data, &page->rows[i]);
 }
 
 static struct table_source config_source(struct sited *d)
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -10,82 +10,22 @@
 
 #include "mtimer/mtimer.h"
 
-#define PING_EVERY_MS 200
-#define PING_ANSWER_MS 350 /* several times the way to another failure domain and back */
+#define TICK_MS 200
 #define MISSES_MAX 3 /* pings in a row without an answer; a refused connection counts double */
 #define NEW_LEADER_MS 4000
 #define MISSES_MAX_NEW 7
-#define CONTEND_SMALL_MS 120   /* longer than a transaction of a larger VM takes */
-#define CONTEND_SPREAD_MS 40   /* so that not all contend at the same moment */
+#define CONTEND_SMALL_MS 120 /* longer than a transaction of a larger VM takes */
+#define CONTEND_SPREAD_MS 20 /* so that not all contend at the same moment */
+/* VMs that are restarted in turn: one that was restarted lately leads on undisturbed */
+#define CONTEND_AGE_MAX_MS 40
+#define AGE_PER_DELAY 1000     /* a delay of 1 ms for each second since the start */
 #define CLIENT_LINGER_MS 2000  /* longer than any call to a leader takes */
 #define LEADER_CUT_OFF_MS 1200 /* the leader's store is away for so long, but not this VM's */
+#define PROBE_MS 500	       /* a store that is 60 times slower than usual answers in it */
 
 static void read_row(struct sited *d);
 static void contend(struct sited *d, const char *why);
 
-const struct onc_proc sited_peer_procs[] = {
-	{CL_LEAD, CL_LEAD_V1, LEAD_PING, (xdrproc_t)xdr_cl_lead_ping_args,
-	 sizeof(cl_lead_ping_args), (xdrproc_t)xdr_cl_lead_ping_res},
-	{CL_LEAD, CL_LEAD_V1, LEAD_STATE, (xdrproc_t)xdr_cl_lead_state_args,
-	 sizeof(cl_lead_state_args), (xdrproc_t)xdr_cl_lead_state_res},
-};
-
-/* ---- answers to peers ---- */
-
-static void answer_ping(struct sited *d, struct onc_request *req)
-{
-	cl_lead_ping_args *args = req->args;
-	cl_lead_ping_res res = {.is_leading = d->lead != NULL,
-				.is_contending = d->is_contending,
-				.term = d->lead ? d->lead->term : 0,
-				.store_failing_ms = store_failing_ms(d->store)};
-	GHashTable *pending = d->lead ? lead_pending(d->lead) : NULL;
-	cl_queue_pending *list = NULL;
-	GHashTableIter it;
-	gpointer name;
-	gpointer n;
-
-	if (d->lead && args->term > d->lead->term)
-		sited_doubt(d, "a peer knows a newer term");
-	if (pending) {
-		list = talloc_array(d, cl_queue_pending, g_hash_table_size(pending));
-		g_hash_table_iter_init(&it, pending);
-		while (g_hash_table_iter_next(&it, &name, &n)) {
-			list[res.pending.pending_len].queue = name;
-			list[res.pending.pending_len++].pending = *(int64_t *)n;
-		}
-		res.pending.pending_val = list;
-	}
-	onc_reply(req, &res);
-	talloc_free(list);
-}
-
-static void answer_state(struct sited *d, struct onc_request *req)
-{
-	cl_lead_state_args *args = req->args;
-	const char *workspace = "";
-	enum work_state state =
-		d->lead ? lead_job_state(d->lead, args->id, &workspace) : WORK_STATE_COUNT;
-	cl_lead_state_res res = {.is_leading = d->lead != NULL,
-				 .known = state != WORK_STATE_COUNT,
-				 .state = "",
-				 .workspace = (char *)workspace};
-
-	if (res.known)
-		res.state = (char *)work_state_name(state);
-	onc_reply(req, &res);
-}
-
-void sited_on_peer(struct onc_request *req)
-{
-	struct sited *d = req->server_data;
-
-	if (req->proc == &sited_peer_procs[SITED_PROC_PING])
-		answer_ping(d, req);
-	else
-		answer_state(d, req);
-}
-
 /* ---- the row ---- */
 
 static char *encode_row(TALLOC_CTX *ctx, const struct sited *d, int64_t term, bool is_vacant)
@@ -115,31 +55,59 @@
 			   client);
 }
 
-static void take_row(struct sited *d, const struct store_row *row)
+static void set_leader(struct sited *d, const struct sited_leader_row *row, const char *source)
 {
-	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
 	struct sited_leader *leader = &d->leader;
-	int64_t version = row->removed ? 0 : row->version;
 
-	if (version <= leader->version && leader->version >= 0) {
-		json_decref(v);
-		return;
-	}
 	drop_client(d);
-	g_strlcpy(leader->vm, base_json_str(v, "vm", ""), sizeof(leader->vm));
-	g_strlcpy(leader->address.ip, base_json_str(v, "ip", ""), sizeof(leader->address.ip));
-	leader->address.port = (uint16_t)base_json_int(v, "port", 0);
-	leader->term = MAX(leader->term, base_json_int(v, "term", 0));
-	leader->version = version;
+	g_strlcpy(leader->vm, row->vm, sizeof(leader->vm));
+	g_strlcpy(leader->address.ip, row->ip, sizeof(leader->address.ip));
+	leader->address.port = row->port;
+	leader->term = MAX(leader->term, row->term);
+	leader->version = row->version;
 	leader->known_at = base_now();
+	leader->heard_at = 0;
+	leader->store_failing_ms = 0;
 	leader->misses = 0;
 	if (leader->vm[0] && strcmp(leader->vm, d->site->vm))
 		leader->client = onc_client_new(d, d->ev, leader->address.ip, leader->address.port);
-	log_event("leader_known", "{ss sI sI}", "leader", leader->vm, "term",
-		  (json_int_t)leader->term, "row_version", (json_int_t)version);
+	log_event("leader_known", "{ss sI sI ss}", "leader", leader->vm, "term",
+		  (json_int_t)leader->term, "row_version", (json_int_t)row->version, "source",
+		  source);
+}
+
+static void lose_lead(struct sited *d, int64_t newer)
+{
+	log_event("lead_lost", "{sI sI sI}", "term", (json_int_t)d->lead->term, "row_version",
+		  (json_int_t)d->lead->row_version, "newer", (json_int_t)newer);
+	TALLOC_FREE(d->lead);
+	d->lead_serial++;
+}
+
+static void take_row(struct sited *d, const struct store_row *stored)
+{
+	json_t *v = json_loadb(stored->value.ptr, stored->value.len, 0, NULL);
+	struct sited_leader_row row = {.vm = base_json_str(v, "vm", ""),
+				       .ip = base_json_str(v, "ip", ""),
+				       .port = (uint16_t)base_json_int(v, "port", 0),
+				       .term = base_json_int(v, "term", 0),
+				       .version = stored->removed ? 0 : stored->version};
+
+	if (d->leader.version < 0 || row.version > d->leader.version)
+		set_leader(d, &row, "the store");
 	json_decref(v);
 }
 
+void sited_leader_heard(struct sited *d, const struct sited_leader_row *row, const char *source)
+{
+	if (row->version <= 0 || row->version <= d->leader.version)
+		return;
+	if (d->lead && row->version > d->lead->row_version)
+		lose_lead(d, row->version);
+	if (!d->lead)
+		set_leader(d, row, source);
+}
+
 static void on_row(const struct store_result *r, void *data)
 {
 	struct sited *d = data;
@@ -154,21 +122,35 @@
 		take_row(d, found ? &r->rows[0] : &none);
 }
 
+static const struct store_range lead_range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+
 static void read_row(struct sited *d)
 {
-	struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+	store_read(d->store, &lead_range, base_deadline_in(SITED_CALL_MS), on_row, d);
+}
+
+static void on_probed(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	d->is_probing = false;
+	on_row(r, d);
+}
 
-	store_read(d->store, &range, base_deadline_in(SITED_CALL_MS), on_row, d);
+/* VMs that fall silent may mean that this one is cut off: a short call to the store tells */
+static void probe_store(struct sited *d)
+{
+	if (d->is_probing || store_failing_ms(d->store))
+		return;
+	d->is_probing = true;
+	store_read(d->store, &lead_range, base_deadline_in(PROBE_MS), on_probed, d);
 }
 
 void sited_check_row(struct sited *d, const struct store_row *row)
 {
 	if (!d->lead || row->version <= d->lead->row_version)
 		return;
-	log_event("lead_lost", "{sI sI sI}", "term", (json_int_t)d->lead->term, "row_version",
-		  (json_int_t)d->lead->row_version, "newer", (json_int_t)row->version);
-	TALLOC_FREE(d->lead);
-	d->lead_serial++;
+	lose_lead(d, row->version);
 	take_row(d, row);
 }
 
@@ -238,7 +220,9 @@
 /* large VMs go first: a leader's work grows with the deployment, a VM's share does not */
 static int64_t contend_delay_ms(const struct sited *d)
 {
-	int64_t delay = (int64_t)(base_random64() % CONTEND_SPREAD_MS);
+	int64_t age_ms = (base_now() - d->started_at) / BASE_NS_PER_MS;
+	int64_t delay = (int64_t)(base_random64() % CONTEND_SPREAD_MS) +
+			MIN(age_ms / AGE_PER_DELAY, CONTEND_AGE_MAX_MS);
 
 	return d->site->cores < SITED_LARGE_CORES ? delay + CONTEND_SMALL_MS : delay;
 }
@@ -262,6 +246,27 @@
 	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
 }
 
+void sited_contend_if_vacant(struct sited *d)
+{
+	if (!d->leader.vm[0])
+		contend(d, "the lead was handed over");
+}
+
+/* ---- handing over ---- */
+
+static void on_vacated(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	/* others waited for the outcome; they find out who leads, whatever it was */
+	d->is_contending = false;
+	if (r->status != STORE_OK)
+		return;
+	d->leader.version = r->version;
+	d->leader.vm[0] = 0;
+	sited_tell_vacant(d);
+}
+
 void sited_hand_over(struct sited *d)
 {
 	struct store_tx *tx;
@@ -276,8 +281,8 @@
 	log_event("lead_handed_over", "{sI}", "term", (json_int_t)d->lead->term);
 	TALLOC_FREE(d->lead);
 	d->lead_serial++;
-	d->leader.vm[0] = 0;
-	store_commit(d->store, tx, base_deadline_in(SITED_CALL_MS), on_row, d);
+	d->is_contending = true;
+	store_commit(d->store, tx, base_deadline_in(SITED_CALL_MS), on_vacated, d);
 	talloc_free(tx);
 }
 
@@ -298,29 +303,23 @@
 	}
 }
 
-/* a ping and the row by which its receiver was the leader */
-struct ping {
-	struct sited *d;
-	int64_t version;
-};
-
-static void on_pinged(enum onc_result result, void *res, void *data)
+static void leader_missed(struct sited *d, enum onc_result result)
 {
-	struct ping *ping = data;
-	struct sited *d = ping->d;
-	const cl_lead_ping_res *answer = res;
-	bool is_current = ping->version == d->leader.version;
+	d->leader.misses += result == ONC_NOT_SENT ? 2 : 1;
+	probe_store(d);
+	if (d->leader.misses >= misses_max(d))
+		contend(d, "the leader does not answer");
+}
 
-	talloc_free(ping);
-	if (d->lead || !is_current)
-		return;
+void sited_leader_answered(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer)
+{
 	if (result != ONC_OK) {
-		d->leader.misses += result == ONC_NOT_SENT ? 2 : 1;
-		if (d->leader.misses >= misses_max(d))
-			contend(d, "the leader does not answer");
+		leader_missed(d, result);
 		return;
 	}
 	d->leader.misses = 0;
+	d->leader.heard_at = base_now();
+	d->leader.store_failing_ms = answer->store_failing_ms;
 	/* it may have won without knowing yet: the answer of a slow store takes a while */
 	if (!answer->is_leading && answer->is_contending)
 		return;
@@ -333,30 +332,35 @@
 		contend(d, "the leader is cut off from the store");
 }
 
-static void ping_leader(struct sited *d)
+static void tick_leading(struct sited *d)
 {
-	cl_lead_ping_args args = {d->site->vm, d->leader.term};
-	struct ping *ping = talloc_zero(d, struct ping);
+	if (store_failing_ms(d->store))
+		sited_ping_other(d);
+	else if (sited_peers_are_missing(d))
+		probe_store(d);
+}
 
-	ping->d = d;
-	ping->version = d->leader.version;
-	onc_call(d->leader.client, &sited_peer_procs[SITED_PROC_PING], &args,
-		 sizeof(cl_lead_ping_res), base_deadline_in(PING_ANSWER_MS), on_pinged, ping);
+static void tick_following(struct sited *d)
+{
+	if (d->leader.version < 0)
+		read_row(d);
+	else if (d->leader.client)
+		sited_ping_leader(d);
+	else
+		contend(d, d->leader.vm[0] ? "the row names this VM" : "nobody leads");
+	if (store_failing_ms(d->store) && (!d->leader.client || d->leader.misses))
+		sited_ping_other(d);
 }
 
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct sited *d = data;
 
-	mtimer_add(d, d->ev, base_deadline_in(PING_EVERY_MS), on_tick, d);
+	mtimer_add(d, d->ev, base_deadline_in(TICK_MS), on_tick, d);
 	if (d->lead)
-		return;
-	if (d->leader.version < 0)
-		read_row(d);
-	else if (d->leader.client)
-		ping_leader(d);
+		tick_leading(d);
 	else
-		contend(d, d->leader.vm[0] ? "the row names this VM" : "nobody leads");
+		tick_following(d);
 }
 
 void sited_elect_start(struct sited *d)
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -124,6 +124,8 @@
 
 /** lead_rows_flush() - store what has changed, one transaction a part at a time */
 void lead_rows_flush(struct lead *l);
+/** lead_rows_settled() - no transaction is in flight */
+bool lead_rows_settled(const struct lead *l);
 /** lead_rows_sweep() - drop rows of jobs that ended long ago */
 void lead_rows_sweep(struct lead *l);
 
@@ -136,6 +138,8 @@
 
 /** lead_rows_load() - claim all parts, read their rows, then follow what callers write */
 void lead_rows_load(struct lead *l);
+/** lead_take_job() - a job's row, from whatever source; an older one changes nothing */
+void lead_take_job(struct lead *l, const struct store_row *row);
 const char *sited_part_name(unsigned int part);
 
 /* ---- sited_list.c ---- */
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -29,9 +29,13 @@
 	g_hash_table_insert(l->jobs, job->id, job);
 	if (!work_job_is_over(job))
 		g_ptr_array_add(l->active, job);
-	log_event("job_known", "{ss ss ss sI sI}", "id", job->id, "queue", job->queue, "state",
-		  work_state_name(job->state), "row_version", (json_int_t)row->version, "age_ms",
-		  (json_int_t)(sited_wall_ms() - job->accepted_ms));
+	log_event(
+		"job_known", "{ss ss ss sI sI sI si si sI sI}", "id", job->id, "queue", job->queue,
+		"state", work_state_name(job->state), "row_version", (json_int_t)row->version,
+		"age_ms", (json_int_t)(sited_wall_ms() - job->accepted_ms), "priority",
+		(json_int_t)job->priority, "steps", (int)job->step_count, "tasks",
+		(int)job->step[0].count, "accelerators", (json_int_t)job->step[0].need.accelerators,
+		"objective_ms", (json_int_t)work_objective_ms(job));
 }
 
 /* a newer row of a known job: our own write come back, a cancellation, or another leader's write */
@@ -56,7 +60,7 @@
 	talloc_free(read);
 }
 
-static void take_job(struct lead *l, const struct store_row *row)
+void lead_take_job(struct lead *l, const struct store_row *row)
 {
 	struct work_job *job = g_hash_table_lookup(l->jobs, row->key);
 
@@ -170,7 +174,7 @@
 	struct load *load = data;
 
 	for (unsigned int i = 0; i < page->count; i++)
-		take_job(load->lead, &page->rows[i]);
+		lead_take_job(load->lead, &page->rows[i]);
 }
 
 static void on_jobs_end(int64_t version, void *data)
@@ -293,7 +297,7 @@
 	struct lead *l = data;
 
 	for (unsigned int i = 0; i < page->count; i++)
-		take_job(l, &page->rows[i]);
+		lead_take_job(l, &page->rows[i]);
 	if (page->count)
 		lead_kick(l);
 }
--- a/src/sited_metrics.h
+++ b/src/sited_metrics.h
@@ -13,6 +13,7 @@
 	X(COUNT_COMPLETED, "jobs_completed_total")            \
 	X(COUNT_FAILED, "jobs_failed_total")                  \
 	X(COUNT_UNANSWERED, "requests_unknown_outcome_total") \
+	X(COUNT_RELAYS, "requests_relayed_total")             \
 	X(COUNT_STARTS, "task_starts_total")                  \
 	X(COUNT_STOPS, "task_stops_total")                    \
 	X(COUNT_RECLAIMS, "task_reclaims_total")              \
--- /dev/null
+++ b/src/sited_peers.c
@@ -0,0 +1,461 @@
+/*
+ * Calls between the entry VMs of a site, and what they know of each other.
+ */
+#include "sited_peers.h"
+
+#include <string.h>
+
+#include "mtimer/mtimer.h"
+#include "sited_lead.h"
+
+#define PING_ANSWER_MS 350   /* several times the way to another failure domain and back */
+#define PEER_FORGET_MS 60000 /* a VM that was not heard of for so long has been replaced */
+#define PEER_SILENT_MS 700   /* three pings of a VM did not come */
+#define PEER_RECENT_MS 3000  /* a VM that pinged within this was there a moment ago */
+#define PEER_HEARD_MS 1500   /* what a VM said of its store is believed for so long */
+#define VMS_EVERY_MS 5000    /* the list of VMs changes with their restarts only */
+#define CONFIG_BEHIND_MAX 2  /* pings; an own feed brings a change within one */
+#define CONFIG_ANSWER_MS 1000
+#define STORED_ANSWER_MS 1000
+#define VACANT_ANSWER_MS 1000
+#define CLIENT_LINGER_MS 2000 /* longer than any call on it takes */
+
+/**
+ * struct peer - another entry VM
+ * @known_at: when it was last heard or named, on base_now()'s clock
+ * @heard_at: when it last called or answered, 0 before
+ * @store_failing_ms: for how long the store has not served it, as it last said
+ * @client: RPC client to it, or NULL
+ */
+struct peer {
+	char vm[64];
+	struct address address;
+	int64_t known_at;
+	int64_t heard_at;
+	int64_t store_failing_ms;
+	struct onc_client *client;
+};
+
+#define SITED_PROC(number, name)                                                 \
+	{                                                                        \
+		CL_LEAD, CL_LEAD_V1, number, (xdrproc_t)xdr_cl_##name##_args,    \
+			sizeof(cl_##name##_args), (xdrproc_t)xdr_cl_##name##_res \
+	}
+
+const struct onc_proc sited_procs[SITED_PROC_COUNT] = {
+	[SITED_PROC_PING] = SITED_PROC(LEAD_PING, lead_ping),
+	[SITED_PROC_STATE] = SITED_PROC(LEAD_STATE, lead_state),
+	[SITED_PROC_RELAY] = SITED_PROC(LEAD_RELAY, relay),
+	[SITED_PROC_STORED] = {CL_LEAD, CL_LEAD_V1, LEAD_STORED, (xdrproc_t)xdr_cl_stored_args,
+			       sizeof(cl_stored_args), (xdrproc_t)xdr_cl_ack},
+	[SITED_PROC_VACANT] = {CL_LEAD, CL_LEAD_V1, LEAD_VACANT, (xdrproc_t)xdr_cl_leader,
+			       sizeof(cl_leader), (xdrproc_t)xdr_cl_ack},
+	[SITED_PROC_CONFIG] = SITED_PROC(LEAD_CONFIG, config),
+};
+
+/* ---- who is there ---- */
+
+static bool is_within(int64_t at, int64_t ms)
+{
+	return at && base_now() - at < ms * BASE_NS_PER_MS;
+}
+
+static void on_client_idle(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	talloc_free(data);
+}
+
+/* freed later: one of its callbacks may be on the stack */
+static void drop_client(struct sited *d, struct peer *p)
+{
+	struct onc_client *client = p->client;
+
+	p->client = NULL;
+	if (client) {
+		talloc_steal(d, client);
+		mtimer_add(client, d->ev, base_deadline_in(CLIENT_LINGER_MS), on_client_idle,
+			   client);
+	}
+}
+
+static void forget_old(struct sited *d)
+{
+	for (guint i = d->peers->len; i-- > 0;) {
+		struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (is_within(p->known_at, PEER_FORGET_MS))
+			continue;
+		drop_client(d, p);
+		g_ptr_array_remove_index_fast(d->peers, i);
+		talloc_free(p);
+	}
+}
+
+/* the peer of that name, noted as there; NULL for this VM itself */
+static struct peer *note_vm(struct sited *d, const cl_vm *vm)
+{
+	struct peer *p = NULL;
+
+	if (!vm->vm[0] || !strcmp(vm->vm, d->site->vm))
+		return NULL;
+	for (guint i = 0; i < d->peers->len && !p; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (strcmp(p->vm, vm->vm))
+			p = NULL;
+	}
+	if (!p) {
+		p = talloc_zero(d, struct peer);
+		g_strlcpy(p->vm, vm->vm, sizeof(p->vm));
+		g_ptr_array_add(d->peers, p);
+	}
+	if (strcmp(p->address.ip, vm->ip) || p->address.port != vm->port) {
+		drop_client(d, p);
+		g_strlcpy(p->address.ip, vm->ip, sizeof(p->address.ip));
+		p->address.port = (uint16_t)vm->port;
+	}
+	p->known_at = base_now();
+	return p;
+}
+
+static struct onc_client *client_of(struct sited *d, struct peer *p)
+{
+	if (!p->client)
+		p->client = onc_client_new(p, d->ev, p->address.ip, p->address.port);
+	return p->client;
+}
+
+bool sited_peers_are_missing(const struct sited *d)
+{
+	for (guint i = 0; i < d->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (is_within(p->heard_at, PEER_RECENT_MS) &&
+		    !is_within(p->heard_at, PEER_SILENT_MS))
+			return true;
+	}
+	return false;
+}
+
+struct onc_client *sited_relay_target(struct sited *d)
+{
+	const struct sited_leader *leader = &d->leader;
+
+	if (!d->lead && leader->client && !leader->misses && !leader->store_failing_ms &&
+	    is_within(leader->heard_at, PEER_HEARD_MS))
+		return leader->client;
+	for (guint i = 0; i < d->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (is_within(p->heard_at, PEER_HEARD_MS) && !p->store_failing_ms)
+			return client_of(d, p);
+	}
+	return NULL;
+}
+
+/* ---- the configuration, for a VM that the store does not serve ---- */
+
+static void on_config(enum onc_result result, void *res, void *data)
+{
+	struct sited *d = data;
+	const cl_config_res *answer = res;
+
+	d->config_asked = false;
+	d->config_behind = 0;
+	if (result == ONC_OK && answer->value[0])
+		sited_config_take(d, str_from(answer->value), "a peer");
+}
+
+static void compare_config(struct sited *d, struct onc_client *client, int64_t theirs)
+{
+	cl_config_args args = {d->queues ? d->queues->version : 0};
+
+	if (theirs <= args.config_version) {
+		d->config_behind = 0;
+		return;
+	}
+	if (d->config_asked ||
+	    (++d->config_behind < CONFIG_BEHIND_MAX && !store_failing_ms(d->store)))
+		return;
+	d->config_asked = true;
+	onc_call(client, &sited_procs[SITED_PROC_CONFIG], &args, sizeof(cl_config_res),
+		 base_deadline_in(CONFIG_ANSWER_MS), on_config, d);
+}
+
+static void answer_config(struct sited *d, struct onc_request *req)
+{
+	const cl_config_args *args = req->args;
+	int64_t version = d->queues ? d->queues->version : 0;
+	cl_config_res res = {version, version > args->config_version ? d->config_text : ""};
+
+	onc_reply(req, &res);
+}
+
+/* ---- pings ---- */
+
+static void say_leader(const struct sited *d, cl_leader *out)
+{
+	const struct sited_leader *leader = &d->leader;
+
+	if (d->lead) {
+		*out = (cl_leader){d->site->vm, d->site->peers.ip, d->site->peers.port,
+				   d->lead->term, d->lead->row_version};
+	} else {
+		*out = (cl_leader){(char *)leader->vm, (char *)leader->address.ip,
+				   leader->address.port, leader->term, leader->version};
+	}
+}
+
+static struct sited_leader_row heard_leader(const cl_leader *said)
+{
+	struct sited_leader_row row = {said->vm, said->ip, (uint16_t)said->port, said->term,
+				       said->row_version};
+
+	return row;
+}
+
+/**
+ * struct ping - a ping in flight
+ * @leader_version: row by which its receiver leads; -1 when it was asked as any other VM
+ */
+struct ping {
+	struct sited *d;
+	struct onc_client *client;
+	int64_t leader_version;
+	char vm[64];
+};
+
+static void take_vms(struct sited *d, const cl_lead_ping_res *answer)
+{
+	for (unsigned int i = 0; i < answer->vms.vms_len; i++)
+		note_vm(d, &answer->vms.vms_val[i]);
+	if (answer->vms.vms_len) {
+		d->vms_asked_at = base_now();
+		forget_old(d);
+	}
+}
+
+static void note_answer(struct sited *d, const struct ping *ping, const cl_lead_ping_res *answer)
+{
+	for (guint i = 0; i < d->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (strcmp(p->vm, ping->vm))
+			continue;
+		p->known_at = p->heard_at = base_now();
+		p->store_failing_ms = answer->store_failing_ms;
+	}
+}
+
+static void on_pinged(enum onc_result result, void *res, void *data)
+{
+	struct ping *ping = data;
+	struct sited *d = ping->d;
+	const cl_lead_ping_res *answer = res;
+	struct sited_leader_row row;
+
+	if (result == ONC_OK) {
+		note_answer(d, ping, answer);
+		take_vms(d, answer);
+		compare_config(d, ping->client, answer->config_version);
+	}
+	if (ping->leader_version >= 0 && ping->leader_version == d->leader.version && !d->lead)
+		sited_leader_answered(d, result, answer);
+	if (result == ONC_OK) {
+		row = heard_leader(&answer->leader);
+		sited_leader_heard(d, &row, "a peer");
+	}
+	talloc_free(ping);
+}
+
+static void send_ping(struct sited *d, struct onc_client *client, const char *vm,
+		      int64_t leader_version)
+{
+	struct ping *ping = talloc_zero(d, struct ping);
+	cl_lead_ping_args args = {.sender = {d->site->vm, d->site->peers.ip, d->site->peers.port},
+				  .store_failing_ms = store_failing_ms(d->store),
+				  .wants_vms = !is_within(d->vms_asked_at, VMS_EVERY_MS)};
+
+	say_leader(d, &args.leader);
+	ping->d = d;
+	ping->client = client;
+	ping->leader_version = leader_version;
+	g_strlcpy(ping->vm, vm, sizeof(ping->vm));
+	onc_call(client, &sited_procs[SITED_PROC_PING], &args, sizeof(cl_lead_ping_res),
+		 base_deadline_in(PING_ANSWER_MS), on_pinged, ping);
+}
+
+void sited_ping_leader(struct sited *d)
+{
+	send_ping(d, d->leader.client, d->leader.vm, d->leader.version);
+}
+
+void sited_ping_other(struct sited *d)
+{
+	struct peer *p;
+
+	if (!d->peers->len)
+		return;
+	p = g_ptr_array_index(d->peers, d->next_peer++ % d->peers->len);
+	send_ping(d, client_of(d, p), p->vm, -1);
+}
+
+/* pending jobs, as only the leader counts them; owned by @ctx */
+static void say_pending(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
+{
+	GHashTable *pending = d->lead ? lead_pending(d->lead) : NULL;
+	GHashTableIter it;
+	gpointer name;
+	gpointer n;
+
+	if (!pending)
+		return;
+	res->pending.pending_val = talloc_array(ctx, cl_queue_pending, g_hash_table_size(pending));
+	g_hash_table_iter_init(&it, pending);
+	while (g_hash_table_iter_next(&it, &name, &n)) {
+		cl_queue_pending *entry = &res->pending.pending_val[res->pending.pending_len++];
+
+		entry->queue = name;
+		entry->pending = *(int64_t *)n;
+	}
+}
+
+static void say_vms(TALLOC_CTX *ctx, const struct sited *d, cl_lead_ping_res *res)
+{
+	res->vms.vms_val = talloc_array(ctx, cl_vm, d->peers->len);
+	for (guint i = 0; i < d->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(d->peers, i);
+
+		res->vms.vms_val[res->vms.vms_len++] =
+			(cl_vm){p->vm, p->address.ip, p->address.port};
+	}
+}
+
+static void answer_ping(struct sited *d, struct onc_request *req)
+{
+	const cl_lead_ping_args *args = req->args;
+	struct sited_leader_row row = heard_leader(&args->leader);
+	struct peer *sender = note_vm(d, &args->sender);
+	cl_lead_ping_res res = {.store_failing_ms = store_failing_ms(d->store),
+				.config_version = d->queues ? d->queues->version : 0};
+	TALLOC_CTX *tmp = talloc_new(d);
+
+	if (sender) {
+		sender->heard_at = base_now();
+		sender->store_failing_ms = args->store_failing_ms;
+	}
+	sited_leader_heard(d, &row, "a peer that asks");
+	res.is_leading = d->lead != NULL;
+	res.is_contending = d->is_contending;
+	say_leader(d, &res.leader);
+	say_pending(tmp, d, &res);
+	if (args->wants_vms)
+		say_vms(tmp, d, &res);
+	onc_reply(req, &res);
+	talloc_free(tmp);
+}
+
+/* ---- a row that was stored, a lead that was handed over ---- */
+
+static void on_told(enum onc_result result G_GNUC_UNUSED, void *res G_GNUC_UNUSED,
+		    void *data G_GNUC_UNUSED)
+{
+	/* without it the leader learns the same from the store */
+}
+
+static void take_stored(struct sited *d, const char *id, const char *value, int64_t version)
+{
+	struct store_row row = {.table = SITED_JOBS_TABLE,
+				.part = sited_part(id),
+				.key = id,
+				.value = str_from(value),
+				.version = version};
+
+	lead_take_job(d->lead, &row);
+	lead_kick(d->lead);
+}
+
+void sited_tell_stored(struct sited *d, const char *id, const char *row, int64_t version)
+{
+	cl_stored_args args = {(char *)id, (char *)row, version};
+
+	if (d->lead)
+		take_stored(d, id, row, version);
+	else if (d->leader.client)
+		onc_call(d->leader.client, &sited_procs[SITED_PROC_STORED], &args, sizeof(cl_ack),
+			 base_deadline_in(STORED_ANSWER_MS), on_told, NULL);
+}
+
+static void answer_stored(struct sited *d, struct onc_request *req)
+{
+	const cl_stored_args *args = req->args;
+	cl_ack res = {d->lead != NULL};
+
+	if (d->lead && work_id_is_valid(str_from(args->id)))
+		take_stored(d, args->id, args->row, args->row_version);
+	onc_reply(req, &res);
+}
+
+void sited_tell_vacant(struct sited *d)
+{
+	cl_leader args;
+
+	say_leader(d, &args);
+	for (guint i = 0; i < d->peers->len; i++)
+		onc_call(client_of(d, g_ptr_array_index(d->peers, i)),
+			 &sited_procs[SITED_PROC_VACANT], &args, sizeof(cl_ack),
+			 base_deadline_in(VACANT_ANSWER_MS), on_told, NULL);
+}
+
+static void answer_vacant(struct sited *d, struct onc_request *req)
+{
+	struct sited_leader_row row = heard_leader(req->args);
+	cl_ack res = {true};
+
+	sited_leader_heard(d, &row, "the leader that stops");
+	sited_contend_if_vacant(d);
+	onc_reply(req, &res);
+}
+
+static void answer_state(struct sited *d, struct onc_request *req)
+{
+	const cl_lead_state_args *args = req->args;
+	const char *workspace = "";
+	enum work_state state =
+		d->lead ? lead_job_state(d->lead, args->id, &workspace) : WORK_STATE_COUNT;
+	cl_lead_state_res res = {.is_leading = d->lead != NULL,
+				 .known = state != WORK_STATE_COUNT,
+				 .state = "",
+				 .workspace = (char *)workspace};
+
+	if (res.known)
+		res.state = (char *)work_state_name(state);
+	onc_reply(req, &res);
+}
+
+void sited_on_peer(struct onc_request *req)
+{
+	struct sited *d = req->server_data;
+
+	switch ((enum sited_proc)(req->proc - sited_procs)) {
+	case SITED_PROC_PING:
+		answer_ping(d, req);
+		return;
+	case SITED_PROC_STATE:
+		answer_state(d, req);
+		return;
+	case SITED_PROC_RELAY:
+		sited_on_relay(req);
+		return;
+	case SITED_PROC_STORED:
+		answer_stored(d, req);
+		return;
+	case SITED_PROC_VACANT:
+		answer_vacant(d, req);
+		return;
+	case SITED_PROC_CONFIG:
+		answer_config(d, req);
+		return;
+	case SITED_PROC_COUNT:
+		break;
+	}
+}
--- /dev/null
+++ b/src/sited_peers.h
@@ -0,0 +1,45 @@
+/**
+ * DOC: sited_peers - what the entry VMs of a site tell each other
+ *
+ * Every VM pings the one that leads. A ping carries, both ways, who leads, and
+ * whether the sender reaches the store; an answer also carries the version of
+ * the configuration and, now and then, the other VMs. So a VM that the store
+ * turned away alone still learns who leads and what the configuration is, and
+ * has somebody to pass callers' requests to.
+ */
+#ifndef SITED_PEERS_H
+#define SITED_PEERS_H
+
+#include "onc/onc.h"
+#include "proto/proto.h"
+
+struct sited;
+
+enum sited_proc {
+	SITED_PROC_PING,
+	SITED_PROC_STATE,
+	SITED_PROC_RELAY,
+	SITED_PROC_STORED,
+	SITED_PROC_VACANT,
+	SITED_PROC_CONFIG,
+	SITED_PROC_COUNT
+};
+
+extern const struct onc_proc sited_procs[SITED_PROC_COUNT];
+
+/** sited_on_peer() - answer a call of another entry VM */
+void sited_on_peer(struct onc_request *req);
+/** sited_ping_leader() - ask the leader whether it leads; sited_leader_answered() is told */
+void sited_ping_leader(struct sited *d);
+/** sited_ping_other() - ask one VM after another, who leads and whether the store is there */
+void sited_ping_other(struct sited *d);
+/** sited_peers_are_missing() - some VM that pinged this leader has gone silent */
+bool sited_peers_are_missing(const struct sited *d);
+/** sited_relay_target() - a VM that answers and reaches the store, or NULL */
+struct onc_client *sited_relay_target(struct sited *d);
+/** sited_tell_stored() - tell the leader of a job's row that this VM has written */
+void sited_tell_stored(struct sited *d, const char *id, const char *row, int64_t version);
+/** sited_tell_vacant() - tell all VMs that nobody leads any more */
+void sited_tell_vacant(struct sited *d);
+
+#endif
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -379,6 +379,14 @@
 	}
 }
 
+bool lead_rows_settled(const struct lead *l)
+{
+	for (unsigned int part = 0; part < SITED_PARTS; part++)
+		if (l->commits[part])
+			return false;
+	return true;
+}
+
 /* ---- sweeping ---- */
 
 static void on_swept(const struct store_result *r, void *data G_GNUC_UNUSED)
