Contend only when the store answers, and refuse at once when cut off

And callers of a cut domain waited 1 s for each refusal.

Without store and peer a submission gets 503 at once, or 504 when an earlier transaction may still be performed.

--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -17,15 +17,15 @@
 
 #define SETTLE_PAUSE_MS 60 /* before a transaction without an answer is sent again */
 #define STATE_CALL_MS 300  /* the leader answers from memory */
-/* a store that is 60 times slower than usual answers in it; then a peer is asked */
-#define SUBMIT_CALL_MS 1100
+/* without a peer to ask, callers are not kept waiting for a store that is away for so long */
+#define AWAY_MS 300
 
 /* the row of the job that the request is about */
 static void read_row(struct front_call *c, store_done *done)
 {
 	struct store_range range = {SITED_JOBS_TABLE, sited_part(c->id), c->id, 1};
 
-	store_read(c->d->store, &range, front_own_deadline(c, SUBMIT_CALL_MS), done, c);
+	store_read(c->d->store, &range, front_own_deadline(c, SITED_CALL_MS), done, c);
 }
 
 /* a peer first, when the store does not serve this VM */
@@ -34,6 +34,12 @@
 	return store_failing_ms(c->d->store) && front_relay(c);
 }
 
+/* neither the store nor a peer that reaches it */
+static bool is_cut_off(const struct front_call *c)
+{
+	return store_failing_ms(c->d->store) > AWAY_MS;
+}
+
 static void on_resume_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	front_resume(data);
@@ -95,7 +101,7 @@
 		front_finish(c, 503, "the store does not take such a job");
 		return;
 	}
-	if (front_time_is_left(c))
+	if (front_time_is_left(c) && !is_cut_off(c))
 		resume_later(c);
 	else
 		front_finish(c, 504, "the store did not say whether the job was stored");
@@ -103,11 +109,13 @@
 
 static void send_submit(struct front_call *c)
 {
-	if (!front_time_is_left(c))
+	if (is_cut_off(c) && !c->is_unsure)
+		front_finish(c, 503, "neither the store nor a peer that reaches it can be asked");
+	else if (!front_time_is_left(c))
 		front_finish(c, c->is_unsure ? 504 : 503, "no time is left to store the job");
 	else
-		store_commit(c->d->store, c->tx, front_own_deadline(c, SUBMIT_CALL_MS),
-			     on_submitted, c);
+		store_commit(c->d->store, c->tx, front_own_deadline(c, SITED_CALL_MS), on_submitted,
+			     c);
 }
 
 void front_begin_submit(struct front_call *c)
@@ -151,7 +159,11 @@
 
 static void read_state(struct front_call *c)
 {
-	if (!relay_first(c))
+	if (relay_first(c))
+		return;
+	if (is_cut_off(c))
+		front_finish(c, 503, "neither the leader nor the store can be asked");
+	else
 		read_row(c, on_state_row);
 }
 
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -190,6 +190,9 @@
 		d->leader.version = -1;
 		return;
 	}
+	/* a peer may have named a newer row before this answer came */
+	if (r->version < d->leader.version)
+		return;
 	d->leader.version = r->version;
 	d->leader.term++;
 	drop_client(d);
@@ -235,6 +238,23 @@
 	return is_new ? MISSES_MAX_NEW : MISSES_MAX;
 }
 
+/*
+ * A VM that is cut off sees the same silence as one whose leader has died. Its
+ * transaction would arrive when the cut is over and depose a leader that is
+ * well, so the store must answer before one is sent.
+ */
+static void on_row_confirmed(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	on_row(r, d);
+	if (r->status != STORE_OK || d->leader.version != d->contended_version) {
+		d->is_contending = false;
+		return;
+	}
+	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
+}
+
 static void contend(struct sited *d, const char *why)
 {
 	if (d->is_contending || d->lead || d->stop_at || d->leader.version < 0)
@@ -243,7 +263,7 @@
 	d->contended_version = d->leader.version;
 	log_event("lead_contended", "{ss ss sI}", "why", why, "leader", d->leader.vm, "term",
 		  (json_int_t)d->leader.term);
-	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
+	store_read(d->store, &lead_range, base_deadline_in(PROBE_MS), on_row_confirmed, d);
 }
 
 void sited_contend_if_vacant(struct sited *d)
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -218,7 +218,9 @@
 void sited_on_ready(struct httpd_request *req)
 {
 	struct sited *d = req->server_data;
-	bool has_way = store_failing_ms(d->store) < READY_FAILING_MAX_MS || sited_relay_target(d);
+	/* the leader's silence says that it is not the store alone which fails */
+	int64_t patience_ms = d->leader.misses ? 0 : READY_FAILING_MAX_MS;
+	bool has_way = store_failing_ms(d->store) <= patience_ms || sited_relay_target(d);
 	bool ready = d->queues && !d->stop_at && has_way;
 
 	httpd_reply_json(req, ready ? 200 : 503, json_pack("{sb}", "ready", ready));
