--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -10,11 +10,12 @@
 
 #include "mtimer/mtimer.h"
 
-#define ROUND_DELAY_MS 2    /* events that come together are handled by one round */
-#define ROUND_SHARE 4	    /* rounds take at most one part in so many of the time */
-#define ROUND_EVERY_MS 100  /* time alone makes things due: occurrences, patience, promises */
-#define DUE_MARGIN_MS 15    /* clocks of VMs differ a little; a timed job must not be early */
-#define PROMISE_MAX_MS 1500 /* victims stop within 400 ms; then the promise is made anew */
+#define ROUND_DELAY_MS 2   /* events that come together are handled by one round */
+#define ROUND_SHARE 4	   /* rounds take at most one part in so many of the time */
+#define ROUND_EVERY_MS 100 /* time alone makes things due: occurrences, patience, promises */
+#define DUE_MARGIN_MS 15   /* clocks of VMs differ a little; a timed job must not be early */
+#define PROMISE_MAX_MS \
+	800 /* victims stop within 400 ms, unless their server is gone; then it is made anew */
 #define NOTE_WAITING_EVERY_MS 3000
 #define SWEEP_EVERY_MS 5000
 /* every VM asks 5 times a second; callers may be told numbers up to 2 s old */
