Replace a leader that is cut off from the store after 0.5 s

Outages of the store last 4 to 6 s, so 4 s and the lease bridge them.

Change: 0.5 s and 4 s; a leader that a row names is asked at once, not at the next tick.

--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -18,13 +18,14 @@
 #define CONTEND_SPREAD_MS 20 /* so that not all contend at the same moment */
 /* VMs that are restarted in turn: one that was restarted lately leads on undisturbed */
 #define CONTEND_AGE_MAX_MS 40
-#define AGE_PER_DELAY 1000     /* a delay of 1 ms for each second since the start */
-#define CLIENT_LINGER_MS 2000  /* longer than any call to a leader takes */
-#define LEADER_CUT_OFF_MS 1200 /* the leader's store is away for so long, but not this VM's */
-#define PROBE_MS 500	       /* a store that is 60 times slower than usual answers in it */
+#define AGE_PER_DELAY 1000    /* a delay of 1 ms for each second since the start */
+#define CLIENT_LINGER_MS 2000 /* longer than any call to a leader takes */
+#define LEADER_CUT_OFF_MS 500 /* the leader's store is away for so long, but not this VM's */
+#define PROBE_MS 500	      /* a store that is 60 times slower than usual answers in it */
 
 static void read_row(struct sited *d);
 static void contend(struct sited *d, const char *why);
+static void on_follow(struct mtimer *timer, void *data);
 
 /* ---- the row ---- */
 
@@ -55,6 +56,11 @@
 			   client);
 }
 
+static void follow_soon(struct sited *d)
+{
+	mtimer_add(d, d->ev, base_now(), on_follow, d);
+}
+
 static void set_leader(struct sited *d, const struct sited_leader_row *row, const char *source)
 {
 	struct sited_leader *leader = &d->leader;
@@ -93,8 +99,11 @@
 				       .term = base_json_int(v, "term", 0),
 				       .version = stored->removed ? 0 : stored->version};
 
-	if (d->leader.version < 0 || row.version > d->leader.version)
+	if (d->leader.version < 0 || row.version > d->leader.version) {
 		set_leader(d, &row, "the store");
+		/* the row may name a VM that was started again and does not lead */
+		follow_soon(d);
+	}
 	json_decref(v);
 }
 
@@ -372,6 +381,14 @@
 		sited_ping_other(d);
 }
 
+static void on_follow(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+
+	if (!d->lead)
+		tick_following(d);
+}
+
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct sited *d = data;
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -10,7 +10,7 @@
  * A leader that the store did not confirm for so long stops renewing leases, so
  * that the next one knows when work on servers that it can't reach has lapsed.
  */
-#define LEAD_UNCONFIRMED_MAX_MS 10000
+#define LEAD_UNCONFIRMED_MAX_MS 4000
 
 /* time on our clock in which a server's has surely moved on by 100; it may be 2 % slow */
 #define LEAD_CLOCK_SLOW_PERCENT 103
