Lead with the term of the row that was won

The next leader had the same term, so backend servers obeyed both, and a task ran twice.

Change: the term is that which the transaction wrote. The soak checks that each leader's term is that of its row, and has a scenario, which failed before, in which the store's answers come 0.5 s after the write.

--- a/src/sited.h
+++ b/src/sited.h
@@ -98,6 +98,7 @@
  * @lead_serial: counts terms of this process, so that late answers are recognised
  * @is_contending: a transaction for the lead is in flight
  * @contended_version: version of the row that it would replace
+ * @contended_term: term in the row that it would write
  * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
  * @hand_over_at: the lead is handed over then at the latest, on base_now()'s clock
  * @requests: callers' requests in progress
@@ -124,6 +125,7 @@
 	struct sited_leader leader;
 	bool is_contending;
 	int64_t contended_version;
+	int64_t contended_term;
 	int64_t stop_at;
 	int64_t hand_over_at;
 	unsigned int requests;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -203,7 +203,8 @@
 	if (r->version < d->leader.version)
 		return;
 	d->leader.version = r->version;
-	d->leader.term++;
+	/* not one more than the newest known: a peer may have told of this very row already */
+	d->leader.term = d->contended_term;
 	drop_client(d);
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
 	if (!d->stop_at)
@@ -222,7 +223,8 @@
 		return;
 	}
 	tx = store_tx_new(d, "");
-	value = encode_row(tx, d, d->leader.term + 1, false);
+	d->contended_term = d->leader.term + 1;
+	value = encode_row(tx, d, d->contended_term, false);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->leader.version);
 	store_tx_put(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, str_from(value));
 	store_commit(d->store, tx, base_deadline_in(SITED_CALL_MS), on_contended, d);
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -1,6 +1,8 @@
 """Stand-in of the platform's store: versioned rows, conditional transactions, feeds, faults."""
 
 import asyncio
+import base64
+import json
 import random
 
 from site_http import Drop, Server
@@ -21,6 +23,8 @@
         self.slow = 1
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
+        self.answers_late = 0.0  # seconds between a write and its answer
+        self.leads = {}   # version of a row that says who leads -> its document
         self.calls = 0
         self.doors = {}   # name of a VM -> Server, so that one VM can be turned away
 
@@ -44,6 +48,8 @@
                 self.rows.pop((table, part, key), None)
             else:
                 self.rows[table, part, key] = (value, version)
+            if table == "lead":
+                self.leads[version] = json.loads(base64.b64decode(value))
             self.log.append((version, table, part, key))
         async with self.changed:
             self.changed.notify_all()
@@ -90,6 +96,7 @@
             await asyncio.sleep(0.3)
             raise Drop
         answer = await self.transact(document, part)
+        await asyncio.sleep(self.answers_late)
         if self.rng.random() < self.lose:
             raise Drop
         return answer
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -335,6 +335,14 @@
 
     # ---- checks ----
 
+    def events(self, name):
+        """Log lines of one kind, of all VMs; a line that a kill cut short is passed over."""
+        for vm in self.vms:
+            with open(os.path.join(self.dir, vm.name + ".log")) as log:
+                for line in log:
+                    if '"event":"%s"' % name in line and line.endswith("}\n"):
+                        yield json.loads(line)
+
     def check(self):
         """Rows of (promise, times exercised, violations)."""
         runs, jobs = self.pool.runs, {j.id: j for j in self.jobs}
@@ -362,6 +370,8 @@
                       and not j.seen.keys() & self.ends_of(j)]
         wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS
                    and all(sum(r.how == "failed" for r in by_task.get(t, [])) < ATTEMPTS for t in j.tasks())]
+        wins = list(self.events("lead_won"))
+        wrong_terms = [w for w in wins if w["term"] != self.store.leads[w["row_version"]]["term"]]
         value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
         terms = json.loads(base64.b64decode(value))["term"] if value else 0
         return [("one run of a task at a time", len(runs), again),
@@ -377,6 +387,7 @@
                 ("failed means that the attempts are used up", len(accepted), wrongly),
                 ("the lead changes hands only for a cause", terms,
                  [terms] if terms > 2 * len(self.faults) + 3 else []),
+                ("a leader's term is that of its row", len(wins), wrong_terms),
                 ("every process stops in its grace time", self.stops or 1, [f for f in self.faults if f.startswith("not ")])]
 
     def stop(self):
@@ -429,6 +440,14 @@
     site.store.slow = 1
 
 
+async def winner_hears_of_its_win_from_others(site):
+    """It counted its own win twice, so that the next leader's orders had the same term."""
+    site.store.answers_late = 0.5
+    await site.kill(site.leader())
+    await asyncio.sleep(3)
+    site.store.answers_late = 0.0
+
+
 async def server_answers_no_more(site):
     """Looks without an answer put off the end of the leases, so its tasks never ran elsewhere."""
     server = max(site.pool.servers, key=lambda s: len(s.runs))
@@ -438,7 +457,7 @@
 
 
 SCENARIOS = [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, server_answers_no_more]
+             handover_with_a_slow_store, winner_hears_of_its_win_from_others, server_answers_no_more]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
