Send no new work to a failure domain that has fallen silent

Change: servers of a domain none of whose VMs was heard for 0.7 s get no new work, nor for 1 s one that left an order without an answer; a promise there is made anew at once.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -103,6 +103,7 @@
 
 struct cl_vm {
 	string vm<CL_ID_MAX>;
+	string failure_domain<CL_ID_MAX>;
 	string ip<CL_ID_MAX>;
 	int port;
 };
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -169,6 +169,8 @@
 
 	 if (!xdr_string (xdrs, &objp->vm, CL_ID_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->failure_domain, CL_ID_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->ip, CL_ID_MAX))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->port))
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -105,6 +105,7 @@
 
 struct cl_vm {
 	char *vm;
+	char *failure_domain;
 	char *ip;
 	int port;
 };
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -336,6 +336,13 @@
 	return fleet_amount_fits(&t->group->step->need, &room);
 }
 
+/* the victims don't stop in time, or their server takes no work any more */
+static bool promise_is_overdue(const struct work_task *t, int64_t now)
+{
+	return t->state == TASK_PROMISED &&
+	       (t->settle_at < now || !fleet_takes_work(t->server, now));
+}
+
 /* several members may be promised room of one server, so they are counted together */
 static bool all_promises_kept(struct work_group *g, int64_t now)
 {
@@ -380,7 +387,7 @@
 
 	for (unsigned int i = 0; i < g->count; i++) {
 		has_promise |= g->task[i].state == TASK_PROMISED;
-		is_overdue |= g->task[i].state == TASK_PROMISED && g->task[i].settle_at < at->now;
+		is_overdue |= promise_is_overdue(&g->task[i], at->now);
 	}
 	if (!has_promise)
 		return;
@@ -402,7 +409,7 @@
 		if (promise_is_kept(t, at->now)) {
 			work_task_assign(t, t->server);
 			has_begun = true;
-		} else if (t->settle_at < at->now) {
+		} else if (promise_is_overdue(t, at->now)) {
 			work_task_release(t);
 		}
 	}
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -22,6 +22,7 @@
 
 /**
  * struct peer - another entry VM
+ * @failure_domain: where it stands
  * @known_at: when it was last heard or named, on base_now()'s clock
  * @heard_at: when it last called or answered, 0 before
  * @store_failing_ms: for how long the store has not served it, as it last said
@@ -29,6 +30,7 @@
  */
 struct peer {
 	char vm[64];
+	char failure_domain[64];
 	struct address address;
 	int64_t known_at;
 	int64_t heard_at;
@@ -113,6 +115,7 @@
 		g_strlcpy(p->address.ip, vm->ip, sizeof(p->address.ip));
 		p->address.port = (uint16_t)vm->port;
 	}
+	g_strlcpy(p->failure_domain, vm->failure_domain, sizeof(p->failure_domain));
 	p->known_at = base_now();
 	return p;
 }
@@ -136,6 +139,22 @@
 	return false;
 }
 
+bool sited_domain_is_silent(const struct sited *d, const char *failure_domain)
+{
+	bool was_there = false;
+
+	for (guint i = 0; i < d->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (strcmp(p->failure_domain, failure_domain))
+			continue;
+		if (is_within(p->heard_at, PEER_SILENT_MS))
+			return false;
+		was_there |= is_within(p->heard_at, PEER_FORGET_MS);
+	}
+	return was_there && strcmp(d->site->failure_domain, failure_domain);
+}
+
 struct onc_client *sited_relay_target(struct sited *d)
 {
 	const struct sited_leader *leader = &d->leader;
@@ -271,7 +290,8 @@
 		      int64_t leader_version)
 {
 	struct ping *ping = talloc_zero(d, struct ping);
-	cl_lead_ping_args args = {.sender = {d->site->vm, d->site->peers.ip, d->site->peers.port},
+	cl_lead_ping_args args = {.sender = {d->site->vm, d->site->failure_domain,
+					     d->site->peers.ip, d->site->peers.port},
 				  .store_failing_ms = store_failing_ms(d->store),
 				  .wants_vms = !is_within(d->vms_asked_at, VMS_EVERY_MS)};
 
@@ -326,7 +346,7 @@
 		struct peer *p = g_ptr_array_index(d->peers, i);
 
 		res->vms.vms_val[res->vms.vms_len++] =
-			(cl_vm){p->vm, p->address.ip, p->address.port};
+			(cl_vm){p->vm, p->failure_domain, p->address.ip, p->address.port};
 	}
 }
 
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -35,6 +35,8 @@
 void sited_ping_other(struct sited *d);
 /** sited_peers_are_missing() - some VM that pinged this leader has gone silent */
 bool sited_peers_are_missing(const struct sited *d);
+/** sited_domain_is_silent() - no VM of another failure domain pings this leader any more */
+bool sited_domain_is_silent(const struct sited *d, const char *failure_domain);
 /** sited_relay_target() - a VM that answers and reaches the store, or NULL */
 struct onc_client *sited_relay_target(struct sited *d);
 /** sited_tell_stored() - tell the leader of a job's row that this VM has written */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -20,7 +20,9 @@
 #define LEASE_MARGIN_MS 60
 /* a stop takes 400 ms at most, and the entry in the list is up to 1 s old */
 #define EVACUATE_RESERVE_MS 1400
-#define LEAVE_SLACK_MS 500 /* a server that leaves stays at least as long as it says */
+#define SILENT_MS 700	      /* a server that answered within it is not out of reach */
+#define SILENT_SUSPECT_MS 250 /* renewed every 100 ms while the silence lasts */
+#define LEAVE_SLACK_MS 500    /* a server that leaves stays at least as long as it says */
 
 /* an end that was taken into account; to be acknowledged once the group is stored */
 struct end_note {
@@ -424,6 +426,19 @@
 	g_ptr_array_free(tasks, TRUE);
 }
 
+/*
+ * Load pattern: a failure domain is cut off while work arrives. A look waits for
+ * 2 s, so the silence of the domain's VMs tells sooner that its servers are out
+ * of reach, and new work goes elsewhere.
+ */
+static void avoid_silent(struct lead *l, struct fleet_server *sv, int64_t now)
+{
+	const struct server_io *io = lead_io(l, sv);
+
+	if (now - io->clock_at > SILENT_MS && sited_domain_is_silent(l->d, sv->failure_domain))
+		sv->suspect_until = MAX(sv->suspect_until, now + SILENT_SUSPECT_MS);
+}
+
 static bool may_free(struct fleet_server *sv)
 {
 	struct server_io *io = sv->user;
@@ -447,6 +462,7 @@
 
 		lapse(l, sv, now);
 		evacuate(l, sv, now);
+		avoid_silent(l, sv, now);
 		if (sv->presence != FLEET_REPLACED && !lead_io(l, sv)->timer)
 			lead_server_look(l, sv);
 	}
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -19,6 +19,8 @@
 #define STOP_RETRY_MS 150
 /* a server that has less room than thought is asked again after so long */
 #define ROOM_SUSPECT_MS 500
+/* a server that left an order without an answer gets no other work until a look was tried */
+#define SILENT_SUSPECT_MS 1000
 
 /* an order, recognised when its answer comes late */
 struct order {
@@ -179,6 +181,11 @@
 		lead_task_stop(l, t, "the start was not confirmed");
 }
 
+static void avoid(struct fleet_server *sv)
+{
+	sv->suspect_until = MAX(sv->suspect_until, sited_now_ms() + SILENT_SUSPECT_MS);
+}
+
 static void on_started(const struct order_result *r, void *data)
 {
 	struct order *o = data;
@@ -193,6 +200,8 @@
 	note_task("task_start_failed", o->task, o->sv, order_status_name(r->status));
 	if (o->task->state != TASK_STARTING)
 		goto out;
+	if (r->status == ORDER_UNKNOWN)
+		avoid(o->sv);
 	if (r->status == ORDER_UNKNOWN && ++o->task->start_tries < START_TRIES_MAX) {
 		send_start(o);
 		return;
@@ -224,6 +233,7 @@
 	switch (r->status) {
 	case ORDER_UNKNOWN:
 	case ORDER_REFUSED:
+		avoid(o->sv);
 		mtimer_add(o, l->d->ev, base_deadline_in(STOP_RETRY_MS), on_stop_timer, o);
 		return;
 	default:
