Keep servers for a gang that single tasks would starve

Change: the first gang of a round that has waited 1 s and does not fit has the servers kept that will be free soonest, by the progress of what runs there; urgent work, and what surely ends before, may still use them. A need refused only because of that does not stand for shorter or urgent work. The test replays single tasks on a full rack: without the change the gang never starts.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -76,6 +76,7 @@
  * @is_reachable: it answers
  * @suspect_until: no new work before, because of failures, in ms
  * @suspect_span: how long it was last suspected, in ms
+ * @reserved_until: kept free for a gang that is expected to start then, in ms; of plan
  * @failures: ends "failed" in a row, of different jobs
  * @last_failed_job: id of the job that failed here last
  * @tasks: struct work_task of all that is counted in @used, or promised
@@ -100,6 +101,7 @@
 	bool is_reachable;
 	int64_t suspect_until;
 	int64_t suspect_span;
+	int64_t reserved_until;
 	unsigned int failures;
 	char *last_failed_job;
 	GPtrArray *tasks;
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -44,7 +44,7 @@
 struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx);
 
 /** plan_begin_round() - what did not fit before may fit now */
-void plan_begin_round(struct plan_scratch *s);
+void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet);
 /**
  * plan_place() - servers for the waiting tasks of a group
  * @out: one entry for each task of the group; NULL where there is no server
@@ -68,6 +68,18 @@
 void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  const struct plan_clock *at, struct plan_verdict *verdict);
 
+/* ---- reservation ---- */
+
+/**
+ * plan_reserve() - keep servers for a gang that does not fit, for the rest of the round
+ * Only one gang has servers kept in a round, and only after it has waited a while.
+ * Return: true when servers are kept for @group.
+ */
+bool plan_reserve(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at);
+/** plan_rest_ms() - when a placed task is expected to end, in ms from @now */
+int64_t plan_rest_ms(const struct work_task *t, int64_t now);
+
 /* ---- reclaim ---- */
 
 /**
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -19,9 +19,15 @@
 	return talloc_zero(ctx, struct plan_scratch);
 }
 
-void plan_begin_round(struct plan_scratch *s)
+void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet)
 {
 	s->refusal_count = 0;
+	s->has_reserved = false;
+	for (guint i = 0; i < fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		sv->reserved_until = 0;
+	}
 }
 
 static unsigned int mates_on(const struct fleet_server *sv, const struct work_group *group)
@@ -58,7 +64,7 @@
 
 static bool is_candidate(const struct fleet_server *sv, const struct work_group *group, int64_t now)
 {
-	return fleet_takes_work(sv, now) && suits(sv, group);
+	return fleet_takes_work(sv, now) && suits(sv, group) && plan_may_use(sv, group, now);
 }
 
 /* counts the candidates of each rack, so that those of one can be put together */
@@ -330,12 +336,24 @@
 	return a == b || (a && b && !strcmp(a, b));
 }
 
+static bool is_urgent(const struct work_group *group)
+{
+	return group->job->priority == QUEUES_URGENT_PRIORITY;
+}
+
+/* the refusal holds for this group in spite of the servers that are kept for a gang */
+static bool holds_for(const struct plan_refusal *r, const struct work_group *group)
+{
+	return !r->longer_than_ms ||
+	       (!is_urgent(group) && group->step->estimate_ms >= r->longer_than_ms);
+}
+
 static bool was_refused(const struct plan_scratch *s, const struct work_group *group)
 {
 	for (unsigned int i = 0; i < s->refusal_count; i++) {
 		const struct plan_refusal *r = &s->refusals[i];
 
-		if (fleet_amount_fits(&r->need, &group->step->need) &&
+		if (holds_for(r, group) && fleet_amount_fits(&r->need, &group->step->need) &&
 		    same_text(r->label, group->step->label) &&
 		    same_text(r->service, group->job->service))
 			return true;
@@ -354,6 +372,8 @@
 	r->service = group->job->service;
 	r->label = group->step->label;
 	r->need = group->step->need;
+	r->longer_than_ms =
+		s->has_reserved && !is_urgent(group) ? MAX(group->step->estimate_ms, 1) : 0;
 }
 
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -19,8 +19,12 @@
 	unsigned int mates;
 };
 
-/* a need for which no server had room; nothing larger fits in the same round either */
+/**
+ * struct plan_refusal - a need for which no server had room; nothing larger fits in the round
+ * @longer_than_ms: servers were kept for a gang, so shorter or urgent work may still fit; or 0
+ */
 struct plan_refusal {
+	int64_t longer_than_ms;
 	const char *service;
 	const char *label;
 	struct fleet_amount need;
@@ -34,6 +38,7 @@
  * @rack_first: index of the first candidate of each rack, and past the last of the last
  * @saved: copy of @tries to go back to
  * @rack_places: for each rack, tasks of the group that it has room for
+ * @has_reserved: servers are kept for a gang in this round
  * @refusals: needs for which there was no room in this round
  */
 struct plan_scratch {
@@ -44,6 +49,7 @@
 	unsigned int *rack_first;
 	unsigned int *rack_places;
 	unsigned int racks;
+	bool has_reserved;
 	struct plan_refusal refusals[PLAN_REFUSALS_MAX];
 	unsigned int refusal_count;
 };
@@ -62,6 +68,8 @@
 	return &s->tries[rack == PLAN_ANY_RACK ? s->count : s->rack_first[rack + 1]];
 }
 
+/** plan_may_use() - the server is not kept for others, or only until the task has surely ended */
+bool plan_may_use(const struct fleet_server *sv, const struct work_group *group, int64_t now);
 /** plan_pick() - best candidate with room for one more task, or NULL */
 struct plan_try *plan_pick(struct plan_scratch *s, const struct work_group *group,
 			   const struct work_task *task, unsigned int rack);
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -321,6 +321,8 @@
 		assign(l, g, servers);
 	else if (g->job->priority == QUEUES_URGENT_PRIORITY)
 		reclaim(l, g, at, servers);
+	else
+		plan_reserve(l->scratch, l->fleet, g, at);
 	note_waiting(l, g, at);
 	talloc_free(servers);
 }
@@ -443,7 +445,7 @@
 	if (!l->is_handing_over) {
 		redeem_all(l, &at);
 		ready = collect_ready(l, &at);
-		plan_begin_round(l->scratch);
+		plan_begin_round(l->scratch, l->fleet);
 		for (guint i = 0; i < ready->len; i++)
 			place_group(l, g_array_index(ready, struct ranked, i).group, &at);
 		g_array_free(ready, TRUE);
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -395,15 +395,6 @@
 	g_ptr_array_free(tasks, TRUE);
 }
 
-static int64_t rest_ms(const struct work_task *t, int64_t now)
-{
-	int64_t estimate = t->group->step->estimate_ms;
-
-	if (t->percent > 0)
-		return estimate * (100 - t->percent) / 100;
-	return MAX(estimate - (now - t->started_at), 0);
-}
-
 /* tasks that won't end before their server leaves go on elsewhere */
 static void evacuate(struct lead *l, struct fleet_server *sv, int64_t now)
 {
@@ -417,7 +408,7 @@
 		struct work_task *t = g_ptr_array_index(tasks, i);
 
 		if (t->server != sv || t->state != TASK_RUNNING ||
-		    rest_ms(t, now) <= left + LEAVE_SLACK_MS)
+		    plan_rest_ms(t, now) <= left + LEAVE_SLACK_MS)
 			continue;
 		/* what can be saved runs on until the last moment */
 		if (!t->group->step->checkpoints || left <= EVACUATE_RESERVE_MS)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -64,7 +64,7 @@
 {
 	struct plan_scratch *s = plan_scratch_new(f);
 
-	plan_begin_round(s);
+	plan_begin_round(s, f);
 	return plan_place(s, f, g, &start, out);
 }
 
@@ -186,17 +186,114 @@
 	struct fleet_server *out[1];
 
 	sample_run(&full->task[0], sample_server(f, 0), 0);
-	plan_begin_round(s);
+	plan_begin_round(s, f);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
 	ck_assert_uint_eq(plan_place(s, f, small, &start, out), 1);
 	work_task_release(&full->task[0]);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
-	plan_begin_round(s);
+	plan_begin_round(s, f);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 1);
 	talloc_free(f);
 }
 END_TEST
 
+/* ---- reservation: single tasks take each accelerator that comes free ---- */
+
+#define SERVERS 4
+#define TICK_MS 100
+#define FEED_MAX 400 /* single tasks in the replay */
+
+/* one round: the gang goes first, then single tasks fill what they may; true once the gang runs */
+static bool feed_round(struct plan_scratch *s, struct fleet *f, struct work_group *gang,
+		       struct work_group **singles, const struct plan_clock *at)
+{
+	struct fleet_server *out[SERVERS];
+
+	plan_begin_round(s, f);
+	if (plan_place(s, f, gang, at, out))
+		return true;
+	plan_reserve(s, f, gang, at);
+	for (unsigned int i = 0; i < FEED_MAX; i++) {
+		struct work_task *t = &singles[i]->task[0];
+
+		if (t->state == TASK_WAITING && plan_place(s, f, singles[i], at, out))
+			sample_run(t, out[0], at->now);
+	}
+	return false;
+}
+
+START_TEST(single_tasks_do_not_starve_a_gang)
+{
+	struct fleet *f = sample_fleet(NULL, SERVERS, SERVERS);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *gang = sample_gang(f, 1000, 1, SERVERS, 8);
+	struct work_group *singles[FEED_MAX];
+	struct plan_clock at = start;
+	bool runs = false;
+
+	/* run times from half to one and a half of the declared one, so that ends are spread */
+	for (unsigned int i = 0; i < FEED_MAX; i++)
+		singles[i] = sample_begin(sample_job(f, i + 1, 1, 1, 1));
+	for (unsigned int i = 0; i < SERVERS * 8; i++)
+		sample_run(&singles[i]->task[0], sample_server(f, i % SERVERS),
+			   start.now - (int64_t)i * SAMPLE_ESTIMATE_MS / (SERVERS * 8));
+	gang->ready_since = start.now;
+	while (!runs && at.now < start.now + 3 * SAMPLE_ESTIMATE_MS) {
+		for (unsigned int i = 0; i < FEED_MAX; i++) {
+			struct work_task *t = &singles[i]->task[0];
+			int64_t length = SAMPLE_ESTIMATE_MS / 2 + SAMPLE_ESTIMATE_MS * (i % 8) / 8;
+
+			if (t->state == TASK_RUNNING && at.now >= t->started_at + length)
+				work_task_done(t);
+		}
+		runs = feed_round(s, f, gang, singles, &at);
+		at.now += TICK_MS;
+	}
+	ck_assert(runs);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(what_ends_in_time_may_use_kept_servers)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *running = sample_begin(sample_job(f, 1, 1, 1, 4));
+	struct work_group *gang = sample_gang(f, 2, 1, 2, 8);
+	struct work_job *quick = sample_job(f, 3, 1, 1, 1);
+	struct work_group *slow = sample_begin(sample_job(f, 4, 1, 1, 1));
+	struct work_group *urgent = sample_begin(sample_job(f, 5, 0, 1, 1));
+	struct fleet_server *out[2];
+
+	sample_run(&running->task[0], sample_server(f, 0), start.now - 1000);
+	gang->ready_since = start.now - 5000;
+	quick->step[0].estimate_ms = 1000;
+	plan_begin_round(s, f);
+	ck_assert(plan_reserve(s, f, gang, &start));
+	ck_assert_uint_eq(plan_place(s, f, slow, &start, out), 0);
+	ck_assert_uint_eq(plan_place(s, f, urgent, &start, out), 1);
+	plan_begin_round(s, f);
+	ck_assert(plan_reserve(s, f, gang, &start));
+	ck_assert_uint_eq(plan_place(s, f, sample_begin(quick), &start, out), 1);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_that_has_just_come_keeps_no_servers)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *running = sample_begin(sample_job(f, 1, 1, 1, 4));
+	struct work_group *gang = sample_gang(f, 2, 1, 2, 4);
+
+	sample_run(&running->task[0], sample_server(f, 0), start.now);
+	gang->ready_since = start.now;
+	plan_begin_round(s, f);
+	ck_assert(!plan_reserve(s, f, gang, &start));
+	talloc_free(f);
+}
+END_TEST
+
 /* ---- reclaim: a burst of urgent jobs meets a full pool ---- */
 
 static bool reclaim(struct fleet *f, struct work_group *g, struct fleet_server **out,
@@ -382,6 +479,9 @@
 	tcase_add_test(t, no_more_of_a_step_on_one_server_than_it_allows);
 	tcase_add_test(t, servers_that_take_no_work_get_none);
 	tcase_add_test(t, a_need_without_room_is_not_tried_again_in_the_round);
+	tcase_add_test(t, single_tasks_do_not_starve_a_gang);
+	tcase_add_test(t, what_ends_in_time_may_use_kept_servers);
+	tcase_add_test(t, a_gang_that_has_just_come_keeps_no_servers);
 	tcase_add_test(t, urgent_work_stops_what_loses_least);
 	tcase_add_test(t, work_with_checkpoints_is_stopped_before_other_work);
 	tcase_add_test(t, a_member_of_a_gang_counts_and_stops_with_its_gang);
