Keep connections to backend servers within the VM's descriptors

A leader of 3,000 backend servers kept 3,720 connections of its 4,100 descriptors; what callers and files need is now left free. max-fds is read from the settings.

--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -8,8 +8,7 @@
 #define HTTPC_CONNECT_TIMEOUT_MS 1000
 #define HTTPC_ANSWER_MAX (16 * 1024 * 1024)
 #define HTTPC_IDLE_HANDLES_MAX 256
-/* those in use count too: the leader waits at each of 9,600 backend servers, 2 connections each */
-#define HTTPC_CONNECTIONS_MAX 19200L
+#define HTTPC_KEPT_DEFAULT 512 /* a client of one or a few servers */
 
 struct httpc {
 	struct tevent_context *ev;
@@ -186,7 +185,8 @@
 	return 0;
 }
 
-struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev, unsigned int per_host_max)
+struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev, unsigned int per_host_max,
+			unsigned int kept_max)
 {
 	struct httpc *client = talloc_zero(ctx, struct httpc);
 
@@ -200,7 +200,8 @@
 	curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
 	if (per_host_max)
 		curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)per_host_max);
-	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, HTTPC_CONNECTIONS_MAX);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)(kept_max ? kept_max : HTTPC_KEPT_DEFAULT));
 	talloc_set_destructor(client, httpc_destructor);
 	return client;
 }
--- a/lib/httpc/httpc.h
+++ b/lib/httpc/httpc.h
@@ -53,7 +53,14 @@
 	const char *header[3];
 };
 
-struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev, unsigned int per_host_max);
+/**
+ * httpc_new() - a client without connections
+ * @per_host_max: connections to one host, 0 for no limit
+ * @kept_max: idle connections are closed while there are more, those in use included;
+ *            0 for as many as a client of a few servers needs
+ */
+struct httpc *httpc_new(TALLOC_CTX *ctx, struct tevent_context *ev, unsigned int per_host_max,
+			unsigned int kept_max);
 /** httpc_start() - start a call; @done is always called once, never from within */
 struct httpc_call *httpc_start(struct httpc *client, const struct httpc_options *opt,
 			       httpc_done *done, void *data);
--- a/src/cli.c
+++ b/src/cli.c
@@ -114,7 +114,7 @@
 	struct address address;
 
 	cli->ev = tevent_context_init(cli);
-	cli->http = httpc_new(cli, cli->ev, 0);
+	cli->http = httpc_new(cli, cli->ev, 0, 0);
 	cli->by = by;
 	cli->note = note;
 	cli->base = -1;
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -193,7 +193,7 @@
 	e->counters.count = COUNT_END;
 	e->ev = tevent_context_init(e);
 	e->inbox = inbox_new(e, e->ev, e);
-	e->http = httpc_new(e, e->ev, 0);
+	e->http = httpc_new(e, e->ev, 0, 0);
 	e->health = g_hash_table_new(g_str_hash, g_str_equal);
 	platform = platform_new(e, e->ev, e->http, s->platform.ip, s->platform.port, s->vm);
 	e->cluster = cluster_new(e, e->ev, s, platform, e->incarnation, &hooks);
--- a/src/entryd_worker.c
+++ b/src/entryd_worker.c
@@ -887,7 +887,7 @@
 	w->root = root;
 	w->ev = tevent_context_init(root);
 	w->inbox = inbox_new(root, w->ev, w);
-	w->http = httpc_new(root, w->ev, 0);
+	w->http = httpc_new(root, w->ev, 0, 0);
 	w->platform = platform_new(root, w->ev, w->http, s->platform.ip, s->platform.port, s->vm);
 	w->requests = g_hash_table_new(g_str_hash, g_str_equal);
 	w->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/load.c
+++ b/src/load.c
@@ -550,7 +550,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	l->ev = tevent_context_init(l);
-	l->http = httpc_new(l, l->ev, 0);
+	l->http = httpc_new(l, l->ev, 0, 0);
 	l->rng = g_rand_new_with_seed(seed->count ? (guint32)seed->ival[0] : 1);
 	l->nonce = base_random64() & 0xffffff;
 	l->target_count = (size_t)targets->count;
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -372,7 +372,7 @@
 	s->counters.names = counter_names;
 	s->counters.count = SCHED_COUNT_END;
 	s->ev = tevent_context_init(s);
-	s->http = httpc_new(s, s->ev, 0);
+	s->http = httpc_new(s, s->ev, 0, 0);
 	s->platform =
 		platform_new(s, s->ev, s->http, set->platform.ip, set->platform.port, set->vm);
 	s->servers = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/sited.c
+++ b/src/sited.c
@@ -21,11 +21,10 @@
 #define IDLE_S 30
 #define SMALL_BODY_MAX 4096
 #define FRONT_BODY_MAX (1024 * 1024) /* the operator's limit is checked by the store's row size */
+#define OTHER_DESCRIPTORS 300	     /* files, listeners, the store, other entry VMs */
 #define SERVER_CONNECTIONS_MAX 3     /* one that waits for ends, two for orders */
 #define LINGER_MS 2600 /* after SIGTERM, so that the balancer has missed two readiness answers */
 #define LINGER_TICK_MS 50
-#define HAND_OVER_MS 400 /* after SIGTERM at the latest, so that transactions are answered */
-#define HAND_OVER_TICK_MS 10
 #define GRACE_RESERVE_MS 800 /* of the grace time, kept to end by ourselves */
 
 /* ---- stopping ---- */
@@ -45,17 +44,6 @@
 	exit(0);
 }
 
-/* what is being stored is answered first: the next leader could not tell how that ended */
-static void on_hand_over(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	struct sited *d = data;
-
-	if (d->lead && !lead_rows_settled(d->lead) && base_now() < d->hand_over_at)
-		mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
-	else
-		sited_hand_over(d);
-}
-
 static void on_term(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_signal *se G_GNUC_UNUSED,
 		    int signum, int count G_GNUC_UNUSED, void *info G_GNUC_UNUSED, void *data)
 {
@@ -65,10 +53,7 @@
 		return;
 	d->stop_at = base_deadline_in(LINGER_MS);
 	log_event("stopping", "{si sb}", "signal", signum, "leading", d->lead != NULL);
-	if (d->lead)
-		d->lead->is_handing_over = true;
-	d->hand_over_at = base_deadline_in(HAND_OVER_MS);
-	mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
+	sited_begin_hand_over(d);
 	mtimer_add(d, d->ev, base_deadline_in(LINGER_TICK_MS), on_linger, d);
 }
 
@@ -143,6 +128,14 @@
 	return onc_server_new(d, d->ev, &peers, sited_on_peer, d) != NULL;
 }
 
+/* what callers and files may take is left free */
+static unsigned int server_connections_kept(const struct sited *d)
+{
+	unsigned int others = FRONT_CONNECTIONS_MAX + OTHER_DESCRIPTORS;
+
+	return MAX(d->site->descriptors_max, 2 * others) - others;
+}
+
 static int run(const char *settings, int metrics_port, bool only_check)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
@@ -166,8 +159,8 @@
 	base_log_init("sited", d->site->vm, "stdout");
 	daemon_prepare();
 	sited_metrics_init(&d->metrics);
-	d->store_http = httpc_new(d, ev, 0);
-	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX);
+	d->store_http = httpc_new(d, ev, 0, 0);
+	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX, server_connections_kept(d));
 	d->store = store_new(d, d->store_http, &d->site->store);
 	d->orders = orders_new(d, d->server_http);
 	if (!listen_all(d, metrics_port)) {
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -101,7 +101,7 @@
 START_TEST(a_body_is_not_sent_again_on_another_connection)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
-	struct httpc *http = httpc_new(ev, ev, 0);
+	struct httpc *http = httpc_new(ev, ev, 0, 0);
 	pthread_t thread;
 
 	listen_here();
@@ -119,7 +119,7 @@
 START_TEST(a_dead_port_is_not_sent)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
-	struct httpc *http = httpc_new(ev, ev, 0);
+	struct httpc *http = httpc_new(ev, ev, 0, 0);
 
 	ck_assert_int_eq(post(ev, http, 17999), HTTPC_NOT_SENT);
 	talloc_free(ev);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -66,7 +66,7 @@
 	f->ev = tevent_context_init(f);
 	f->server = httpd_new(f, f->ev, &opt, on_request, f);
 	ck_assert_ptr_nonnull(f->server);
-	f->http = httpc_new(f, f->ev, 0);
+	f->http = httpc_new(f, f->ev, 0, 0);
 	return f;
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -69,7 +69,7 @@
 
 	f->ev = tevent_context_init(f);
 	f->server = scripted_listen(f, f->ev, PORT, on_request, f);
-	f->platform = platform_new(f, f->ev, httpc_new(f, f->ev, 0), "127.0.0.1", PORT, "e0");
+	f->platform = platform_new(f, f->ev, httpc_new(f, f->ev, 0, 0), "127.0.0.1", PORT, "e0");
 	return f;
 }
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -14,7 +14,7 @@
 static const char good[] = "node = \"edge-1\"\nzone = \"z1\"\nip = \"10.1.0.19\"\n"
 			   "port-range = [7000,7015]\nunknown = 3\n"
 			   "[listen]\nfront = \"10.1.0.19:8521\"\nready = \"10.1.0.19:8523\"\n"
-			   "[limits]\ncpu-share = 0.25\ncores = 2\n"
+			   "[limits]\ncpu-share = 0.25\ncores = 2\nmax-fds = 4096\n"
 			   "[bounds]\nhold-max-ms = 5000\ngrace-s = 2.5\nremote-slowdown = 2\n"
 			   "[platform]\naddr = \"10.200.1.7:8524\"\n";
 
@@ -38,6 +38,7 @@
 	ck_assert_int_eq(s->grace_ms, 2500);
 	ck_assert_int_eq(s->stop_ms, 400);
 	ck_assert(s->cores > 0.49 && s->cores < 0.51);
+	ck_assert_uint_eq(s->descriptors_max, 4096);
 	talloc_free(s);
 }
 END_TEST
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -32,7 +32,7 @@
 
 	f->ev = tevent_context_init(f);
 	f->http = scripted_new(f, f->ev, PORT, status, answer);
-	f->store = store_new(f, httpc_new(f, f->ev, 0), &address);
+	f->store = store_new(f, httpc_new(f, f->ev, 0, 0), &address);
 	return f;
 }
 
