Look at servers for the first time 64 at a time

The silence of a failure domain was also judged for each server ten times a second.

Change: 64 looks in flight at servers that are not known to answer; silence is judged once a tick.

--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -33,6 +33,8 @@
  * @commits: transaction in flight of each part, or NULL
  * @commit_after: no transaction of the part before, ms
  * @reread_version: oldest version at which a part's jobs were read again
+ * @probes: looks in flight at servers that are not known to answer
+ * @next_probe: index in the fleet from which the next such server is sought
  * @list_version: version up to which the list of servers is known
  * @round: pending call of the next round, or NULL
  * @next_round: no round before, on base_now()'s clock
@@ -57,6 +59,8 @@
 	struct commit *commits[SITED_PARTS];
 	int64_t commit_after[SITED_PARTS];
 	int64_t reread_version;
+	unsigned int probes;
+	unsigned int next_probe;
 	int64_t list_version;
 	struct mtimer *round;
 	int64_t next_round;
@@ -73,6 +77,7 @@
  * @told: ends up to this number are forgotten there
  * @ends: struct end_note, taken into account and not yet acknowledged
  * @look_in_flight: a look is under way
+ * @is_probe: that look counts in probes of struct lead
  * @orders_in_flight: starts and stops under way
  * @looks: counts looks
  * @misses: looks in a row without an answer
@@ -91,6 +96,7 @@
 	int64_t told;
 	GQueue ends;
 	bool look_in_flight;
+	bool is_probe;
 	unsigned int orders_in_flight;
 	uint64_t looks;
 	unsigned int misses;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -12,14 +12,20 @@
 
 #include "mtimer/mtimer.h"
 
-#define LOOK_ANSWER_MS 500  /* on top of the wait; the way there and back takes 3 ms at most */
-#define LOOK_RETRY_MS 250   /* to a server that does not answer */
+#define LOOK_ANSWER_MS 500 /* on top of the wait; the way there and back takes 3 ms at most */
+#define LOOK_RETRY_MS 250  /* to a server that does not answer */
+/*
+ * Load pattern: a takeover, after which each of thousands of servers is looked at
+ * once. All at once they would not be answered in time by a VM of half a core.
+ */
+#define PROBES_MAX 64
 #define MISSES_MAX 2	    /* looks in a row without an answer, before it gets no new work */
 #define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
 #define LEASE_MARGIN_MS 60
 /* a stop takes 400 ms at most, and the entry in the list is up to 1 s old */
 #define EVACUATE_RESERVE_MS 1400
+#define DOMAINS_MAX 32	      /* failure domains of a site; 11 are designed for */
 #define SILENT_MS 700	      /* a server that answered within it is not out of reach */
 #define SILENT_SUSPECT_MS 250 /* renewed every 100 ms while the silence lasts */
 #define LEAVE_SLACK_MS 500    /* a server that leaves stays at least as long as it says */
@@ -276,22 +282,55 @@
 	}
 }
 
+static bool needs_probe(struct lead *l, struct fleet_server *sv)
+{
+	return !sv->is_fenced || lead_io(l, sv)->misses;
+}
+
+/* one look was answered: the next server that waits for its first, all in turn */
+static void probe_next(struct lead *l)
+{
+	const GPtrArray *all = l->fleet->all;
+
+	for (guint i = 0; i < all->len && l->probes < PROBES_MAX; i++) {
+		struct fleet_server *sv = g_ptr_array_index(all, l->next_probe++ % all->len);
+
+		if (needs_probe(l, sv))
+			lead_server_look(l, sv);
+	}
+}
+
+static void look_is_over(struct lead *l, struct server_io *io)
+{
+	io->look_in_flight = false;
+	if (!io->is_probe)
+		return;
+	io->is_probe = false;
+	l->probes--;
+}
+
 static void on_looked(const struct order_result *r, void *data)
 {
 	struct look *look = data;
 	struct lead *l = lead_current(look->d, look->serial);
 	struct fleet_server *sv = look->sv;
+	bool was_probe;
 
 	if (!l)
 		goto out;
-	lead_io(l, sv)->look_in_flight = false;
-	if (!lead_server_answered(l, sv, r) || sv->presence == FLEET_REPLACED)
+	was_probe = lead_io(l, sv)->is_probe;
+	look_is_over(l, lead_io(l, sv));
+	if (!lead_server_answered(l, sv, r))
 		goto out;
-	if (r->status == ORDER_DONE)
-		look_answered(l, look, r);
-	else
-		look_missed(l, sv, r->status);
-	lead_server_look(l, sv);
+	if (sv->presence != FLEET_REPLACED) {
+		if (r->status == ORDER_DONE)
+			look_answered(l, look, r);
+		else
+			look_missed(l, sv, r->status);
+		lead_server_look(l, sv);
+	}
+	if (was_probe)
+		probe_next(l);
 out:
 	talloc_free(look);
 }
@@ -361,7 +400,13 @@
 		look_at(io, io->next_look);
 		return;
 	}
-	if (!sv->is_fenced || io->misses || (busy && !may_renew(l))) {
+	if (needs_probe(l, sv)) {
+		if (l->probes >= PROBES_MAX)
+			return; /* its turn comes */
+		io->is_probe = true;
+		l->probes++;
+		send_look(l, sv, 0);
+	} else if (busy && !may_renew(l)) {
 		/* without the right to renew it still learns what ended */
 		send_look(l, sv, 0);
 	} else if (busy && io->acknowledged < io->seen) {
@@ -417,16 +462,40 @@
 	g_ptr_array_free(tasks, TRUE);
 }
 
+/* what is known in one tick of the silence of failure domains; there are few of them */
+struct silence {
+	const char *domain[DOMAINS_MAX];
+	bool is_silent[DOMAINS_MAX];
+	unsigned int count;
+};
+
+static bool is_silent(struct silence *known, const struct sited *d, const char *domain)
+{
+	unsigned int i = 0;
+
+	while (i < known->count && strcmp(known->domain[i], domain))
+		i++;
+	if (i == DOMAINS_MAX)
+		return false;
+	if (i == known->count) {
+		known->domain[i] = domain;
+		known->is_silent[i] = sited_domain_is_silent(d, domain);
+		known->count++;
+	}
+	return known->is_silent[i];
+}
+
 /*
  * Load pattern: a failure domain is cut off while work arrives. A look waits for
  * 2 s, so the silence of the domain's VMs tells sooner that its servers are out
  * of reach, and new work goes elsewhere.
  */
-static void avoid_silent(struct lead *l, struct fleet_server *sv, int64_t now)
+static void avoid_silent(struct lead *l, struct fleet_server *sv, struct silence *known,
+			 int64_t now)
 {
 	const struct server_io *io = lead_io(l, sv);
 
-	if (now - io->clock_at > SILENT_MS && sited_domain_is_silent(l->d, sv->failure_domain))
+	if (now - io->clock_at > SILENT_MS && is_silent(known, l->d, sv->failure_domain))
 		sv->suspect_until = MAX(sv->suspect_until, now + SILENT_SUSPECT_MS);
 }
 
@@ -447,13 +516,14 @@
 void lead_servers_tick(struct lead *l)
 {
 	int64_t now = sited_now_ms();
+	struct silence silence = {.count = 0};
 
 	for (guint i = 0; i < l->fleet->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
 
 		lapse(l, sv, now);
 		evacuate(l, sv, now);
-		avoid_silent(l, sv, now);
+		avoid_silent(l, sv, &silence, now);
 		if (sv->presence != FLEET_REPLACED && !lead_io(l, sv)->timer)
 			lead_server_look(l, sv);
 	}
