Let pings and contention not grow with the site

Cause, from plays with 300 entry VMs: 1,500 pings a second took a third of the leader, a late answer closed the connection and counted as a miss, all VMs contended within 20 ms, small VMs won and needed 3 s to load.

Change: a VM of a large site pings on one tick of up to 8, until the leader is silent; the leader is replaced after 0.7 s of silence (and 2 ms for each VM), however late single answers are; contention is spread by 2 ms a VM, and the row is read just before the transaction; small VMs contend 0.4 s later, and hand over when a large one is there; a list of VMs names 32.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -106,6 +106,7 @@
 	string failure_domain<CL_ID_MAX>;
 	string ip<CL_ID_MAX>;
 	int port;
+	bool is_large;
 };
 
 struct cl_queue_pending {
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -175,6 +175,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->port))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_large))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -108,6 +108,7 @@
 	char *failure_domain;
 	char *ip;
 	int port;
+	bool_t is_large;
 };
 typedef struct cl_vm cl_vm;
 
--- a/src/sited.h
+++ b/src/sited.h
@@ -54,7 +54,9 @@
  * @known_at: when its row was read, on base_now()'s clock
  * @heard_at: when it last answered, on base_now()'s clock
  * @store_failing_ms: for how long the store has not served it, as it last said
- * @misses: pings in a row without an answer
+ * @unanswered: pings since its last answer; one is usual while it is on its way
+ * @refusals: of them, those that nothing took at its address
+ * @silent_since: when the first of them was sent, on base_now()'s clock
  * @pending: jobs not begun by queue, as it last said; name to int64_t
  */
 struct sited_leader {
@@ -66,7 +68,9 @@
 	int64_t known_at;
 	int64_t heard_at;
 	int64_t store_failing_ms;
-	unsigned int misses;
+	unsigned int unanswered;
+	unsigned int refusals;
+	int64_t silent_since;
 	GHashTable *pending;
 };
 
@@ -91,6 +95,7 @@
  * @config_asked: a peer was asked for it
  * @peers: struct peer of other entry VMs
  * @next_peer: counts pings to VMs that don't lead
+ * @ticks: counts ticks of the election; a VM does not ping on each of them
  * @vms_asked_at: when a list of VMs last came, on base_now()'s clock
  * @is_probing: the store is being asked whether it still serves this VM
  * @started_at: when the process began, on base_now()'s clock
@@ -117,6 +122,7 @@
 	bool config_asked;
 	GPtrArray *peers;
 	unsigned int next_peer;
+	unsigned int ticks;
 	int64_t vms_asked_at;
 	bool is_probing;
 	int64_t started_at;
@@ -132,6 +138,11 @@
 	struct sited_metrics metrics;
 };
 
+static inline bool sited_is_large(const struct sited *d)
+{
+	return d->site->cores >= SITED_LARGE_CORES;
+}
+
 static inline int64_t sited_now_ms(void)
 {
 	return base_now() / BASE_NS_PER_MS;
@@ -163,6 +174,8 @@
 /* ---- sited_elect.c ---- */
 
 void sited_elect_start(struct sited *d);
+/** sited_leader_is_well() - another VM leads and answers */
+bool sited_leader_is_well(const struct sited *d);
 /** sited_leader_answered() - outcome of a ping to the leader */
 void sited_leader_answered(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer);
 /** sited_leader_heard() - what a peer says of who leads; an older row changes nothing */
@@ -173,8 +186,8 @@
 void sited_doubt(struct sited *d, const char *why);
 /** sited_step_down() - another VM leads for certain */
 void sited_step_down(struct sited *d, const char *why);
-/** sited_hand_over() - planned stop: let another VM lead at once */
-void sited_hand_over(struct sited *d);
+/** sited_begin_hand_over() - let another VM lead as soon as transactions are answered */
+void sited_begin_hand_over(struct sited *d);
 /** sited_check_row() - another row than the one that made this VM lead: step down */
 void sited_check_row(struct sited *d, const struct store_row *row);
 
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -196,7 +196,7 @@
 			front_finish_state(c, state, "leader");
 		else
 			read_state(c);
-	} else if (d->leader.client && !d->leader.misses) {
+	} else if (sited_leader_is_well(d)) {
 		onc_call(d->leader.client, &sited_procs[SITED_PROC_STATE], &args,
 			 sizeof(cl_lead_state_res), base_deadline_in(STATE_CALL_MS),
 			 on_leader_state, c);
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -10,15 +10,23 @@
 
 #include "mtimer/mtimer.h"
 
-#define TICK_MS 200
-#define MISSES_MAX 3 /* pings in a row without an answer; a refused connection counts double */
+/* a leader that answered no ping for so long is replaced */
+#define SILENT_MS 700
+#define SILENT_PER_VM_MS 2 /* the work of a leader, and its answers' delay, grow with the site */
+/* a new leader reads all rows and looks at all servers first, and may be slow to answer */
 #define NEW_LEADER_MS 4000
-#define MISSES_MAX_NEW 7
+#define SILENT_NEW_MS 1700
+#define REFUSALS_MAX 2	     /* pings that nothing took at its address */
+#define UNANSWERED_PROBE 2   /* pings without an answer, before the store is asked */
 #define CONTEND_SMALL_MS 120 /* longer than a transaction of a larger VM takes */
-#define CONTEND_SPREAD_MS 20 /* so that not all contend at the same moment */
+#define SMALL_LEADS_MIN_MS 3000
+#define CONTEND_SPREAD_MS 20	   /* so that not all contend at the same moment */
+#define CONTEND_SPREAD_PER_VM_MS 2 /* a transaction takes 8 ms, and one follows the other */
 /* VMs that are restarted in turn: one that was restarted lately leads on undisturbed */
 #define CONTEND_AGE_MAX_MS 40
-#define AGE_PER_DELAY 1000    /* a delay of 1 ms for each second since the start */
+#define AGE_PER_DELAY 1000 /* a delay of 1 ms for each second since the start */
+#define HAND_OVER_MS 400   /* at the latest, so that transactions are answered */
+#define HAND_OVER_TICK_MS 10
 #define CLIENT_LINGER_MS 2000 /* longer than any call to a leader takes */
 #define LEADER_CUT_OFF_MS 500 /* the leader's store is away for so long, but not this VM's */
 #define PROBE_MS 500	      /* a store that is 60 times slower than usual answers in it */
@@ -74,7 +82,8 @@
 	leader->known_at = base_now();
 	leader->heard_at = 0;
 	leader->store_failing_ms = 0;
-	leader->misses = 0;
+	leader->unanswered = 0;
+	leader->refusals = 0;
 	if (leader->vm[0] && strcmp(leader->vm, d->site->vm))
 		leader->client = onc_client_new(d, d->ev, leader->address.ip, leader->address.port);
 	log_event("leader_known", "{ss sI sI ss}", "leader", leader->vm, "term",
@@ -211,18 +220,11 @@
 		d->lead = lead_new(d, d->leader.term, r->version);
 }
 
-static void on_contend_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+static void send_contention(struct sited *d)
 {
-	struct sited *d = data;
-	struct store_tx *tx;
+	struct store_tx *tx = store_tx_new(d, "");
 	char *value;
 
-	/* what made this VM contend holds for one row only */
-	if (d->stop_at || d->lead || d->leader.version != d->contended_version) {
-		d->is_contending = false;
-		return;
-	}
-	tx = store_tx_new(d, "");
 	d->contended_term = d->leader.term + 1;
 	value = encode_row(tx, d, d->contended_term, false);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->leader.version);
@@ -231,39 +233,48 @@
 	talloc_free(tx);
 }
 
-/* large VMs go first: a leader's work grows with the deployment, a VM's share does not */
-static int64_t contend_delay_ms(const struct sited *d)
-{
-	int64_t age_ms = (base_now() - d->started_at) / BASE_NS_PER_MS;
-	int64_t delay = (int64_t)(base_random64() % CONTEND_SPREAD_MS) +
-			MIN(age_ms / AGE_PER_DELAY, CONTEND_AGE_MAX_MS);
-
-	return d->site->cores < SITED_LARGE_CORES ? delay + CONTEND_SMALL_MS : delay;
-}
-
-/* a new leader reads all rows and looks at all servers first, and may be slow to answer */
-static unsigned int misses_max(const struct sited *d)
+/* what made this VM contend holds for one row only */
+static bool is_contention_void(const struct sited *d)
 {
-	bool is_new = d->leader.known_at + NEW_LEADER_MS * BASE_NS_PER_MS > base_now();
-
-	return is_new ? MISSES_MAX_NEW : MISSES_MAX;
+	return d->stop_at || d->lead || d->leader.version != d->contended_version;
 }
 
 /*
  * A VM that is cut off sees the same silence as one whose leader has died. Its
  * transaction would arrive when the cut is over and depose a leader that is
- * well, so the store must answer before one is sent.
+ * well, so the store must answer before one is sent. Of hundreds of VMs most
+ * find here that another has won.
  */
 static void on_row_confirmed(const struct store_result *r, void *data)
 {
 	struct sited *d = data;
 
 	on_row(r, d);
-	if (r->status != STORE_OK || d->leader.version != d->contended_version) {
+	if (r->status != STORE_OK || is_contention_void(d))
 		d->is_contending = false;
-		return;
-	}
-	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
+	else
+		send_contention(d);
+}
+
+static void on_contend_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+
+	if (is_contention_void(d))
+		d->is_contending = false;
+	else
+		store_read(d->store, &lead_range, base_deadline_in(PROBE_MS), on_row_confirmed, d);
+}
+
+/* large VMs go first: a leader's work grows with the deployment, a VM's share does not */
+static int64_t contend_delay_ms(const struct sited *d)
+{
+	int64_t age_ms = (base_now() - d->started_at) / BASE_NS_PER_MS;
+	int64_t spread_ms = MAX(CONTEND_SPREAD_MS, CONTEND_SPREAD_PER_VM_MS * d->peers->len);
+	int64_t delay = (int64_t)(base_random64() % (uint64_t)spread_ms) +
+			MIN(age_ms / AGE_PER_DELAY, CONTEND_AGE_MAX_MS);
+
+	return sited_is_large(d) ? delay : delay + spread_ms + CONTEND_SMALL_MS;
 }
 
 static void contend(struct sited *d, const char *why)
@@ -274,7 +285,7 @@
 	d->contended_version = d->leader.version;
 	log_event("lead_contended", "{ss ss sI}", "why", why, "leader", d->leader.vm, "term",
 		  (json_int_t)d->leader.term);
-	store_read(d->store, &lead_range, base_deadline_in(PROBE_MS), on_row_confirmed, d);
+	mtimer_add(d, d->ev, base_deadline_in(contend_delay_ms(d)), on_contend_timer, d);
 }
 
 void sited_contend_if_vacant(struct sited *d)
@@ -298,13 +309,11 @@
 	sited_tell_vacant(d);
 }
 
-void sited_hand_over(struct sited *d)
+static void vacate(struct sited *d)
 {
 	struct store_tx *tx;
 	char *value;
 
-	if (!d->lead)
-		return;
 	tx = store_tx_new(d, "");
 	value = encode_row(tx, d, d->lead->term, true);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->lead->row_version);
@@ -317,6 +326,28 @@
 	talloc_free(tx);
 }
 
+/* what is being stored is answered first: the next leader could not tell how that ended */
+static void on_hand_over(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+
+	if (!d->lead)
+		return;
+	if (lead_rows_settled(d->lead) || base_now() >= d->hand_over_at)
+		vacate(d);
+	else
+		mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
+}
+
+void sited_begin_hand_over(struct sited *d)
+{
+	if (!d->lead || d->lead->is_handing_over)
+		return;
+	d->lead->is_handing_over = true;
+	d->hand_over_at = base_deadline_in(HAND_OVER_MS);
+	mtimer_add(d, d->ev, base_deadline_in(HAND_OVER_TICK_MS), on_hand_over, d);
+}
+
 /* ---- following ---- */
 
 static void take_pending(struct sited *d, const cl_lead_ping_res *res)
@@ -334,21 +365,53 @@
 	}
 }
 
+bool sited_leader_is_well(const struct sited *d)
+{
+	/* one ping may be on its way */
+	return d->leader.client && d->leader.unanswered <= 1;
+}
+
+/* how long the leader may be silent, in ms */
+static int64_t patience_ms(const struct sited *d)
+{
+	bool is_new = d->leader.known_at + NEW_LEADER_MS * BASE_NS_PER_MS > base_now();
+
+	return (is_new ? SILENT_NEW_MS : SILENT_MS) + SILENT_PER_VM_MS * (int64_t)d->peers->len;
+}
+
 static void leader_missed(struct sited *d, enum onc_result result)
 {
-	d->leader.misses += result == ONC_NOT_SENT ? 2 : 1;
-	probe_store(d);
-	if (d->leader.misses >= misses_max(d))
+	int64_t now = base_now();
+
+	/* nothing listens there: it has gone, or is being started again */
+	if (result == ONC_NOT_SENT)
+		d->leader.refusals++;
+	if (d->leader.refusals >= REFUSALS_MAX ||
+	    now - d->leader.silent_since > patience_ms(d) * BASE_NS_PER_MS)
 		contend(d, "the leader does not answer");
 }
 
+/* a ping more; how many stand without an answer says how well the leader is */
+static void ask_leader(struct sited *d)
+{
+	if (!d->leader.unanswered++)
+		d->leader.silent_since = base_now();
+	if (d->leader.unanswered > UNANSWERED_PROBE) {
+		probe_store(d);
+		leader_missed(d, ONC_LOST);
+	}
+	if (d->leader.client)
+		sited_ping_leader(d);
+}
+
 void sited_leader_answered(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer)
 {
 	if (result != ONC_OK) {
 		leader_missed(d, result);
 		return;
 	}
-	d->leader.misses = 0;
+	d->leader.unanswered = 0;
+	d->leader.refusals = 0;
 	d->leader.heard_at = base_now();
 	d->leader.store_failing_ms = answer->store_failing_ms;
 	/* it may have won without knowing yet: the answer of a slow store takes a while */
@@ -363,23 +426,40 @@
 		contend(d, "the leader is cut off from the store");
 }
 
+/* a small VM leads only while no large one is there; each change of the lead costs a pause */
+static bool should_hand_over(const struct sited *d)
+{
+	bool has_led = base_now() - d->lead->started_at > SMALL_LEADS_MIN_MS * BASE_NS_PER_MS;
+
+	return !sited_is_large(d) && has_led && d->lead->is_loaded && !d->stop_at &&
+	       sited_has_large_peer(d);
+}
+
 static void tick_leading(struct sited *d)
 {
-	if (store_failing_ms(d->store))
+	if (should_hand_over(d))
+		sited_begin_hand_over(d);
+	else if (store_failing_ms(d->store))
 		sited_ping_other(d);
 	else if (sited_peers_are_missing(d))
 		probe_store(d);
 }
 
+/* the leader is asked by each VM less often the more there are, until one misses an answer */
+static bool is_ping_due(struct sited *d)
+{
+	return d->leader.unanswered || !d->leader.heard_at || d->ticks % sited_ping_ticks(d) == 0;
+}
+
 static void tick_following(struct sited *d)
 {
 	if (d->leader.version < 0)
 		read_row(d);
-	else if (d->leader.client)
-		sited_ping_leader(d);
-	else
+	else if (d->leader.client && is_ping_due(d))
+		ask_leader(d);
+	else if (!d->leader.client)
 		contend(d, d->leader.vm[0] ? "the row names this VM" : "nobody leads");
-	if (store_failing_ms(d->store) && (!d->leader.client || d->leader.misses))
+	if (store_failing_ms(d->store) && !sited_leader_is_well(d))
 		sited_ping_other(d);
 }
 
@@ -395,7 +475,8 @@
 {
 	struct sited *d = data;
 
-	mtimer_add(d, d->ev, base_deadline_in(TICK_MS), on_tick, d);
+	mtimer_add(d, d->ev, base_deadline_in(SITED_TICK_MS), on_tick, d);
+	d->ticks++;
 	if (d->lead)
 		tick_leading(d);
 	else
@@ -405,5 +486,6 @@
 void sited_elect_start(struct sited *d)
 {
 	d->leader.version = -1;
+	d->ticks = (unsigned int)base_random64();
 	mtimer_add(d, d->ev, base_now(), on_tick, d);
 }
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -219,7 +219,7 @@
 {
 	struct sited *d = req->server_data;
 	/* the leader's silence says that it is not the store alone which fails */
-	int64_t patience_ms = d->leader.misses ? 0 : READY_FAILING_MAX_MS;
+	int64_t patience_ms = d->lead || sited_leader_is_well(d) ? READY_FAILING_MAX_MS : 0;
 	bool has_way = store_failing_ms(d->store) <= patience_ms || sited_relay_target(d);
 	bool ready = d->queues && !d->stop_at && has_way;
 
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -8,10 +8,13 @@
 #include "mtimer/mtimer.h"
 #include "sited_lead.h"
 
-#define PING_ANSWER_MS 350   /* several times the way to another failure domain and back */
+#define PING_ANSWER_MS 1000  /* a leader that is busy answers late, and is alive */
 #define PEER_FORGET_MS 60000 /* a VM that was not heard of for so long has been replaced */
-#define PEER_SILENT_MS 700   /* three pings of a VM did not come */
-#define PEER_RECENT_MS 3000  /* a VM that pinged within this was there a moment ago */
+#define PING_VMS_MAX 32	     /* VMs that ping on one tick; 160 pings a second take 2 % of a core */
+#define PING_TICKS_MAX 8     /* callers may be told numbers up to 2 s old */
+#define PEER_SILENT_MS 700   /* three pings of a VM did not come, in a small site */
+#define PEER_RECENT_MS 5000  /* a VM that pinged within this was there a moment ago */
+#define VMS_SAID_MAX 32	     /* in one answer; a VM needs a few others, not all */
 #define PEER_HEARD_MS 1500   /* what a VM said of its store is believed for so long */
 #define VMS_EVERY_MS 5000    /* the list of VMs changes with their restarts only */
 #define CONFIG_BEHIND_MAX 2  /* pings; an own feed brings a change within one */
@@ -23,6 +26,7 @@
 /**
  * struct peer - another entry VM
  * @failure_domain: where it stands
+ * @is_large: it has the cores to lead a large site
  * @known_at: when it was last heard or named, on base_now()'s clock
  * @heard_at: when it last called or answered, 0 before
  * @store_failing_ms: for how long the store has not served it, as it last said
@@ -31,6 +35,7 @@
 struct peer {
 	char vm[64];
 	char failure_domain[64];
+	bool is_large;
 	struct address address;
 	int64_t known_at;
 	int64_t heard_at;
@@ -116,6 +121,7 @@
 		p->address.port = (uint16_t)vm->port;
 	}
 	g_strlcpy(p->failure_domain, vm->failure_domain, sizeof(p->failure_domain));
+	p->is_large = vm->is_large;
 	p->known_at = base_now();
 	return p;
 }
@@ -127,13 +133,30 @@
 	return p->client;
 }
 
+unsigned int sited_ping_ticks(const struct sited *d)
+{
+	return MIN(d->peers->len / PING_VMS_MAX + 1, PING_TICKS_MAX);
+}
+
 bool sited_peers_are_missing(const struct sited *d)
+{
+	int64_t silent_ms = PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
+
+	for (guint i = 0; i < d->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (is_within(p->heard_at, PEER_RECENT_MS) && !is_within(p->heard_at, silent_ms))
+			return true;
+	}
+	return false;
+}
+
+bool sited_has_large_peer(const struct sited *d)
 {
 	for (guint i = 0; i < d->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(d->peers, i);
 
-		if (is_within(p->heard_at, PEER_RECENT_MS) &&
-		    !is_within(p->heard_at, PEER_SILENT_MS))
+		if (p->is_large && !p->store_failing_ms && is_within(p->heard_at, PEER_HEARD_MS))
 			return true;
 	}
 	return false;
@@ -159,8 +182,8 @@
 {
 	const struct sited_leader *leader = &d->leader;
 
-	if (!d->lead && leader->client && !leader->misses && !leader->store_failing_ms &&
-	    is_within(leader->heard_at, PEER_HEARD_MS))
+	if (!d->lead && sited_leader_is_well(d) && !leader->store_failing_ms &&
+	    is_within(leader->heard_at, PEER_HEARD_MS + PING_TICKS_MAX * SITED_TICK_MS))
 		return leader->client;
 	for (guint i = 0; i < d->peers->len; i++) {
 		struct peer *p = g_ptr_array_index(d->peers, i);
@@ -339,14 +362,16 @@
 	}
 }
 
-static void say_vms(TALLOC_CTX *ctx, const struct sited *d, cl_lead_ping_res *res)
+static void say_vms(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
 {
-	res->vms.vms_val = talloc_array(ctx, cl_vm, d->peers->len);
-	for (guint i = 0; i < d->peers->len; i++) {
-		struct peer *p = g_ptr_array_index(d->peers, i);
+	unsigned int count = MIN(d->peers->len, VMS_SAID_MAX);
+
+	res->vms.vms_val = talloc_array(ctx, cl_vm, count);
+	for (unsigned int i = 0; i < count; i++) {
+		struct peer *p = g_ptr_array_index(d->peers, d->next_peer++ % d->peers->len);
 
-		res->vms.vms_val[res->vms.vms_len++] =
-			(cl_vm){p->vm, p->failure_domain, p->address.ip, p->address.port};
+		res->vms.vms_val[res->vms.vms_len++] = (cl_vm){
+			p->vm, p->failure_domain, p->address.ip, p->address.port, p->is_large};
 	}
 }
 
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -13,6 +13,8 @@
 #include "onc/onc.h"
 #include "proto/proto.h"
 
+#define SITED_TICK_MS 200 /* pings of a small site, in which every VM pings on each tick */
+
 struct sited;
 
 enum sited_proc {
@@ -29,12 +31,16 @@
 
 /** sited_on_peer() - answer a call of another entry VM */
 void sited_on_peer(struct onc_request *req);
+/** sited_ping_ticks() - a VM of a site as large as this pings on one tick of so many */
+unsigned int sited_ping_ticks(const struct sited *d);
 /** sited_ping_leader() - ask the leader whether it leads; sited_leader_answered() is told */
 void sited_ping_leader(struct sited *d);
 /** sited_ping_other() - ask one VM after another, who leads and whether the store is there */
 void sited_ping_other(struct sited *d);
 /** sited_peers_are_missing() - some VM that pinged this leader has gone silent */
 bool sited_peers_are_missing(const struct sited *d);
+/** sited_has_large_peer() - a VM that should lead instead of a small one */
+bool sited_has_large_peer(const struct sited *d);
 /** sited_domain_is_silent() - no VM of another failure domain pings this leader any more */
 bool sited_domain_is_silent(const struct sited *d, const char *failure_domain);
 /** sited_relay_target() - a VM that answers and reaches the store, or NULL */
