--- a/tools/soak.py
+++ b/tools/soak.py
@@ -127,6 +127,8 @@
         self.stopping = False
         self.lies = []          # complete, though not all tasks were done
         self.said_complete = 0
+        self.following = []     # of jobs
+        self.turned_away = []   # (what, whether it went well), at a VM that the store turned away
 
     async def config(self, version):
         routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
@@ -147,8 +149,8 @@
         name = json.loads(base64.b64decode(value))["vm"] if value else ""
         return next((vm for vm in self.vms if vm.name == name), self.vms[0])
 
-    async def ask(self, method, job, path=None, timeout=3.0):
-        vm = self.rng.choice(self.vms)
+    async def ask(self, method, job, path=None, timeout=3.0, vm=None):
+        vm = vm or self.rng.choice(self.vms)
         headers = {"Host": "jobs.example", "Authorization": "Bearer k", "Content-Type": "application/json"}
         return await call(vm.front, method, path or "/%s/%s" % (job.route, job.id), headers,
                           job.document() if method == "POST" else None, timeout)
@@ -166,8 +168,17 @@
             await asyncio.sleep(0.5)
         job.refused_only = all(a in (429, 503) for a in answers)
 
-    async def follow(self, job):
+    def add_job(self):
+        job = Job(self.rng, len(self.jobs))
+        self.jobs.append(job)
+        self.pool.needs[job.id] = job.gpu
+        return job
+
+    async def submit_and_watch(self, job):
         await self.submit(job)
+        await self.watch(job)
+
+    async def watch(self, job):
         if job.accepted and job.is_cancelled:
             await asyncio.sleep(self.rng.uniform(0, 2))
             job.asked_to_cancel = True
@@ -199,15 +210,11 @@
             self.lies.append((job.id, missing))
 
     async def clients(self, per_second):
-        following = []
         while not self.stopping:
-            job = Job(self.rng, len(self.jobs))
-            self.jobs.append(job)
-            self.pool.needs[job.id] = job.gpu
-            following.append(asyncio.ensure_future(self.follow(job)))
+            self.following.append(asyncio.ensure_future(self.submit_and_watch(self.add_job())))
             await asyncio.sleep(self.rng.expovariate(per_second))
-        await asyncio.wait(following, timeout=SETTLE_S)
-        for task in following:
+        await asyncio.wait(self.following, timeout=SETTLE_S)
+        for task in self.following:
             task.cancel()
 
     # ---- faults ----
@@ -388,6 +395,8 @@
                 ("the lead changes hands only for a cause", terms,
                  [terms] if terms > 2 * len(self.faults) + 3 else []),
                 ("a leader's term is that of its row", len(wins), wrong_terms),
+                ("a VM that the store turns away serves by its peers", len(self.turned_away) or 1,
+                 [what for what, went_well in self.turned_away if not went_well]),
                 ("every process stops in its grace time", self.stops or 1, [f for f in self.faults if f.startswith("not ")])]
 
     def stop(self):
@@ -448,6 +457,24 @@
     site.store.answers_late = 0.0
 
 
+async def one_vm_is_turned_away(site):
+    """It kept callers for 2.7 s and answered 504, though all other VMs reached the store."""
+    vm = next(v for v in site.vms if v is not site.leader())
+    cut = asyncio.ensure_future(site.vm_cut(vm, 5))
+    await asyncio.sleep(1.5)
+    for _ in range(6):
+        job = site.add_job()
+        answer = await site.ask("POST", job, vm=vm)
+        site.turned_away.append((job.id, bool(answer) and answer[0] == 200))
+        job.accepted = time.monotonic() if site.turned_away[-1][1] else None
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+    await site.config(2)
+    await asyncio.sleep(1)
+    taken = [e for e in site.events("config_taken") if e["vm"] == vm.name and e["version"] == 2]
+    site.turned_away.append(("configuration", bool(taken)))
+    await cut
+
+
 async def server_answers_no_more(site):
     """Looks without an answer put off the end of the leases, so its tasks never ran elsewhere."""
     server = max(site.pool.servers, key=lambda s: len(s.runs))
@@ -457,7 +484,8 @@
 
 
 SCENARIOS = [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, winner_hears_of_its_win_from_others, server_answers_no_more]
+             handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
+             server_answers_no_more]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
