--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -383,6 +383,12 @@
 {
 	int64_t now = base_now();
 
+	/* the silence may be this VM's own: what was heard while it was cut off says nothing */
+	if (store_failing_ms(d->store)) {
+		d->leader.silent_since = now;
+		d->leader.refusals = 0;
+		return;
+	}
 	/* nothing listens there: it has gone, or is being started again */
 	if (result == ONC_NOT_SENT)
 		d->leader.refusals++;
