--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -336,16 +336,11 @@
 	return a == b || (a && b && !strcmp(a, b));
 }
 
-static bool is_urgent(const struct work_group *group)
-{
-	return group->job->priority == QUEUES_URGENT_PRIORITY;
-}
-
 /* the refusal holds for this group in spite of the servers that are kept for a gang */
 static bool holds_for(const struct plan_refusal *r, const struct work_group *group)
 {
 	return !r->longer_than_ms ||
-	       (!is_urgent(group) && group->step->estimate_ms >= r->longer_than_ms);
+	       (!plan_is_urgent(group) && group->step->estimate_ms >= r->longer_than_ms);
 }
 
 static bool was_refused(const struct plan_scratch *s, const struct work_group *group)
@@ -373,7 +368,7 @@
 	r->label = group->step->label;
 	r->need = group->step->need;
 	r->longer_than_ms =
-		s->has_reserved && !is_urgent(group) ? MAX(group->step->estimate_ms, 1) : 0;
+		s->has_reserved && !plan_is_urgent(group) ? MAX(group->step->estimate_ms, 1) : 0;
 }
 
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -152,6 +152,5 @@
 {
 	int64_t ends = now + (int64_t)(BACKFILL_FACTOR * (double)group->step->estimate_ms);
 
-	return !sv->reserved_until || group->job->priority == QUEUES_URGENT_PRIORITY ||
-	       ends <= sv->reserved_until;
+	return !sv->reserved_until || plan_is_urgent(group) || ends <= sv->reserved_until;
 }
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -54,6 +54,11 @@
 	unsigned int refusal_count;
 };
 
+static inline bool plan_is_urgent(const struct work_group *group)
+{
+	return group->job->priority == QUEUES_URGENT_PRIORITY;
+}
+
 /** plan_collect() - candidates for the group; @stopping_is_free counts what is being stopped */
 void plan_collect(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  int64_t now, bool stopping_is_free);
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -118,7 +118,7 @@
 			     c);
 }
 
-void front_begin_submit(struct front_call *c)
+static void begin_submit(struct front_call *c)
 {
 	c->value = work_job_encode(c, c->job);
 	if ((int64_t)strlen(c->value) > c->d->site->row_bytes) {
@@ -182,7 +182,7 @@
 		front_finish_state(c, state, "leader");
 }
 
-void front_begin_state(struct front_call *c)
+static void begin_state(struct front_call *c)
 {
 	struct sited *d = c->d;
 	cl_lead_state_args args = {c->id};
@@ -265,12 +265,29 @@
 	store_commit(c->d->store, c->tx, front_own_deadline(c, SITED_CALL_MS), on_cancelled, c);
 }
 
-void front_begin_cancel(struct front_call *c)
+static void begin_cancel(struct front_call *c)
 {
 	if (!relay_first(c))
 		read_row(c, on_cancel_row);
 }
 
+void front_begin(struct front_call *c)
+{
+	switch (c->kind) {
+	case FRONT_SUBMIT:
+		begin_submit(c);
+		break;
+	case FRONT_STATE:
+		begin_state(c);
+		break;
+	case FRONT_CANCEL:
+		begin_cancel(c);
+		break;
+	case FRONT_KIND_COUNT:
+		break;
+	}
+}
+
 void front_resume(struct front_call *c)
 {
 	switch (c->kind) {
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -27,7 +27,6 @@
 #define AGE_PER_DELAY 1000 /* a delay of 1 ms for each second since the start */
 #define HAND_OVER_MS 400   /* at the latest, so that transactions are answered */
 #define HAND_OVER_TICK_MS 10
-#define CLIENT_LINGER_MS 2000 /* longer than any call to a leader takes */
 #define LEADER_CUT_OFF_MS 500 /* the leader's store is away for so long, but not this VM's */
 #define PROBE_MS 500	      /* a store that is 60 times slower than usual answers in it */
 
@@ -48,22 +47,6 @@
 	return text;
 }
 
-static void on_client_idle(struct mtimer *timer G_GNUC_UNUSED, void *data)
-{
-	talloc_free(data);
-}
-
-/* freed later: one of its callbacks may be on the stack */
-static void drop_client(struct sited *d)
-{
-	struct onc_client *client = d->leader.client;
-
-	d->leader.client = NULL;
-	if (client)
-		mtimer_add(client, d->ev, base_deadline_in(CLIENT_LINGER_MS), on_client_idle,
-			   client);
-}
-
 static void follow_soon(struct sited *d)
 {
 	mtimer_add(d, d->ev, base_now(), on_follow, d);
@@ -73,7 +56,7 @@
 {
 	struct sited_leader *leader = &d->leader;
 
-	drop_client(d);
+	sited_drop_client(d, &d->leader.client);
 	g_strlcpy(leader->vm, row->vm, sizeof(leader->vm));
 	g_strlcpy(leader->address.ip, row->ip, sizeof(leader->address.ip));
 	leader->address.port = row->port;
@@ -214,7 +197,7 @@
 	d->leader.version = r->version;
 	/* not one more than the newest known: a peer may have told of this very row already */
 	d->leader.term = d->contended_term;
-	drop_client(d);
+	sited_drop_client(d, &d->leader.client);
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
 	if (!d->stop_at)
 		d->lead = lead_new(d, d->leader.term, r->version);
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -151,7 +151,7 @@
 	}
 	c->job = callers_decode_job(c, queue, c->workspace, str_from(c->id), c->req->body, &fault);
 	if (c->job)
-		front_begin_submit(c);
+		front_begin(c);
 	else
 		front_finish(c, 400, fault);
 }
@@ -164,19 +164,10 @@
 	c->req = req;
 	req->user = c;
 	req->on_abort = on_abort;
-	switch (kind) {
-	case FRONT_SUBMIT:
+	if (kind == FRONT_SUBMIT)
 		submit(c, queue);
-		break;
-	case FRONT_STATE:
-		front_begin_state(c);
-		break;
-	case FRONT_CANCEL:
-		front_begin_cancel(c);
-		break;
-	case FRONT_KIND_COUNT:
-		break;
-	}
+	else
+		front_begin(c);
 }
 
 void sited_on_request(struct httpd_request *req)
--- a/src/sited_front.h
+++ b/src/sited_front.h
@@ -62,10 +62,8 @@
 
 /* ---- sited_calls.c ---- */
 
-/** front_begin_submit() - store the job in c->job */
-void front_begin_submit(struct front_call *c);
-void front_begin_state(struct front_call *c);
-void front_begin_cancel(struct front_call *c);
+/** front_begin() - begin what is asked for; a submission has its job in c->job */
+void front_begin(struct front_call *c);
 /** front_resume() - go on by this VM's own path to the store */
 void front_resume(struct front_call *c);
 
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -72,17 +72,13 @@
 	talloc_free(data);
 }
 
-/* freed later: one of its callbacks may be on the stack */
-static void drop_client(struct sited *d, struct peer *p)
+void sited_drop_client(struct sited *d, struct onc_client **client)
 {
-	struct onc_client *client = p->client;
-
-	p->client = NULL;
-	if (client) {
-		talloc_steal(d, client);
-		mtimer_add(client, d->ev, base_deadline_in(CLIENT_LINGER_MS), on_client_idle,
-			   client);
-	}
+	if (!*client)
+		return;
+	talloc_steal(d, *client);
+	mtimer_add(*client, d->ev, base_deadline_in(CLIENT_LINGER_MS), on_client_idle, *client);
+	*client = NULL;
 }
 
 static void forget_old(struct sited *d)
@@ -92,7 +88,7 @@
 
 		if (is_within(p->known_at, PEER_FORGET_MS))
 			continue;
-		drop_client(d, p);
+		sited_drop_client(d, &p->client);
 		g_ptr_array_remove_index_fast(d->peers, i);
 		talloc_free(p);
 	}
@@ -116,7 +112,7 @@
 		g_ptr_array_add(d->peers, p);
 	}
 	if (strcmp(p->address.ip, vm->ip) || p->address.port != vm->port) {
-		drop_client(d, p);
+		sited_drop_client(d, &p->client);
 		g_strlcpy(p->address.ip, vm->ip, sizeof(p->address.ip));
 		p->address.port = (uint16_t)vm->port;
 	}
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -39,6 +39,8 @@
 void sited_ping_other(struct sited *d);
 /** sited_peers_are_missing() - some VM that pinged this leader has gone silent */
 bool sited_peers_are_missing(const struct sited *d);
+/** sited_drop_client() - free it later: one of its callbacks may be on the stack */
+void sited_drop_client(struct sited *d, struct onc_client **client);
 /** sited_has_large_peer() - a VM that should lead instead of a small one */
 bool sited_has_large_peer(const struct sited *d);
 /** sited_domain_is_silent() - no VM of another failure domain pings this leader any more */
--- a/src/sited_relay.c
+++ b/src/sited_relay.c
@@ -79,21 +79,10 @@
 	c = front_call_new(d, (enum front_kind)args->kind, id, args->workspace,
 			   base_deadline_in(args->remaining_ms));
 	c->relay = req;
-	switch (c->kind) {
-	case FRONT_SUBMIT:
+	if (c->kind == FRONT_SUBMIT)
 		c->job = work_job_decode(c, id, str_from(args->row));
-		if (c->job)
-			front_begin_submit(c);
-		else
-			front_finish(c, 400, "the peer's job can't be read");
-		break;
-	case FRONT_STATE:
-		front_begin_state(c);
-		break;
-	case FRONT_CANCEL:
-		front_begin_cancel(c);
-		break;
-	case FRONT_KIND_COUNT:
-		break;
-	}
+	if (c->kind == FRONT_SUBMIT && !c->job)
+		front_finish(c, 400, "the peer's job can't be read");
+	else
+		front_begin(c);
 }
