Say in a ping whether its sender is large

Cause: a ping named its sender without its size, so every VM that had pinged counted as small, and a small leader never found a large one to hand over to. Soak scenario small_leader_hands_over failed before.

--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -310,7 +310,8 @@
 {
 	struct ping *ping = talloc_zero(d, struct ping);
 	cl_lead_ping_args args = {.sender = {d->site->vm, d->site->failure_domain,
-					     d->site->peers.ip, d->site->peers.port},
+					     d->site->peers.ip, d->site->peers.port,
+					     sited_is_large(d)},
 				  .store_failing_ms = store_failing_ms(d->store),
 				  .wants_vms = !is_within(d->vms_asked_at, VMS_EVERY_MS)};
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -88,13 +88,18 @@
         self.paused = False
 
     async def prepare(self):
-        store = await self.site.store.add_door(self.name)
+        self.store = await self.site.store.add_door(self.name)
         self.settings = os.path.join(self.site.dir, self.name + ".toml")
+        self.resize(1.0)
+        self.start()
+
+    def resize(self, cores):
+        """Its share of a processor from its next start on; it decides who leads."""
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
                     'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[platform]\naddr = "127.0.0.1:%d"\n'
-                    % (self.name, int(self.name[-1]) % 3, self.peers, self.peers, self.front, self.ready, store))
-        self.start()
+                    '[limits]\ncpu-share = %s\n' % (self.name, int(self.name[-1]) % 3, self.peers, self.peers,
+                                                   self.front, self.ready, self.store, cores))
 
     def start(self):
         """Start it again, unless another fault has done so already."""
@@ -129,6 +134,7 @@
         self.said_complete = 0
         self.following = []     # of jobs
         self.turned_away = []   # (what, whether it went well), at a VM that the store turned away
+        self.expected = []      # (what, whether it was so), of the scenario played
 
     async def config(self, version):
         routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
@@ -397,6 +403,7 @@
                 ("a leader's term is that of its row", len(wins), wrong_terms),
                 ("a VM that the store turns away serves by its peers", len(self.turned_away) or 1,
                  [what for what, went_well in self.turned_away if not went_well]),
+                ("what the scenario expects", len(self.expected) or 1, [what for what, was_so in self.expected if not was_so]),
                 ("every process stops in its grace time", self.stops or 1, [f for f in self.faults if f.startswith("not ")])]
 
     def stop(self):
@@ -483,9 +490,24 @@
     await asyncio.sleep(12)
 
 
+async def small_leader_hands_over(site):
+    """A small VM led for the rest of the day, because pings did not say that their sender was large."""
+    large = site.vms[0]
+    large.send(signal.SIGKILL)
+    for vm in site.vms[1:]:
+        vm.resize(0.12)
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await asyncio.sleep(3)
+    large.start()
+    await asyncio.sleep(8)
+    site.expected.append(("the large VM leads", site.leader() is large))
+
+
 SCENARIOS = [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
-             server_answers_no_more]
+             server_answers_no_more, small_leader_hands_over]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
