Have entry VMs carry out the leader's orders on large sites

It answered pings late, was replaced while well, and each takeover began with looks at 1,100 servers.

On a site of more than 128 servers the leader has VMs of the server's failure domain make the calls, chosen by rendezvous hash (lib/share), over the RPC connection that it keeps to each. It decides as before; an agent keeps nothing. An order that an agent does not answer is one without an answer, and every other sending of it comes from the leader itself.

The soak's ports no longer collide between plays (seen once: edge-0 not_listening).

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -177,6 +177,63 @@
 	string value<CL_BLOB_MAX>;
 };
 
+/*
+ * Orders to a backend server that the leader has another entry VM carry out.
+ * All deadlines of leases are on the server's own clock.
+ */
+struct cl_order_target {
+	string server<CL_ID_MAX>;
+	string address<CL_ID_MAX>;
+	hyper term;
+	hyper remaining_ms;
+	bool fresh;
+};
+
+struct cl_start_args {
+	cl_order_target to;
+	string task<CL_ID_MAX>;
+	unsigned int attempt;
+	string payload<CL_TEXT_MAX>;
+	string snapshot<CL_TEXT_MAX>;
+	hyper lease_until;
+};
+
+struct cl_stop_args {
+	cl_order_target to;
+	string task<CL_ID_MAX>;
+	unsigned int attempt;
+};
+
+struct cl_look_args {
+	cl_order_target to;
+	hyper acknowledged;
+	hyper lease_until;
+	hyper wait_ms;
+};
+
+struct cl_run {
+	string task<CL_ID_MAX>;
+	unsigned int attempt;
+	string snapshot<CL_TEXT_MAX>;
+	int percent;
+};
+
+struct cl_ended {
+	hyper number;
+	string task<CL_ID_MAX>;
+	unsigned int attempt;
+	int how;
+	string snapshot<CL_TEXT_MAX>;
+};
+
+struct cl_order_res {
+	int status;
+	hyper clock_ms;
+	hyper born;
+	cl_run runs<CL_NOTES_MAX>;
+	cl_ended ended<CL_NOTES_MAX>;
+};
+
 program CL_LEAD {
 	version CL_LEAD_V1 {
 		cl_lead_ping_res LEAD_PING(cl_lead_ping_args) = 1;
@@ -185,5 +242,8 @@
 		cl_ack LEAD_STORED(cl_stored_args) = 4;
 		cl_ack LEAD_VACANT(cl_leader) = 5;
 		cl_config_res LEAD_CONFIG(cl_config_args) = 6;
+		cl_order_res LEAD_START(cl_start_args) = 7;
+		cl_order_res LEAD_STOP(cl_stop_args) = 8;
+		cl_order_res LEAD_LOOK(cl_look_args) = 9;
 	} = 1;
 } = 0x20004c03;
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -335,3 +335,125 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cl_order_target (XDR *xdrs, cl_order_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->server, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fresh))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_start_args (XDR *xdrs, cl_start_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cl_order_target (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->payload, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->snapshot, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lease_until))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_stop_args (XDR *xdrs, cl_stop_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cl_order_target (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_look_args (XDR *xdrs, cl_look_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cl_order_target (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->acknowledged))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lease_until))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_run (XDR *xdrs, cl_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->task, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->snapshot, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->percent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_ended (XDR *xdrs, cl_ended *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->task, CL_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->snapshot, CL_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_order_res (XDR *xdrs, cl_order_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, CL_NOTES_MAX,
+		sizeof (cl_run), (xdrproc_t) xdr_cl_run))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, CL_NOTES_MAX,
+		sizeof (cl_ended), (xdrproc_t) xdr_cl_ended))
+		 return FALSE;
+	return TRUE;
+}
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -195,6 +195,72 @@
 };
 typedef struct cl_config_res cl_config_res;
 
+struct cl_order_target {
+	char *server;
+	char *address;
+	quad_t term;
+	quad_t remaining_ms;
+	bool_t fresh;
+};
+typedef struct cl_order_target cl_order_target;
+
+struct cl_start_args {
+	cl_order_target to;
+	char *task;
+	u_int attempt;
+	char *payload;
+	char *snapshot;
+	quad_t lease_until;
+};
+typedef struct cl_start_args cl_start_args;
+
+struct cl_stop_args {
+	cl_order_target to;
+	char *task;
+	u_int attempt;
+};
+typedef struct cl_stop_args cl_stop_args;
+
+struct cl_look_args {
+	cl_order_target to;
+	quad_t acknowledged;
+	quad_t lease_until;
+	quad_t wait_ms;
+};
+typedef struct cl_look_args cl_look_args;
+
+struct cl_run {
+	char *task;
+	u_int attempt;
+	char *snapshot;
+	int percent;
+};
+typedef struct cl_run cl_run;
+
+struct cl_ended {
+	quad_t number;
+	char *task;
+	u_int attempt;
+	int how;
+	char *snapshot;
+};
+typedef struct cl_ended cl_ended;
+
+struct cl_order_res {
+	int status;
+	quad_t clock_ms;
+	quad_t born;
+	struct {
+		u_int runs_len;
+		cl_run *runs_val;
+	} runs;
+	struct {
+		u_int ended_len;
+		cl_ended *ended_val;
+	} ended;
+};
+typedef struct cl_order_res cl_order_res;
+
 #define CL_PEER 0x20004c01
 #define CL_PEER_V1 1
 
@@ -273,6 +339,15 @@
 #define LEAD_CONFIG 6
 extern  cl_config_res * lead_config_1(cl_config_args *, CLIENT *);
 extern  cl_config_res * lead_config_1_svc(cl_config_args *, struct svc_req *);
+#define LEAD_START 7
+extern  cl_order_res * lead_start_1(cl_start_args *, CLIENT *);
+extern  cl_order_res * lead_start_1_svc(cl_start_args *, struct svc_req *);
+#define LEAD_STOP 8
+extern  cl_order_res * lead_stop_1(cl_stop_args *, CLIENT *);
+extern  cl_order_res * lead_stop_1_svc(cl_stop_args *, struct svc_req *);
+#define LEAD_LOOK 9
+extern  cl_order_res * lead_look_1(cl_look_args *, CLIENT *);
+extern  cl_order_res * lead_look_1_svc(cl_look_args *, struct svc_req *);
 extern int cl_lead_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -294,6 +369,15 @@
 #define LEAD_CONFIG 6
 extern  cl_config_res * lead_config_1();
 extern  cl_config_res * lead_config_1_svc();
+#define LEAD_START 7
+extern  cl_order_res * lead_start_1();
+extern  cl_order_res * lead_start_1_svc();
+#define LEAD_STOP 8
+extern  cl_order_res * lead_stop_1();
+extern  cl_order_res * lead_stop_1_svc();
+#define LEAD_LOOK 9
+extern  cl_order_res * lead_look_1();
+extern  cl_order_res * lead_look_1_svc();
 extern int cl_lead_1_freeresult ();
 #endif /* K&R C */
 
@@ -322,6 +406,13 @@
 extern  bool_t xdr_cl_ack (XDR *, cl_ack*);
 extern  bool_t xdr_cl_config_args (XDR *, cl_config_args*);
 extern  bool_t xdr_cl_config_res (XDR *, cl_config_res*);
+extern  bool_t xdr_cl_order_target (XDR *, cl_order_target*);
+extern  bool_t xdr_cl_start_args (XDR *, cl_start_args*);
+extern  bool_t xdr_cl_stop_args (XDR *, cl_stop_args*);
+extern  bool_t xdr_cl_look_args (XDR *, cl_look_args*);
+extern  bool_t xdr_cl_run (XDR *, cl_run*);
+extern  bool_t xdr_cl_ended (XDR *, cl_ended*);
+extern  bool_t xdr_cl_order_res (XDR *, cl_order_res*);
 
 #else /* K&R C */
 extern bool_t xdr_cl_note ();
@@ -346,6 +437,13 @@
 extern bool_t xdr_cl_ack ();
 extern bool_t xdr_cl_config_args ();
 extern bool_t xdr_cl_config_res ();
+extern bool_t xdr_cl_order_target ();
+extern bool_t xdr_cl_start_args ();
+extern bool_t xdr_cl_stop_args ();
+extern bool_t xdr_cl_look_args ();
+extern bool_t xdr_cl_run ();
+extern bool_t xdr_cl_ended ();
+extern bool_t xdr_cl_order_res ();
 
 #endif /* K&R C */
 
--- /dev/null
+++ b/lib/share/share.c
@@ -0,0 +1,29 @@
+#include "share.h"
+
+#include <string.h>
+
+#include "base/base.h"
+
+int share_pick(const struct share_vm *vms, unsigned int count, const char *server,
+	       const char *failure_domain)
+{
+	int best = SHARE_NOBODY;
+	uint64_t best_weight = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		const struct share_vm *vm = &vms[i];
+		uint64_t weight;
+
+		if (strcmp(vm->failure_domain, failure_domain))
+			continue;
+		if (best != SHARE_NOBODY && vms[best].is_large && !vm->is_large)
+			continue;
+		weight = base_hash(server, strlen(server), base_hash(vm->vm, strlen(vm->vm), 0));
+		if (best == SHARE_NOBODY || (vm->is_large && !vms[best].is_large) ||
+		    weight > best_weight) {
+			best = (int)i;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
--- a/src/sited.c
+++ b/src/sited.c
@@ -136,7 +136,7 @@
 	return MAX(d->site->descriptors_max, 2 * others) - others;
 }
 
-static int run(const char *settings, int metrics_port, bool only_check)
+static int run(const char *settings, int metrics_port, int own_servers, bool only_check)
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
 	struct sited *d = talloc_zero(ev, struct sited);
@@ -145,6 +145,7 @@
 
 	d->ev = ev;
 	d->started_at = base_now();
+	d->own_servers_max = (unsigned int)own_servers;
 	d->peers = g_ptr_array_new();
 	d->site = site_load(d, settings, &error);
 	if (!d->site) {
@@ -190,11 +191,14 @@
 		arg_file0(NULL, "settings", "FILE",
 			  "settings; else the file that " SETTINGS_VARIABLE " names");
 	struct arg_int *metrics = arg_int0(NULL, "metrics-port", "PORT", "serve metrics there");
+	struct arg_int *own = arg_int0(NULL, "own-servers", "N",
+				       "backend servers that a leader sends its orders itself; to "
+				       "more, other entry VMs send them (128)");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *show = arg_lit0(NULL, "version", "print the version");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {settings, metrics, check, show, help, end};
+	void *table[] = {settings, metrics, own, check, show, help, end};
 	int errors = arg_parse(argc, argv, table);
 	const char *path = settings->count ? settings->filename[0] : getenv(SETTINGS_VARIABLE);
 	int code = 0;
@@ -207,7 +211,8 @@
 		arg_print_glossary(stdout, table, "  %-24s %s\n");
 		code = help->count ? 0 : EXIT_USAGE;
 	} else {
-		code = run(path, metrics->count ? metrics->ival[0] : 0, check->count > 0);
+		code = run(path, metrics->count ? metrics->ival[0] : 0,
+			   own->count ? own->ival[0] : SHARE_OWN_SERVERS, check->count > 0);
 	}
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
--- a/src/sited.h
+++ b/src/sited.h
@@ -16,6 +16,8 @@
  *   sited_list.c     list of backend servers
  *   sited_servers.c  looks at them, and leases
  *   sited_tasks.c    orders, ends, and what follows from them
+ *   sited_dispatch.c how orders reach the servers: by itself or by agents
+ *   sited_agent.c    orders that it carries out for the leader
  */
 #ifndef SITED_H
 #define SITED_H
@@ -24,6 +26,7 @@
 #include "plan/plan.h"
 #include "proto/proto.h"
 #include "queues/queues.h"
+#include "share/share.h"
 #include "sited_metrics.h"
 #include "sited_peers.h"
 #include "sited_table.h"
@@ -107,6 +110,7 @@
  * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
  * @hand_over_at: the lead is handed over then at the latest, on base_now()'s clock
  * @requests: callers' requests in progress
+ * @own_servers_max: to the servers of a larger site, other VMs send a leader's orders
  */
 struct sited {
 	struct tevent_context *ev;
@@ -135,6 +139,7 @@
 	int64_t stop_at;
 	int64_t hand_over_at;
 	unsigned int requests;
+	unsigned int own_servers_max;
 	struct sited_metrics metrics;
 };
 
@@ -171,6 +176,13 @@
 /** sited_on_relay() - carry out a request that a caller sent to another entry VM */
 void sited_on_relay(struct onc_request *req);
 
+/* ---- sited_agent.c ---- */
+
+/** sited_on_start(), sited_on_stop(), sited_on_look() - carry out an order of the leader */
+void sited_on_start(struct onc_request *req);
+void sited_on_stop(struct onc_request *req);
+void sited_on_look(struct onc_request *req);
+
 /* ---- sited_elect.c ---- */
 
 void sited_elect_start(struct sited *d);
--- /dev/null
+++ b/src/sited_dispatch.c
@@ -0,0 +1,336 @@
+/*
+ * How the leader's orders reach backend servers.
+ *
+ * Load pattern: hundreds of servers whose tasks start and end all the time. An
+ * HTTP call to each costs a leader of half a core all of its time, so it has
+ * entry VMs of the server's failure domain, its agents, make the calls. The
+ * leader decides all, also that a call is to be made again; an agent keeps
+ * nothing. To a few servers the leader sends its orders itself.
+ *
+ * An order is safe to be carried out twice or late, whoever sends it: it names
+ * term, attempt and incarnation, and deadlines on the server's own clock. An
+ * order that an agent does not answer is an order without an answer.
+ */
+#include "sited_lead.h"
+
+#include <string.h>
+
+#define AGENTS_MAX 512
+#define AGENT_MARGIN_MS 400 /* for the answer of the agent, on top of the server's */
+#define AGENT_AVOID_MS 2000 /* an agent that left an order without an answer */
+
+/**
+ * struct agent - an entry VM that carries out orders
+ * @client: RPC client to it; pings have their own
+ * @avoid_until: no orders through it before, on base_now()'s clock
+ */
+struct agent {
+	char vm[64];
+	char failure_domain[64];
+	bool is_large;
+	struct address address;
+	struct onc_client *client;
+	int64_t avoid_until;
+};
+
+/**
+ * struct agents - all of them
+ * @known: struct agent, each VM that was heard lately
+ * @usable: those of @known that are not avoided, as struct share_vm
+ * @of_usable: index in @known of each of @usable
+ * @version: counts changes of @usable
+ */
+struct agents {
+	GPtrArray *known;
+	struct share_vm usable[AGENTS_MAX];
+	struct agent *of_usable[AGENTS_MAX];
+	unsigned int usable_count;
+	uint64_t version;
+};
+
+static int agents_destructor(struct agents *a)
+{
+	g_ptr_array_free(a->known, TRUE);
+	return 0;
+}
+
+struct agents *lead_agents_new(struct lead *l)
+{
+	struct agents *a = talloc_zero(l, struct agents);
+
+	a->known = g_ptr_array_new();
+	a->version = 1;
+	talloc_set_destructor(a, agents_destructor);
+	return a;
+}
+
+unsigned int lead_agents_count(const struct lead *l)
+{
+	return l->agents->usable_count;
+}
+
+/* ---- who is there ---- */
+
+static struct agent *find_agent(const struct agents *a, const char *vm)
+{
+	for (guint i = 0; i < a->known->len; i++) {
+		struct agent *agent = g_ptr_array_index(a->known, i);
+
+		if (!strcmp(agent->vm, vm))
+			return agent;
+	}
+	return NULL;
+}
+
+static bool is_same_address(const struct address *x, const struct address *y)
+{
+	return x->port == y->port && !strcmp(x->ip, y->ip);
+}
+
+static void note_vm(struct lead *l, const struct sited_vm *vm)
+{
+	struct agents *a = l->agents;
+	struct agent *agent = find_agent(a, vm->vm);
+
+	if (!agent) {
+		agent = talloc_zero(a, struct agent);
+		g_strlcpy(agent->vm, vm->vm, sizeof(agent->vm));
+		g_ptr_array_add(a->known, agent);
+	}
+	if (!agent->client || !is_same_address(&agent->address, vm->address)) {
+		sited_drop_client(l->d, &agent->client);
+		agent->address = *vm->address;
+		agent->client =
+			onc_client_new(l->d, l->d->ev, agent->address.ip, agent->address.port);
+	}
+	g_strlcpy(agent->failure_domain, vm->failure_domain, sizeof(agent->failure_domain));
+	agent->is_large = vm->is_large;
+}
+
+/* VMs that were not heard any more are dropped, their calls with them */
+static void drop_missing(struct lead *l, const struct sited_vm *vms, unsigned int count)
+{
+	struct agents *a = l->agents;
+
+	for (guint i = a->known->len; i-- > 0;) {
+		struct agent *agent = g_ptr_array_index(a->known, i);
+		unsigned int k = 0;
+
+		while (k < count && strcmp(vms[k].vm, agent->vm))
+			k++;
+		if (k < count)
+			continue;
+		g_ptr_array_remove_index(a->known, i);
+		sited_drop_client(l->d, &agent->client);
+		talloc_free(agent);
+	}
+}
+
+static void list_usable(struct lead *l)
+{
+	struct agents *a = l->agents;
+	unsigned int count = 0;
+	bool is_changed = false;
+	int64_t now = base_now();
+
+	for (guint i = 0; i < a->known->len && count < AGENTS_MAX; i++) {
+		struct agent *agent = g_ptr_array_index(a->known, i);
+
+		if (agent->avoid_until > now)
+			continue;
+		is_changed |= count >= a->usable_count || a->of_usable[count] != agent;
+		a->of_usable[count] = agent;
+		a->usable[count] =
+			(struct share_vm){agent->vm, agent->failure_domain, agent->is_large};
+		count++;
+	}
+	if (!is_changed && count == a->usable_count)
+		return;
+	a->usable_count = count;
+	a->version++;
+	log_event("agents_changed", "{sI si}", "term", (json_int_t)l->term, "agents", (int)count);
+}
+
+void lead_agents_tick(struct lead *l)
+{
+	struct sited_vm vms[AGENTS_MAX];
+	unsigned int count = 0;
+
+	if (l->fleet->all->len > l->d->own_servers_max)
+		count = sited_live_vms(l->d, vms, AGENTS_MAX);
+	drop_missing(l, vms, count);
+	for (unsigned int i = 0; i < count; i++)
+		note_vm(l, &vms[i]);
+	list_usable(l);
+}
+
+static struct agent *agent_of(struct lead *l, struct fleet_server *sv)
+{
+	struct agents *a = l->agents;
+	struct server_io *io = lead_io(l, sv);
+
+	if (io->agent_version != a->version) {
+		io->agent = share_pick(a->usable, a->usable_count, sv->id, sv->failure_domain);
+		io->agent_version = a->version;
+	}
+	return io->agent == SHARE_NOBODY ? NULL : a->of_usable[io->agent];
+}
+
+static void avoid_agent(struct lead *l, const char *vm, enum onc_result result)
+{
+	struct agent *agent = find_agent(l->agents, vm);
+
+	if (!agent || agent->avoid_until > base_now())
+		return;
+	agent->avoid_until = base_deadline_in(AGENT_AVOID_MS);
+	log_event("agent_silent", "{ss ss si}", "vm", vm, "why",
+		  result == ONC_NOT_SENT ? "nothing listens there" : "no answer to an order",
+		  "avoided_ms", AGENT_AVOID_MS);
+	list_usable(l);
+}
+
+/* ---- orders ---- */
+
+/* an order that an agent carries out */
+struct agent_call {
+	struct sited *d;
+	uint64_t serial;
+	char vm[64];
+	order_done *done;
+	void *data;
+};
+
+static bool decode_result(TALLOC_CTX *ctx, const cl_order_res *res, struct order_result *r)
+{
+	struct order_run *runs = talloc_zero_array(ctx, struct order_run, res->runs.runs_len);
+	struct order_ended *ended =
+		talloc_zero_array(ctx, struct order_ended, res->ended.ended_len);
+
+	if (res->status < ORDER_DONE || res->status > ORDER_UNKNOWN)
+		return false;
+	*r = (struct order_result){(enum order_status)res->status,
+				   res->clock_ms,
+				   res->born,
+				   runs,
+				   res->runs.runs_len,
+				   ended,
+				   res->ended.ended_len};
+	for (unsigned int i = 0; i < r->run_count; i++) {
+		const cl_run *run = &res->runs.runs_val[i];
+
+		runs[i] = (struct order_run){str_from(run->task), run->attempt,
+					     str_from(run->snapshot), run->percent};
+	}
+	for (unsigned int i = 0; i < r->ended_count; i++) {
+		const cl_ended *e = &res->ended.ended_val[i];
+
+		if (e->how < END_DONE || e->how > END_OTHER)
+			return false;
+		ended[i] = (struct order_ended){e->number, str_from(e->task), e->attempt,
+						(enum order_end)e->how, str_from(e->snapshot)};
+	}
+	return true;
+}
+
+static void on_agent_answer(enum onc_result result, void *res, void *data)
+{
+	struct agent_call *call = data;
+	struct lead *l = lead_current(call->d, call->serial);
+	struct order_result r = {.status = ORDER_UNKNOWN};
+
+	if (result == ONC_OK && !decode_result(call, res, &r)) {
+		log_warn("agent_answer_invalid", "VM %s answers an order with values out of range",
+			 call->vm);
+		r = (struct order_result){.status = ORDER_UNKNOWN};
+	}
+	if (result != ONC_OK && l)
+		avoid_agent(l, call->vm, result);
+	call->done(&r, call->data);
+	talloc_free(call);
+}
+
+/* the agent for an order; every other sending of an order comes from the leader itself */
+static struct agent *route(struct lead *l, const struct lead_order *to)
+{
+	return to->tries % 2 ? NULL : agent_of(l, to->sv);
+}
+
+static cl_order_target agent_target(struct lead *l, const struct lead_order *to)
+{
+	return (cl_order_target){.server = to->sv->id,
+				 .address = to->sv->address,
+				 .term = l->term,
+				 .remaining_ms = MAX(base_remaining_ms(to->deadline), 1),
+				 .fresh = to->tries > 0};
+}
+
+static struct order_target own_target(struct lead *l, const struct lead_order *to)
+{
+	return (struct order_target){.server = to->sv->id,
+				     .address = to->sv->address,
+				     .term = l->term,
+				     .deadline = to->deadline,
+				     .fresh = to->tries > 0};
+}
+
+static void send_by_agent(struct lead *l, struct agent *agent, const struct lead_order *to,
+			  enum sited_proc proc, void *args, order_done *done, void *data)
+{
+	struct agent_call *call = talloc_zero(l->d, struct agent_call);
+
+	call->d = l->d;
+	call->serial = l->serial;
+	g_strlcpy(call->vm, agent->vm, sizeof(call->vm));
+	call->done = done;
+	call->data = data;
+	sited_count(&l->d->metrics, COUNT_AGENT_ORDERS);
+	onc_call(agent->client, &sited_procs[proc], args, sizeof(cl_order_res),
+		 to->deadline + AGENT_MARGIN_MS * BASE_NS_PER_MS, on_agent_answer, call);
+}
+
+void lead_send_start(struct lead *l, const struct lead_order *to, const struct order_start *start,
+		     order_done *done, void *data)
+{
+	struct agent *agent = route(l, to);
+	struct order_target own = own_target(l, to);
+	cl_start_args args = {.to = agent_target(l, to),
+			      .task = (char *)start->task,
+			      .attempt = start->attempt,
+			      .payload = (char *)start->payload,
+			      .snapshot = (char *)(start->snapshot ? start->snapshot : ""),
+			      .lease_until = start->lease_until};
+
+	if (agent)
+		send_by_agent(l, agent, to, SITED_PROC_START, &args, done, data);
+	else
+		orders_start(l->d->orders, &own, start, done, data);
+}
+
+void lead_send_stop(struct lead *l, const struct lead_order *to, const char *task, uint32_t attempt,
+		    order_done *done, void *data)
+{
+	struct agent *agent = route(l, to);
+	struct order_target own = own_target(l, to);
+	cl_stop_args args = {.to = agent_target(l, to), .task = (char *)task, .attempt = attempt};
+
+	if (agent)
+		send_by_agent(l, agent, to, SITED_PROC_STOP, &args, done, data);
+	else
+		orders_stop(l->d->orders, &own, task, attempt, done, data);
+}
+
+void lead_send_look(struct lead *l, const struct lead_order *to, const struct order_look *look,
+		    order_done *done, void *data)
+{
+	struct agent *agent = route(l, to);
+	struct order_target own = own_target(l, to);
+	cl_look_args args = {.to = agent_target(l, to),
+			     .acknowledged = look->acknowledged,
+			     .lease_until = look->lease_until,
+			     .wait_ms = look->wait_ms};
+
+	if (agent)
+		send_by_agent(l, agent, to, SITED_PROC_LOOK, &args, done, data);
+	else
+		orders_look(l->d->orders, &own, look, done, data);
+}
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -199,8 +199,10 @@
 	d->leader.term = d->contended_term;
 	sited_drop_client(d, &d->leader.client);
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
-	if (!d->stop_at)
-		d->lead = lead_new(d, d->leader.term, r->version);
+	if (d->stop_at)
+		return;
+	d->lead = lead_new(d, d->leader.term, r->version);
+	sited_announce_lead(d);
 }
 
 static void send_contention(struct sited *d)
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -50,6 +50,7 @@
 	struct lead *l = data;
 
 	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
+	lead_agents_tick(l);
 	if (!l->is_loaded)
 		return;
 	lead_servers_tick(l);
@@ -127,6 +128,7 @@
 	l->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->fleet = fleet_new(l);
 	l->scratch = plan_scratch_new(l);
+	l->agents = lead_agents_new(l);
 	talloc_set_destructor(l, lead_destructor);
 	sited_count(&d->metrics, COUNT_TERMS);
 	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -15,6 +15,7 @@
 /* time on our clock in which a server's has surely moved on by 100; it may be 2 % slow */
 #define LEAD_CLOCK_SLOW_PERCENT 103
 
+struct agents;
 struct commit;
 
 /**
@@ -33,6 +34,7 @@
  * @commits: transaction in flight of each part, or NULL
  * @commit_after: no transaction of the part before, ms
  * @reread_version: oldest version at which a part's jobs were read again
+ * @agents: entry VMs that carry out orders
  * @probes: looks in flight at servers that are not known to answer
  * @next_probe: index in the fleet from which the next such server is sought
  * @list_version: version up to which the list of servers is known
@@ -59,6 +61,7 @@
 	struct commit *commits[SITED_PARTS];
 	int64_t commit_after[SITED_PARTS];
 	int64_t reread_version;
+	struct agents *agents;
 	unsigned int probes;
 	unsigned int next_probe;
 	int64_t list_version;
@@ -84,6 +87,8 @@
  * @next_look: no look before, monotonic ms
  * @last_look: when the newest look was sent, monotonic ms
  * @timer: pending call for the next look, or NULL
+ * @agent: which of the agents carries out its orders, as of @agent_version
+ * @agent_version: of struct agents, 0 before the first order
  */
 struct server_io {
 	struct lead *lead;
@@ -103,6 +108,8 @@
 	int64_t next_look;
 	int64_t last_look;
 	struct mtimer *timer;
+	int agent;
+	uint64_t agent_version;
 };
 
 /** lead_current() - the lead whose term a call belongs to, or NULL when that is over */
@@ -174,6 +181,31 @@
 /** lead_servers_stored() - rows were stored: acknowledge what follows from them */
 void lead_servers_stored(struct lead *l);
 
+/* ---- sited_dispatch.c ---- */
+
+/**
+ * struct lead_order - whom an order is for
+ * @deadline: when to stop waiting for the server's answer, on base_now()'s clock
+ * @tries: sendings before this one that got no answer
+ */
+struct lead_order {
+	struct fleet_server *sv;
+	int64_t deadline;
+	unsigned int tries;
+};
+
+struct agents *lead_agents_new(struct lead *l);
+/** lead_agents_tick() - take over who was heard lately */
+void lead_agents_tick(struct lead *l);
+/** lead_agents_count() - entry VMs that carry out orders now */
+unsigned int lead_agents_count(const struct lead *l);
+void lead_send_start(struct lead *l, const struct lead_order *to, const struct order_start *start,
+		     order_done *done, void *data);
+void lead_send_stop(struct lead *l, const struct lead_order *to, const char *task, uint32_t attempt,
+		    order_done *done, void *data);
+void lead_send_look(struct lead *l, const struct lead_order *to, const struct order_look *look,
+		    order_done *done, void *data);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment */
--- a/src/sited_metrics.h
+++ b/src/sited_metrics.h
@@ -18,6 +18,8 @@
 	X(COUNT_STOPS, "task_stops_total")                    \
 	X(COUNT_RECLAIMS, "task_reclaims_total")              \
 	X(COUNT_LOOKS, "looks_total")                         \
+	X(COUNT_AGENT_ORDERS, "orders_by_agents_total")       \
+	X(COUNT_ORDERS_CARRIED, "orders_carried_total")       \
 	X(COUNT_TERMS, "terms_total")                         \
 	X(COUNT_CONFLICTS, "store_conflicts_total")
 
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -49,6 +49,12 @@
 			sizeof(cl_##name##_args), (xdrproc_t)xdr_cl_##name##_res \
 	}
 
+#define SITED_ORDER_PROC(number, name)                                        \
+	{                                                                     \
+		CL_LEAD, CL_LEAD_V1, number, (xdrproc_t)xdr_cl_##name##_args, \
+			sizeof(cl_##name##_args), (xdrproc_t)xdr_cl_order_res \
+	}
+
 const struct onc_proc sited_procs[SITED_PROC_COUNT] = {
 	[SITED_PROC_PING] = SITED_PROC(LEAD_PING, lead_ping),
 	[SITED_PROC_STATE] = SITED_PROC(LEAD_STATE, lead_state),
@@ -58,6 +64,9 @@
 	[SITED_PROC_VACANT] = {CL_LEAD, CL_LEAD_V1, LEAD_VACANT, (xdrproc_t)xdr_cl_leader,
 			       sizeof(cl_leader), (xdrproc_t)xdr_cl_ack},
 	[SITED_PROC_CONFIG] = SITED_PROC(LEAD_CONFIG, config),
+	[SITED_PROC_START] = SITED_ORDER_PROC(LEAD_START, start),
+	[SITED_PROC_STOP] = SITED_ORDER_PROC(LEAD_STOP, stop),
+	[SITED_PROC_LOOK] = SITED_ORDER_PROC(LEAD_LOOK, look),
 };
 
 /* ---- who is there ---- */
@@ -158,6 +167,21 @@
 	return false;
 }
 
+unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max)
+{
+	int64_t silent_ms = PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
+	unsigned int count = 0;
+
+	for (guint i = 0; i < d->peers->len && count < max; i++) {
+		const struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (is_within(p->heard_at, silent_ms))
+			out[count++] = (struct sited_vm){p->vm, p->failure_domain, p->is_large,
+							 &p->address};
+	}
+	return count;
+}
+
 bool sited_domain_is_silent(const struct sited *d, const char *failure_domain)
 {
 	bool was_there = false;
@@ -339,6 +363,16 @@
 	send_ping(d, client_of(d, p), p->vm, -1);
 }
 
+void sited_announce_lead(struct sited *d)
+{
+	for (guint i = 0; i < d->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (p->is_large)
+			send_ping(d, client_of(d, p), p->vm, -1);
+	}
+}
+
 /* pending jobs, as only the leader counts them; owned by @ctx */
 static void say_pending(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
 {
@@ -497,6 +531,15 @@
 	case SITED_PROC_CONFIG:
 		answer_config(d, req);
 		return;
+	case SITED_PROC_START:
+		sited_on_start(req);
+		return;
+	case SITED_PROC_STOP:
+		sited_on_stop(req);
+		return;
+	case SITED_PROC_LOOK:
+		sited_on_look(req);
+		return;
 	case SITED_PROC_COUNT:
 		break;
 	}
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -24,6 +24,9 @@
 	SITED_PROC_STORED,
 	SITED_PROC_VACANT,
 	SITED_PROC_CONFIG,
+	SITED_PROC_START,
+	SITED_PROC_STOP,
+	SITED_PROC_LOOK,
 	SITED_PROC_COUNT
 };
 
@@ -43,6 +46,19 @@
 void sited_drop_client(struct sited *d, struct onc_client **client);
 /** sited_has_large_peer() - a VM that should lead instead of a small one */
 bool sited_has_large_peer(const struct sited *d);
+
+/** struct sited_vm - another entry VM, as it was last heard; its texts last for the turn */
+struct sited_vm {
+	const char *vm;
+	const char *failure_domain;
+	bool is_large;
+	const struct address *address;
+};
+
+/** sited_live_vms() - the VMs that were heard lately; their number */
+unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max);
+/** sited_announce_lead() - ping the large VMs: they learn who leads, and are heard */
+void sited_announce_lead(struct sited *d);
 /** sited_domain_is_silent() - no VM of another failure domain pings this leader any more */
 bool sited_domain_is_silent(const struct sited *d, const char *failure_domain);
 /** sited_relay_target() - a VM that answers and reaches the store, or NULL */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -18,7 +18,7 @@
  * Load pattern: a takeover, after which each of thousands of servers is looked at
  * once. All at once they would not be answered in time by a VM of half a core.
  */
-#define PROBES_MAX 64
+#define PROBES_MAX 64	    /* for each VM that sends them */
 #define MISSES_MAX 2	    /* looks in a row without an answer, before it gets no new work */
 #define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
@@ -287,12 +287,17 @@
 	return !sv->is_fenced || lead_io(l, sv)->misses;
 }
 
+static unsigned int probes_max(const struct lead *l)
+{
+	return PROBES_MAX * (1 + lead_agents_count(l));
+}
+
 /* one look was answered: the next server that waits for its first, all in turn */
 static void probe_next(struct lead *l)
 {
 	const GPtrArray *all = l->fleet->all;
 
-	for (guint i = 0; i < all->len && l->probes < PROBES_MAX; i++) {
+	for (guint i = 0; i < all->len && l->probes < probes_max(l); i++) {
 		struct fleet_server *sv = g_ptr_array_index(all, l->next_probe++ % all->len);
 
 		if (needs_probe(l, sv))
@@ -361,10 +366,9 @@
 		 * put off the end of the leases there */
 		.lease_until = io->misses || !may_renew(l) ? 0 : lead_server_lease(l, sv),
 		.wait_ms = wait_ms};
-	struct order_target to = {.server = sv,
-				  .term = l->term,
-				  .deadline = base_deadline_in(wait_ms + LOOK_ANSWER_MS),
-				  .fresh = io->misses > 0};
+	struct lead_order to = {.sv = sv,
+				.deadline = base_deadline_in(wait_ms + LOOK_ANSWER_MS),
+				.tries = io->misses};
 
 	look->d = l->d;
 	look->serial = l->serial;
@@ -375,7 +379,7 @@
 	io->last_look = look->sent_at;
 	sited_count(&l->d->metrics, COUNT_LOOKS);
 	TALLOC_FREE(io->timer);
-	orders_look(l->d->orders, &to, &order, on_looked, look);
+	lead_send_look(l, &to, &order, on_looked, look);
 }
 
 /* a look that only renews or acknowledges */
@@ -401,7 +405,7 @@
 		return;
 	}
 	if (needs_probe(l, sv)) {
-		if (l->probes >= PROBES_MAX)
+		if (l->probes >= probes_max(l))
 			return; /* its turn comes */
 		io->is_probe = true;
 		l->probes++;
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -30,6 +30,7 @@
 	struct work_task *task; /* NULL for a run that no task answers for */
 	uint32_t attempt;
 	int64_t sent_at;
+	unsigned int tries;
 	char *name;
 };
 
@@ -120,13 +121,18 @@
 static void send_start(struct order *o)
 {
 	struct lead *l = lead_current(o->d, o->serial);
-	struct order_target to = {.server = o->sv,
-				  .term = l->term,
-				  .deadline = base_deadline_in(START_ANSWER_MS),
-				  .fresh = o->task->start_tries > 0};
+	const struct work_task *t = o->task;
+	struct lead_order to = {.sv = o->sv,
+				.deadline = base_deadline_in(START_ANSWER_MS),
+				.tries = t->start_tries};
+	struct order_start start = {.task = orders_task_name(o, t),
+				    .attempt = t->attempt,
+				    .payload = t->group->job->payload,
+				    .snapshot = t->snapshot,
+				    .lease_until = lead_server_lease(l, o->sv)};
 
 	o->sent_at = sited_now_ms();
-	orders_start(l->d->orders, &to, o->task, lead_server_lease(l, o->sv), on_started, o);
+	lead_send_start(l, &to, &start, on_started, o);
 }
 
 void lead_task_start(struct lead *l, struct work_task *t)
@@ -249,13 +255,11 @@
 static void send_stop(struct order *o)
 {
 	struct lead *l = lead_current(o->d, o->serial);
-	struct order_target to = {.server = o->sv,
-				  .term = l->term,
-				  .deadline = base_deadline_in(STOP_ANSWER_MS),
-				  .fresh = o->sent_at != 0};
+	struct lead_order to = {
+		.sv = o->sv, .deadline = base_deadline_in(STOP_ANSWER_MS), .tries = o->tries++};
 
 	o->sent_at = sited_now_ms();
-	orders_stop(l->d->orders, &to, o->name, o->attempt, on_stopped, o);
+	lead_send_stop(l, &to, o->name, o->attempt, on_stopped, o);
 }
 
 void lead_task_stop(struct lead *l, struct work_task *t, const char *why)
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -56,7 +56,9 @@
 
 static struct order_target target(struct fixture *f)
 {
-	struct order_target to = {.server = sample_server(f->fleet, 0),
+	const struct fleet_server *sv = sample_server(f->fleet, 0);
+	struct order_target to = {.server = sv->id,
+				  .address = sv->address,
 				  .term = 7,
 				  .deadline = base_deadline_in(1000)};
 
@@ -67,8 +69,13 @@
 static void start(struct fixture *f)
 {
 	struct order_target to = target(f);
+	const struct work_task *t = &f->group->task[1];
+	struct order_start order = {.task = orders_task_name(f, t),
+				    .attempt = t->attempt,
+				    .payload = t->group->job->payload,
+				    .lease_until = 486000};
 
-	orders_start(f->orders, &to, &f->group->task[1], 486000, on_done, f);
+	orders_start(f->orders, &to, &order, on_done, f);
 	while (!f->is_done)
 		tevent_loop_once(f->ev);
 }
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -16,6 +16,7 @@
 LEASE_MAX_MS = 6000
 STOP_S = 0.05
 GANG_WAIT_S = 3.0
+ZONES = 3
 CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpu": 8}
 
 
@@ -37,8 +38,8 @@
 
 
 class BackendServer:
-    def __init__(self, pool, name, rack):
-        self.pool, self.name, self.rack = pool, name, rack
+    def __init__(self, pool, name, rack, zone):
+        self.pool, self.name, self.rack, self.zone = pool, name, rack, zone
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
         self.late = 0.0         # share of orders carried out seconds later, unanswered
@@ -65,7 +66,7 @@
         return int(time.time() * 1000) - self.born + 1
 
     def entry(self):
-        return {"service": "pool", "addr": "127.0.0.1:%d" % self.http.port, "zone": "z1", "version": "v1",
+        return {"service": "pool", "addr": "127.0.0.1:%d" % self.http.port, "zone": self.zone, "version": "v1",
                 "slots": 8, "state": "draining" if self.draining else "ready", "cold-left-ms": 0,
                 "remaining-ms": 4000, "capacity": CAPACITY, "labels": ["a", self.rack], "born": self.born, "seq": 1}
 
@@ -189,7 +190,7 @@
 
     def __init__(self, rng, store, count, per_rack):
         self.rng, self.store = rng, store
-        self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack)) for i in range(count)]
+        self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack), "z%d" % (i % ZONES)) for i in range(count)]
         self.runs = []          # every Run ever begun
         self.open = {}          # (group, attempt) -> runs under way
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,7 +23,7 @@
 import time
 
 from site_http import call
-from site_servers import Pool
+from site_servers import Pool, ZONES
 from site_store import Store
 
 BUILD = os.environ.get("BUILD", "build")
@@ -33,6 +33,10 @@
 ATTEMPTS = 3            # of the queue
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
+PORTS_FIRST = 20000     # plays side by side must not take each other's
+PORT_BLOCKS = 100
+PORTS_A_BLOCK = 120
+given_ports = set()     # of this play
 PR_SET_PDEATHSIG = 1    # of <sys/prctl.h>
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
@@ -67,12 +71,19 @@
 
 
 def free_ports(count):
-    """Ports that nothing listens on; held together so that they differ."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Ports of this process's own block that nothing listens on; below those that connections get."""
+    first = PORTS_FIRST + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK
+    free = []
+    for port in range(first, first + PORTS_A_BLOCK):
+        if port in given_ports or len(free) == count:
+            continue
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+            free.append(port)
+        except OSError:
+            pass
+    given_ports.update(free)
+    return free
 
 
 def end_with_parent():
@@ -98,7 +109,7 @@
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
                     'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[platform]\naddr = "127.0.0.1:%d"\n'
-                    '[limits]\ncpu-share = %s\n' % (self.name, int(self.name[-1]) % 3, self.peers, self.peers,
+                    '[limits]\ncpu-share = %s\n' % (self.name, int(self.name[-1]) % ZONES, self.peers, self.peers,
                                                    self.front, self.ready, self.store, cores))
 
     def start(self):
@@ -107,7 +118,8 @@
             return
         self.metrics = free_ports(1)[0]
         log = open(os.path.join(self.site.dir, self.name + ".log"), "ab")
-        self.process = subprocess.Popen([BUILD + "/currantlane-sited", "--metrics-port", str(self.metrics)], stdout=log, stderr=log,
+        self.process = subprocess.Popen([BUILD + "/currantlane-sited", "--metrics-port", str(self.metrics),
+                                         "--own-servers", "0" if self.site.by_agents else "128"], stdout=log, stderr=log,
                                         env={"CURRANTLANE_CONFIG": self.settings, "PATH": os.environ["PATH"]},
                                         preexec_fn=end_with_parent)
         log.close()
@@ -119,8 +131,9 @@
 
 
 class Site:
-    def __init__(self, seed, directory):
+    def __init__(self, seed, directory, by_agents):
         self.rng = random.Random(seed)
+        self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
         self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
@@ -505,13 +518,89 @@
     site.expected.append(("the large VM leads", site.leader() is large))
 
 
-SCENARIOS = [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+def agent_of(site, server):
+    """A VM of the server's failure domain that does not lead: it carries out orders."""
+    vms = [v for v in site.vms if v is not site.leader() and int(v.name[-1]) % ZONES == int(server.zone[1:])]
+    return vms[0] if vms else next(v for v in site.vms if v is not site.leader())
+
+
+async def agents_die_in_turn(site):
+    """Orders that an agent had taken and not carried out, or carried out and not answered."""
+    for server in site.pool.servers[:2 * ZONES]:
+        await site.kill(agent_of(site, server))
+        await asyncio.sleep(0.7)
+
+
+async def agents_wake_with_old_orders(site):
+    """An agent that was paused carries out seconds later what the leader has given to others since."""
+    for server in site.pool.servers[:ZONES]:
+        agent = agent_of(site, server)
+        agent.send(signal.SIGSTOP)
+        await asyncio.sleep(4.5)
+        agent.send(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+
+
+async def agent_wakes_under_the_next_leader(site):
+    """The agent holds orders of a leader that has been replaced meanwhile."""
+    for server in site.pool.servers[:ZONES]:
+        leader, agent = site.leader(), agent_of(site, server)
+        agent.send(signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        await site.kill(leader)
+        await asyncio.sleep(2.5)
+        agent.send(signal.SIGCONT)
+        await asyncio.sleep(1)
+
+
+async def leader_and_agent_die_together(site):
+    for server in site.pool.servers[:ZONES]:
+        agent = agent_of(site, server)
+        await asyncio.gather(site.kill(site.leader()), site.kill(agent))
+        await asyncio.sleep(2)
+
+
+async def agent_is_cut_off_from_servers(site):
+    """Answers of an agent say that servers are silent, while the leader reaches them."""
+    site.pool.servers[0].silent = True
+    await asyncio.sleep(1.5)
+    site.pool.servers[0].silent = False
+    await asyncio.sleep(2)
+
+
+async def peers_send_what_cannot_be_read(site):
+    """Bytes, records and calls at the port of the entry VMs; a process must outlive them all."""
+    def record(data, last=True):
+        return (len(data) | (0x80000000 if last else 0)).to_bytes(4, "big") + data
+
+    def call_of(proc, body):
+        words = [site.rng.getrandbits(32), 0, 2, 0x20004c03, 1, proc, 0, 0, 0, 0]
+        return b"".join(w.to_bytes(4, "big") for w in words) + body
+
+    for vm in site.vms:
+        process = vm.process
+        for i in range(40):
+            body = site.rng.randbytes(site.rng.randrange(0, 400))
+            data = site.rng.choice([body, record(body), record(body, False), b"\xff\xff\xff\xff" + body,
+                                    record(call_of(site.rng.randrange(0, 14), body)),
+                                    record(call_of(site.rng.randrange(7, 10), b"\0" * 400))])
+            _, writer = await asyncio.open_connection("127.0.0.1", vm.peers)
+            writer.write(data)
+            await asyncio.sleep(0.01)
+            writer.close()
+        await asyncio.sleep(0.2)
+        site.expected.append((vm.name + " goes on", process.poll() is None))
+
+
+BY_AGENTS = [agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
+             leader_and_agent_die_together, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
+SCENARIOS = BY_AGENTS + [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              server_answers_no_more, small_leader_hands_over]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
-    site = Site(seed, directory)
+    site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
     try:
         await site.start()
         await asyncio.sleep(1.5)
@@ -531,6 +620,7 @@
 def play_and_report(seed, scenario, args, is_alone):
     """Text of the report, and whether a promise was broken."""
     directory = tempfile.mkdtemp(prefix="currantlane-soak-")
+    given_ports.clear()
     function = next((f for f in SCENARIOS if f.__name__ == scenario), None)
     site, rows = asyncio.run(play(seed, args.seconds, function, directory, args.per_second))
     bad = any(violations or not times for _, times, violations in rows)
