Wait for victims as long as the site's stops may take

Cause: room promised to urgent work was given up after 800 ms, the longest stop of the first sites and a margin. On the large site a stop may take 900 ms, so the promise was dropped and other victims were stopped in addition.

--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -10,12 +10,11 @@
 
 #include "mtimer/mtimer.h"
 
-#define ROUND_DELAY_MS 2   /* events that come together are handled by one round */
-#define ROUND_SHARE 4	   /* rounds take at most one part in so many of the time */
-#define ROUND_EVERY_MS 100 /* time alone makes things due: occurrences, patience, promises */
-#define DUE_MARGIN_MS 15   /* clocks of VMs differ a little; a timed job must not be early */
-#define PROMISE_MAX_MS \
-	800 /* victims stop within 400 ms, unless their server is gone; then it is made anew */
+#define ROUND_DELAY_MS 2      /* events that come together are handled by one round */
+#define ROUND_SHARE 4	      /* rounds take at most one part in so many of the time */
+#define ROUND_EVERY_MS 100    /* time alone makes things due: occurrences, patience, promises */
+#define DUE_MARGIN_MS 15      /* clocks of VMs differ a little; a timed job must not be early */
+#define PROMISE_MARGIN_MS 400 /* on top of the longest stop; then victims' server is gone */
 #define NOTE_WAITING_EVERY_MS 3000
 #define SWEEP_EVERY_MS 5000
 /* every VM asks 5 times a second; callers may be told numbers up to 2 s old */
@@ -292,7 +291,7 @@
 		if (g->task[i].state != TASK_WAITING)
 			continue;
 		work_task_promise(&g->task[i], servers[i]);
-		g->task[i].settle_at = at->now + PROMISE_MAX_MS;
+		g->task[i].settle_at = at->now + l->d->site->stop_ms + PROMISE_MARGIN_MS;
 	}
 out:
 	g_ptr_array_free(victims, TRUE);
