Let entry VMs renew leases while the leader is silent

A look that an entry VM carries out says until when leases may reach, as a time on the server's own clock: as long as the leader itself would renew without the store's word. When the leader is silent for 2 s the VM asks for leases up to that (lib/renewal). So a VM that was paused can't ask for more, and the next leader's bound stays what it was. The leader counts what a VM may have asked for until it hears from it. Evacuation too goes by the site's longest stop.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -209,6 +209,8 @@
 	hyper acknowledged;
 	hyper lease_until;
 	hyper wait_ms;
+	/* while the leader is silent, the receiver may ask for leases up to this; 0 for none */
+	hyper renewal_limit;
 };
 
 struct cl_run {
@@ -232,6 +234,10 @@
 	hyper born;
 	cl_run runs<CL_NOTES_MAX>;
 	cl_ended ended<CL_NOTES_MAX>;
+	/* of a look: the sender goes on renewing when the leader falls silent */
+	bool renews;
+	/* the latest lease that it has asked for by itself, 0 for none */
+	hyper renewed_until;
 };
 
 program CL_LEAD {
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -401,6 +401,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->renewal_limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -455,5 +457,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, CL_NOTES_MAX,
 		sizeof (cl_ended), (xdrproc_t) xdr_cl_ended))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->renews))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->renewed_until))
+		 return FALSE;
 	return TRUE;
 }
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -226,6 +226,7 @@
 	quad_t acknowledged;
 	quad_t lease_until;
 	quad_t wait_ms;
+	quad_t renewal_limit;
 };
 typedef struct cl_look_args cl_look_args;
 
@@ -258,6 +259,8 @@
 		u_int ended_len;
 		cl_ended *ended_val;
 	} ended;
+	bool_t renews;
+	quad_t renewed_until;
 };
 typedef struct cl_order_res cl_order_res;
 
--- a/src/sited.c
+++ b/src/sited.c
@@ -177,6 +177,7 @@
 		  d->site->failure_domain, "callers_port", d->site->callers.port, "peers_port",
 		  d->site->peers.port);
 	sited_config_start(d);
+	sited_agent_start(d);
 	sited_elect_start(d);
 	tevent_loop_wait(ev);
 	code = 0;
--- a/src/sited.h
+++ b/src/sited.h
@@ -110,6 +110,7 @@
  * @stop_at: when the process ends, on base_now()'s clock; 0 unless stopping
  * @hand_over_at: the lead is handed over then at the latest, on base_now()'s clock
  * @requests: callers' requests in progress
+ * @renewals: id of a server to what sited_agent.c may go on renewing there
  * @own_servers_max: to the servers of a larger site, other VMs send a leader's orders
  */
 struct sited {
@@ -140,6 +141,7 @@
 	int64_t hand_over_at;
 	unsigned int requests;
 	unsigned int own_servers_max;
+	GHashTable *renewals;
 	struct sited_metrics metrics;
 };
 
@@ -178,6 +180,8 @@
 
 /* ---- sited_agent.c ---- */
 
+/** sited_agent_start() - renew leases while a leader that this VM helps is silent */
+void sited_agent_start(struct sited *d);
 /** sited_on_start(), sited_on_stop(), sited_on_look() - carry out an order of the leader */
 void sited_on_start(struct onc_request *req);
 void sited_on_stop(struct onc_request *req);
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -1,14 +1,35 @@
 /*
- * Orders of the leader that this VM carries out, see sited_dispatch.c. Nothing
- * is kept between them: an order is sent once, and its answer passed back.
+ * Orders of the leader that this VM carries out, see sited_dispatch.c. An order
+ * is sent once, and its answer passed back. While the leader is silent, leases
+ * of servers that it last had looked at from here are renewed, see lib/renewal.
  */
 #include "sited.h"
 
 #include <string.h>
 
-/* an order under way */
+#include "mtimer/mtimer.h"
+#include "renewal/renewal.h"
+
+#define RENEWAL_TICK_MS 500
+#define RENEWAL_ANSWER_MS 400
+
+/**
+ * struct watched - a server whose leases this VM may renew
+ * @born: incarnation that answered last; its clock counts from then
+ * @acknowledged: ends up to this number may be forgotten there
+ */
+struct watched {
+	struct renewal renewal;
+	int64_t born;
+	char *address;
+	int64_t acknowledged;
+};
+
+/* an order under way; @server of a look, else NULL */
 struct carried {
+	struct sited *d;
 	struct onc_request *req;
+	char *server;
 };
 
 static void answer(struct onc_request *req, enum order_status status)
@@ -18,11 +39,132 @@
 	onc_reply(req, &res);
 }
 
+/* ---- renewing while the leader is silent ---- */
+
+static void watch(struct sited *d, const cl_look_args *args)
+{
+	struct watched *w = g_hash_table_lookup(d->renewals, args->to.server);
+
+	if (!w) {
+		w = talloc_zero(d, struct watched);
+		g_hash_table_insert(d->renewals, g_strdup(args->to.server), w);
+	}
+	talloc_free(w->address);
+	w->address = talloc_strdup(w, args->to.address);
+	w->acknowledged = MAX(w->acknowledged, args->acknowledged);
+	w->renewal.looks++;
+	renewal_order(&w->renewal, args->to.term, args->renewal_limit, sited_now_ms());
+}
+
+/* what the server answered to a look, whoever sent it; the watch ends where nothing runs */
+static void note_look(struct watched *w, const struct order_result *r)
+{
+	int64_t now = sited_now_ms();
+
+	w->renewal.looks--;
+	w->renewal.ordered_at = now;
+	if (r->born && r->born != w->born) {
+		w->born = r->born;
+		w->renewal.asked_until = 0;
+	}
+	if (r->status == ORDER_DONE && r->clock_ms && r->run_count)
+		renewal_answer(&w->renewal, r->clock_ms, now);
+	else
+		w->renewal.limit = 0;
+}
+
+/* tells the leader what was asked for without it */
+static void say_renewals(struct carried *c, const struct order_result *r, cl_order_res *res)
+{
+	struct watched *w = g_hash_table_lookup(c->d->renewals, c->server);
+
+	if (!w)
+		return;
+	note_look(w, r);
+	res->renews = w->renewal.limit != 0;
+	res->renewed_until = w->renewal.asked_until;
+}
+
+struct renewing {
+	struct sited *d;
+	char *server;
+};
+
+static void on_renewed(const struct order_result *r, void *data)
+{
+	struct renewing *ctx = data;
+	struct watched *w = g_hash_table_lookup(ctx->d->renewals, ctx->server);
+
+	log_event("lease_renewed_alone", "{ss ss sI si}", "server", ctx->server, "outcome",
+		  order_status_name(r->status), "term", (json_int_t)(w ? w->renewal.term : 0),
+		  "running", (int)r->run_count);
+	if (w && r->status == ORDER_UNKNOWN) {
+		w->renewal.looks--; /* asked again until the limit is over */
+	} else if (w) {
+		note_look(w, r);
+		/* the leader is still silent */
+		w->renewal.ordered_at -= RENEWAL_SILENT_MS;
+	}
+	talloc_free(ctx);
+}
+
+static void renew(struct sited *d, const char *server, struct watched *w, int64_t until)
+{
+	struct renewing *ctx = talloc_zero(d, struct renewing);
+	struct order_target to = {.server = server,
+				  .address = w->address,
+				  .term = w->renewal.term,
+				  .deadline = base_deadline_in(RENEWAL_ANSWER_MS)};
+	struct order_look look = {.acknowledged = w->acknowledged, .lease_until = until};
+
+	ctx->d = d;
+	ctx->server = talloc_strdup(ctx, server);
+	w->renewal.asked_until = until;
+	w->renewal.looks++;
+	sited_count(&d->metrics, COUNT_RENEWED_ALONE);
+	orders_look(d->orders, &to, &look, on_renewed, ctx);
+}
+
+static void on_renewal_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct sited *d = data;
+	int64_t now = sited_now_ms();
+	GHashTableIter it;
+	gpointer server;
+	gpointer value;
+
+	mtimer_add(d, d->ev, base_deadline_in(RENEWAL_TICK_MS), on_renewal_tick, d);
+	g_hash_table_iter_init(&it, d->renewals);
+	while (g_hash_table_iter_next(&it, &server, &value)) {
+		struct watched *w = value;
+		int64_t until =
+			renewal_due(&w->renewal, d->leader.term, d->site->lease_max_ms, now);
+
+		if (until) {
+			renew(d, server, w, until);
+		} else if (!w->renewal.looks && renewal_is_over(&w->renewal, d->leader.term, now)) {
+			g_hash_table_iter_remove(&it);
+			talloc_free(w);
+		}
+	}
+}
+
+void sited_agent_start(struct sited *d)
+{
+	d->renewals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	mtimer_add(d, d->ev, base_deadline_in(RENEWAL_TICK_MS), on_renewal_tick, d);
+}
+
+/* ---- orders ---- */
+
 static void on_carried(const struct order_result *r, void *data)
 {
 	struct carried *c = data;
 	cl_order_res res = {.status = (int)r->status, .clock_ms = r->clock_ms, .born = r->born};
 
+	if (c->server)
+		say_renewals(c, r, &res);
+
 	res.runs.runs_val = talloc_zero_array(c, cl_run, r->run_count);
 	res.runs.runs_len = r->run_count;
 	for (unsigned int i = 0; i < r->run_count; i++)
@@ -84,6 +226,7 @@
 {
 	struct carried *c = talloc_zero(d, struct carried);
 
+	c->d = d;
 	c->req = req;
 	return c;
 }
@@ -130,7 +273,12 @@
 	const cl_look_args *args = req->args;
 	struct order_target to = target_of(&args->to);
 	struct order_look look = {args->acknowledged, args->lease_until, args->wait_ms};
+	struct carried *c;
 
-	if (admit(d, req, &args->to))
-		orders_look(d->orders, &to, &look, on_carried, carried_new(d, req));
+	if (!admit(d, req, &args->to))
+		return;
+	c = carried_new(d, req);
+	c->server = talloc_strdup(c, args->to.server);
+	watch(d, args);
+	orders_look(d->orders, &to, &look, on_carried, c);
 }
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -5,7 +5,8 @@
  * HTTP call to each costs a leader of half a core all of its time, so it has
  * entry VMs of the server's failure domain, its agents, make the calls. The
  * leader decides all, also that a call is to be made again; an agent keeps
- * nothing. To a few servers the leader sends its orders itself.
+ * only until when it may renew leases should the leader fall silent, see
+ * lib/renewal. To a few servers the leader sends its orders itself.
  *
  * An order is safe to be carried out twice or late, whoever sends it: it names
  * term, attempt and incarnation, and deadlines on the server's own clock. An
@@ -195,6 +196,8 @@
 struct agent_call {
 	struct sited *d;
 	uint64_t serial;
+	struct fleet_server *sv; /* valid while the lead is */
+	bool is_look;
 	char vm[64];
 	order_done *done;
 	void *data;
@@ -232,6 +235,32 @@
 	return true;
 }
 
+static uint64_t name_hash(const char *vm)
+{
+	return base_hash(vm, strlen(vm), 0);
+}
+
+/* an agent other than the last one may renew: what the last one may still ask for stays counted */
+static void note_renewer(struct server_io *io, const char *vm, int64_t limit)
+{
+	uint64_t renewer = name_hash(vm);
+
+	if (io->renewer != renewer)
+		io->lease_until = MAX(io->lease_until, io->lease_limit);
+	io->renewer = renewer;
+	io->lease_limit = MAX(io->lease_limit, limit);
+}
+
+/* an agent that answers says what it has asked for, and whether it would ask for more */
+static void take_renewals(struct lead *l, const struct agent_call *call, const cl_order_res *res)
+{
+	struct server_io *io = lead_io(l, call->sv);
+
+	io->lease_until = MAX(io->lease_until, res->renewed_until);
+	if (!res->renews && io->renewer == name_hash(call->vm))
+		io->lease_limit = 0;
+}
+
 static void on_agent_answer(enum onc_result result, void *res, void *data)
 {
 	struct agent_call *call = data;
@@ -243,6 +272,8 @@
 			 call->vm);
 		r = (struct order_result){.status = ORDER_UNKNOWN};
 	}
+	if (result == ONC_OK && l && call->is_look)
+		take_renewals(l, call, res);
 	if (result != ONC_OK && l)
 		avoid_agent(l, call->vm, result);
 	call->done(&r, call->data);
@@ -280,6 +311,8 @@
 
 	call->d = l->d;
 	call->serial = l->serial;
+	call->sv = to->sv;
+	call->is_look = proc == SITED_PROC_LOOK;
 	g_strlcpy(call->vm, agent->vm, sizeof(call->vm));
 	call->done = done;
 	call->data = data;
@@ -327,8 +360,11 @@
 	cl_look_args args = {.to = agent_target(l, to),
 			     .acknowledged = look->acknowledged,
 			     .lease_until = look->lease_until,
-			     .wait_ms = look->wait_ms};
+			     .wait_ms = look->wait_ms,
+			     .renewal_limit = to->renewal_limit};
 
+	if (agent && to->renewal_limit)
+		note_renewer(lead_io(l, to->sv), agent->vm, to->renewal_limit);
 	if (agent)
 		send_by_agent(l, agent, to, SITED_PROC_LOOK, &args, done, data);
 	else
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -75,6 +75,8 @@
  * @clock_ms: its clock, when it last said so
  * @clock_at: our monotonic ms at that moment
  * @lease_until: the latest lease ever asked for, on its clock
+ * @lease_limit: the latest lease that an agent may ask for by itself, on its clock; or 0
+ * @renewer: hash of that agent's name
  * @seen: ends up to this number have been taken into account
  * @acknowledged: ends up to this number are stored with all that follows from them
  * @told: ends up to this number are forgotten there
@@ -96,6 +98,8 @@
 	int64_t clock_ms;
 	int64_t clock_at;
 	int64_t lease_until;
+	int64_t lease_limit;
+	uint64_t renewer;
 	int64_t seen;
 	int64_t acknowledged;
 	int64_t told;
@@ -187,11 +191,13 @@
  * struct lead_order - whom an order is for
  * @deadline: when to stop waiting for the server's answer, on base_now()'s clock
  * @tries: sendings before this one that got no answer
+ * @renewal_limit: of a look: an agent may ask for leases up to this, on the server's clock
  */
 struct lead_order {
 	struct fleet_server *sv;
 	int64_t deadline;
 	unsigned int tries;
+	int64_t renewal_limit;
 };
 
 struct agents *lead_agents_new(struct lead *l);
--- a/src/sited_metrics.h
+++ b/src/sited_metrics.h
@@ -19,6 +19,7 @@
 	X(COUNT_RECLAIMS, "task_reclaims_total")              \
 	X(COUNT_LOOKS, "looks_total")                         \
 	X(COUNT_AGENT_ORDERS, "orders_by_agents_total")       \
+	X(COUNT_RENEWED_ALONE, "leases_renewed_alone_total")  \
 	X(COUNT_ORDERS_CARRIED, "orders_carried_total")       \
 	X(COUNT_TERMS, "terms_total")                         \
 	X(COUNT_CONFLICTS, "store_conflicts_total")
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -23,8 +23,7 @@
 #define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
 #define LEASE_MARGIN_MS 60
-/* a stop takes 400 ms at most, and the entry in the list is up to 1 s old */
-#define EVACUATE_RESERVE_MS 1400
+#define LIST_AGE_MAX_MS 1000  /* of an entry in the list of servers */
 #define DOMAINS_MAX 32	      /* failure domains of a site; 11 are designed for */
 #define SILENT_MS 700	      /* a server that answered within it is not out of reach */
 #define SILENT_SUSPECT_MS 250 /* renewed every 100 ms while the silence lasts */
@@ -77,10 +76,22 @@
 	return io->lease_until;
 }
 
+/* how far an agent may have leases reach while this leader is silent to it, or 0 */
+static int64_t renewal_limit(const struct lead *l, const struct server_io *io)
+{
+	if (!io->clock_at)
+		return 0;
+	/* as long as this leader would renew without the store's word */
+	return server_clock(io) + l->confirmed_at + LEAD_UNCONFIRMED_MAX_MS - sited_now_ms() +
+	       l->d->site->lease_max_ms;
+}
+
 /* when every lease there is over for certain, on our clock */
 static int64_t lapsed_at(const struct server_io *io)
 {
-	return io->clock_at + (io->lease_until - io->clock_ms) * LEAD_CLOCK_SLOW_PERCENT / 100 +
+	int64_t until = MAX(io->lease_until, io->lease_limit);
+
+	return io->clock_at + (until - io->clock_ms) * LEAD_CLOCK_SLOW_PERCENT / 100 +
 	       LEASE_MARGIN_MS;
 }
 
@@ -368,7 +379,8 @@
 		.wait_ms = wait_ms};
 	struct lead_order to = {.sv = sv,
 				.deadline = base_deadline_in(wait_ms + LOOK_ANSWER_MS),
-				.tries = io->misses};
+				.tries = io->misses,
+				.renewal_limit = order.lease_until ? renewal_limit(l, io) : 0};
 
 	look->d = l->d;
 	look->serial = l->serial;
@@ -460,7 +472,7 @@
 		    plan_rest_ms(t, now) <= left + LEAVE_SLACK_MS)
 			continue;
 		/* what can be saved runs on until the last moment */
-		if (!t->group->step->checkpoints || left <= EVACUATE_RESERVE_MS)
+		if (!t->group->step->checkpoints || left <= l->d->site->stop_ms + LIST_AGE_MAX_MS)
 			lead_task_stop(l, t, "its server leaves");
 	}
 	g_ptr_array_free(tasks, TRUE);
--- /dev/null
+++ b/tests/test_renewal.c
@@ -0,0 +1,99 @@
+/**
+ * DOC: test_renewal - leases that an entry VM renews while its leader is silent
+ */
+#include <check.h>
+
+#include "renewal/renewal.h"
+#include "runner.h"
+
+#define TERM 3
+#define LEASE_MS 6000
+#define LIMIT 30000 /* on the server's clock */
+
+/* a look of the leader at local time 1000, answered at 1100 when the server's clock is 20100 */
+static struct renewal renewal(void)
+{
+	struct renewal r = {0};
+
+	renewal_order(&r, TERM, LIMIT, 1000);
+	renewal_answer(&r, 20100, 1100);
+	r.ordered_at = 1100;
+	return r;
+}
+
+START_TEST(a_leader_that_goes_on_is_not_helped)
+{
+	struct renewal r = renewal();
+
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1100 + RENEWAL_SILENT_MS - 1), 0);
+	r.looks = 1;
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1100 + RENEWAL_SILENT_MS), 0);
+}
+END_TEST
+
+START_TEST(leases_go_on_while_the_leader_is_silent)
+{
+	struct renewal r = renewal();
+	int64_t now = 1100 + RENEWAL_SILENT_MS;
+
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, now),
+			 20100 + RENEWAL_SILENT_MS + LEASE_MS);
+}
+END_TEST
+
+START_TEST(no_lease_reaches_beyond_the_leaders_word)
+{
+	struct renewal r = renewal();
+
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1100 + 8000), LIMIT);
+	r.asked_until = LIMIT;
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1100 + 8500), 0);
+	ck_assert(renewal_is_over(&r, TERM, 1100 + 9900));
+}
+END_TEST
+
+/* paused for a minute: its clock may not have counted it, but the limit is the server's time */
+START_TEST(a_vm_that_wakes_late_asks_for_no_more)
+{
+	struct renewal r = renewal();
+
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1100 + 60000), 0);
+	ck_assert_int_le(renewal_due(&r, TERM, LEASE_MS, 1100 + 2500), LIMIT);
+	/* an order of the former leader that was read late */
+	renewal_order(&r, TERM - 1, LIMIT + 60000, 61100);
+	ck_assert_int_eq(r.limit, LIMIT);
+}
+END_TEST
+
+START_TEST(a_newer_leader_ends_it)
+{
+	struct renewal r = renewal();
+
+	ck_assert_int_eq(renewal_due(&r, TERM + 1, LEASE_MS, 1100 + 3000), 0);
+	ck_assert(renewal_is_over(&r, TERM + 1, 1100 + 3000));
+}
+END_TEST
+
+START_TEST(nothing_is_renewed_without_the_leaders_word)
+{
+	struct renewal r = renewal();
+
+	renewal_order(&r, TERM, 0, 1200);
+	ck_assert_int_eq(renewal_due(&r, TERM, LEASE_MS, 1200 + 3000), 0);
+}
+END_TEST
+
+static void add_tests(TCase *t)
+{
+	tcase_add_test(t, a_leader_that_goes_on_is_not_helped);
+	tcase_add_test(t, leases_go_on_while_the_leader_is_silent);
+	tcase_add_test(t, no_lease_reaches_beyond_the_leaders_word);
+	tcase_add_test(t, a_vm_that_wakes_late_asks_for_no_more);
+	tcase_add_test(t, a_newer_leader_ends_it);
+	tcase_add_test(t, nothing_is_renewed_without_the_leaders_word);
+}
+
+int main(void)
+{
+	return run_suite("renewal", add_tests);
+}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -560,6 +560,23 @@
         await asyncio.sleep(2)
 
 
+async def agents_renew_while_nobody_leads(site):
+    """The leader dies while the store is away, so none can be elected; what runs must not lapse."""
+    for _ in range(6):
+        job = site.add_job()
+        job.count, job.steps, job.spec = 1, 1, {"ms": 16000, "gang": 0, "fail": 0}
+        await site.submit(job)
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+    await asyncio.sleep(2)
+    outage = asyncio.ensure_future(site.store_mode("busy", 5))
+    await asyncio.sleep(0.2)
+    site.leader().send(signal.SIGKILL)
+    await outage
+    await asyncio.sleep(4)
+    lapsed = [r.task for r in site.pool.runs if r.how == "lapsed"]
+    site.expected.append(("no lease lapses, %d did" % len(lapsed), not lapsed))
+
+
 async def agent_is_cut_off_from_servers(site):
     """Answers of an agent say that servers are silent, while the leader reaches them."""
     site.pool.servers[0].silent = True
@@ -593,7 +610,7 @@
 
 
 BY_AGENTS = [agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
-             leader_and_agent_die_together, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
+             leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              server_answers_no_more, small_leader_hands_over]
