Let a VM's size say how many servers it sends orders to itself

The limit of 128 servers now falls with the cores and the link of the VM, and a job's text goes to an agent with the first of its starts only.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -193,6 +193,7 @@
 	cl_order_target to;
 	string task<CL_ID_MAX>;
 	unsigned int attempt;
+	/* of the task's job; empty when an earlier start of the job has carried it */
 	string payload<CL_TEXT_MAX>;
 	string snapshot<CL_TEXT_MAX>;
 	hyper lease_until;
--- a/lib/share/share.h
+++ b/lib/share/share.h
@@ -20,10 +20,17 @@
 	bool is_large;
 };
 
-/* a leader sends its orders itself to so many servers; an agent costs each order a way more */
-#define SHARE_OWN_SERVERS 128
 #define SHARE_NOBODY (-1)
 
+/**
+ * share_own_servers() - a leader sends its orders itself to so many servers
+ * @cores: processor share of the leader's VM
+ * @link_mbps: bandwidth of its link
+ *
+ * To a few servers that is cheaper: an agent costs each order a way more.
+ */
+unsigned int share_own_servers(double cores, double link_mbps);
+
 /**
  * share_pick() - index of the VM for a server
  *
--- a/src/sited.c
+++ b/src/sited.c
@@ -14,6 +14,7 @@
 #include "version.h"
 
 #define EXIT_USAGE 2
+#define OWN_BY_SIZE (-1)
 #define SETTINGS_VARIABLE "CURRANTLANE_CONFIG"
 /* descriptors of the smallest entry VM, less those of others */
 #define FRONT_CONNECTIONS_MAX 2000
@@ -145,13 +146,15 @@
 
 	d->ev = ev;
 	d->started_at = base_now();
-	d->own_servers_max = (unsigned int)own_servers;
 	d->peers = g_ptr_array_new();
 	d->site = site_load(d, settings, &error);
 	if (!d->site) {
 		fprintf(stderr, "%s\n", error);
 		goto out;
 	}
+	d->own_servers_max = own_servers == OWN_BY_SIZE
+				     ? share_own_servers(d->site->cores, d->site->link_mbps)
+				     : (unsigned int)own_servers;
 	if (only_check) {
 		printf("%s: ok\n", settings);
 		code = 0;
@@ -194,7 +197,7 @@
 	struct arg_int *metrics = arg_int0(NULL, "metrics-port", "PORT", "serve metrics there");
 	struct arg_int *own = arg_int0(NULL, "own-servers", "N",
 				       "backend servers that a leader sends its orders itself; to "
-				       "more, other entry VMs send them (128)");
+				       "more, other entry VMs send them (by the VM's size)");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *show = arg_lit0(NULL, "version", "print the version");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
@@ -213,7 +216,7 @@
 		code = help->count ? 0 : EXIT_USAGE;
 	} else {
 		code = run(path, metrics->count ? metrics->ival[0] : 0,
-			   own->count ? own->ival[0] : SHARE_OWN_SERVERS, check->count > 0);
+			   own->count ? own->ival[0] : OWN_BY_SIZE, check->count > 0);
 	}
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
--- a/src/sited.h
+++ b/src/sited.h
@@ -61,6 +61,7 @@
  * @refusals: of them, those that nothing took at its address
  * @silent_since: when the first of them was sent, on base_now()'s clock
  * @pending: jobs not begun by queue, as it last said; name to int64_t
+ * @changes: leaders that came within LEAD_CHANGES_MS of the one before
  */
 struct sited_leader {
 	char vm[64];
@@ -75,6 +76,7 @@
 	unsigned int refusals;
 	int64_t silent_since;
 	GHashTable *pending;
+	unsigned int changes;
 };
 
 /**
@@ -111,6 +113,7 @@
  * @hand_over_at: the lead is handed over then at the latest, on base_now()'s clock
  * @requests: callers' requests in progress
  * @renewals: id of a server to what sited_agent.c may go on renewing there
+ * @payloads: id of a job to the payload that a leader sent with its first start
  * @own_servers_max: to the servers of a larger site, other VMs send a leader's orders
  */
 struct sited {
@@ -142,6 +145,7 @@
 	unsigned int requests;
 	unsigned int own_servers_max;
 	GHashTable *renewals;
+	GHashTable *payloads;
 	struct sited_metrics metrics;
 };
 
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -3,7 +3,7 @@
  * is sent once, and its answer passed back. While the leader is silent, leases
  * of servers that it last had looked at from here are renewed, see lib/renewal.
  */
-#include "sited.h"
+#include "sited_lead.h"
 
 #include <string.h>
 
@@ -39,6 +39,44 @@
 	onc_reply(req, &res);
 }
 
+/* ---- payloads: a job's text comes with the first of its starts only ---- */
+
+struct payload {
+	char *text;
+	int64_t used_at;
+};
+
+static gboolean is_unused(gpointer id G_GNUC_UNUSED, gpointer value, gpointer data)
+{
+	const struct payload *p = value;
+	const int64_t *now = data;
+
+	return *now - p->used_at > AGENT_PAYLOAD_MS;
+}
+
+static void free_payload(gpointer value)
+{
+	talloc_free(value);
+}
+
+/* the text of the task's job, or NULL when the leader takes it for known and it is not */
+static const char *payload_of(struct sited *d, const cl_start_args *args)
+{
+	char id[WORK_ID_LEN + 1];
+	struct payload *p;
+
+	g_strlcpy(id, args->task, sizeof(id));
+	p = g_hash_table_lookup(d->payloads, id);
+	if (!p && args->payload[0]) {
+		p = talloc_zero(d, struct payload);
+		p->text = talloc_strdup(p, args->payload);
+		g_hash_table_insert(d->payloads, g_strdup(id), p);
+	}
+	if (p)
+		p->used_at = sited_now_ms();
+	return p ? p->text : NULL;
+}
+
 /* ---- renewing while the leader is silent ---- */
 
 static void watch(struct sited *d, const cl_look_args *args)
@@ -134,6 +172,7 @@
 	gpointer value;
 
 	mtimer_add(d, d->ev, base_deadline_in(RENEWAL_TICK_MS), on_renewal_tick, d);
+	g_hash_table_foreach_remove(d->payloads, is_unused, &now);
 	g_hash_table_iter_init(&it, d->renewals);
 	while (g_hash_table_iter_next(&it, &server, &value)) {
 		struct watched *w = value;
@@ -152,6 +191,7 @@
 void sited_agent_start(struct sited *d)
 {
 	d->renewals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d->payloads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_payload);
 	mtimer_add(d, d->ev, base_deadline_in(RENEWAL_TICK_MS), on_renewal_tick, d);
 }
 
@@ -241,12 +281,14 @@
 	struct sited *d = req->server_data;
 	const cl_start_args *args = req->args;
 	struct order_target to = target_of(&args->to);
-	struct order_start start = {args->task, args->attempt, args->payload,
+	struct order_start start = {args->task, args->attempt, payload_of(d, args),
 				    args->snapshot[0] ? args->snapshot : NULL, args->lease_until};
 
 	if (!admit(d, req, &args->to))
 		return;
-	if (is_text(args->task) && is_text(args->payload) && is_text(args->snapshot))
+	if (!start.payload)
+		answer(req, ORDER_UNKNOWN); /* the leader sends it itself */
+	else if (is_text(args->task) && is_text(start.payload) && is_text(args->snapshot))
 		orders_start(d->orders, &to, &start, on_carried, carried_new(d, req));
 	else
 		answer(req, ORDER_INVALID);
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -24,6 +24,8 @@
  * struct agent - an entry VM that carries out orders
  * @client: RPC client to it; pings have their own
  * @avoid_until: no orders through it before, on base_now()'s clock
+ * @payloads: ids of jobs whose payload it has; so a wide job's text is sent once
+ * @payloads_since: when the oldest of them was sent, on base_now()'s clock
  */
 struct agent {
 	char vm[64];
@@ -32,6 +34,8 @@
 	struct address address;
 	struct onc_client *client;
 	int64_t avoid_until;
+	GHashTable *payloads;
+	int64_t payloads_since;
 };
 
 /**
@@ -83,6 +87,12 @@
 	return NULL;
 }
 
+static int agent_destructor(struct agent *agent)
+{
+	g_hash_table_destroy(agent->payloads);
+	return 0;
+}
+
 static bool is_same_address(const struct address *x, const struct address *y)
 {
 	return x->port == y->port && !strcmp(x->ip, y->ip);
@@ -95,6 +105,8 @@
 
 	if (!agent) {
 		agent = talloc_zero(a, struct agent);
+		agent->payloads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		talloc_set_destructor(agent, agent_destructor);
 		g_strlcpy(agent->vm, vm->vm, sizeof(agent->vm));
 		g_ptr_array_add(a->known, agent);
 	}
@@ -184,6 +196,7 @@
 	if (!agent || agent->avoid_until > base_now())
 		return;
 	agent->avoid_until = base_deadline_in(AGENT_AVOID_MS);
+	g_hash_table_remove_all(agent->payloads);
 	log_event("agent_silent", "{ss ss si}", "vm", vm, "why",
 		  result == ONC_NOT_SENT ? "nothing listens there" : "no answer to an order",
 		  "avoided_ms", AGENT_AVOID_MS);
@@ -321,6 +334,21 @@
 		 to->deadline + AGENT_MARGIN_MS * BASE_NS_PER_MS, on_agent_answer, call);
 }
 
+/* the agent forgets what it has not used for AGENT_PAYLOAD_MS, so it is told again sooner */
+static bool has_payload(struct agent *agent, const char *task)
+{
+	char *id = g_strndup(task, WORK_ID_LEN);
+	bool had;
+
+	if (base_now() - agent->payloads_since > AGENT_PAYLOAD_MS / 2 * BASE_NS_PER_MS) {
+		g_hash_table_remove_all(agent->payloads);
+		agent->payloads_since = base_now();
+	}
+	had = g_hash_table_contains(agent->payloads, id);
+	g_hash_table_add(agent->payloads, id);
+	return had;
+}
+
 void lead_send_start(struct lead *l, const struct lead_order *to, const struct order_start *start,
 		     order_done *done, void *data)
 {
@@ -333,6 +361,8 @@
 			      .snapshot = (char *)(start->snapshot ? start->snapshot : ""),
 			      .lease_until = start->lease_until};
 
+	if (agent && has_payload(agent, start->task))
+		args.payload = "";
 	if (agent)
 		send_by_agent(l, agent, to, SITED_PROC_START, &args, done, data);
 	else
