Write rows of steps less often, and shorter

Cause: each end of a task wrote the row of its whole step, up to 470 tasks of 13 bytes and their servers. Ends that nothing waits for are now stored together, 50 ms on a fast link to 400 ms on a slow one; tasks in a row of which the same is said share an entry; the row of a job that is over keeps no payload.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -429,7 +429,8 @@
 	for (unsigned int i = 0; i < job->step_count; i++)
 		json_array_append_new(steps, encode_step(&job->step[i]));
 	v = json_pack("{ss ss ss ss sI sI sf sI sI so sI sI sI ss sI}", "queue", job->queue,
-		      "service", job->service, "workspace", job->workspace, "payload", job->payload,
+		      "service", job->service, "workspace", job->workspace, "payload",
+		      work_job_is_over(job) ? "" : job->payload, /* nothing of it starts again */
 		      "priority", (json_int_t)job->priority, "attempts", (json_int_t)job->attempts,
 		      "stretch", job->stretch, "slo_ms", (json_int_t)job->slo_ms, "accepted_ms",
 		      (json_int_t)job->accepted_ms, "steps", steps, "times", (json_int_t)job->times,
@@ -534,6 +535,37 @@
 	return (json_int_t)json_array_size(list) - 1;
 }
 
+/* what a row says of a task */
+struct entry {
+	uint32_t attempt;
+	uint32_t failures;
+	bool is_done;
+	const struct fleet_server *server;
+	const char *snapshot;
+};
+
+static struct entry entry_of(const struct work_task *t)
+{
+	bool is_done = t->state == TASK_DONE || t->state == TASK_ENDING;
+
+	if (is_done)
+		return (struct entry){.is_done = true, .snapshot = ""};
+	return (struct entry){t->attempt, t->failures, false,
+			      work_task_is_placed(t) ? t->server : NULL,
+			      t->snapshot ? t->snapshot : ""};
+}
+
+static bool is_same_entry(const struct entry *a, const struct entry *b)
+{
+	return a->attempt == b->attempt && a->failures == b->failures && a->is_done == b->is_done &&
+	       a->server == b->server && !strcmp(a->snapshot, b->snapshot);
+}
+
+/*
+ * Load pattern: steps of hundreds of tasks, most of them waiting or done, whose
+ * row is written each time that some begin or end. Tasks in a row of which the
+ * same is said share one entry.
+ */
 char *work_group_encode(TALLOC_CTX *ctx, const struct work_group *group)
 {
 	json_t *servers = json_array();
@@ -541,16 +573,18 @@
 	json_t *v;
 	char *text;
 
-	for (unsigned int i = 0; i < group->count; i++) {
-		const struct work_task *t = &group->task[i];
-		bool is_done = t->state == TASK_DONE || t->state == TASK_ENDING;
-		const struct fleet_server *sv =
-			work_task_is_placed(t) && !is_done ? t->server : NULL;
-
-		json_array_append_new(tasks, json_pack("[IIIIs]", (json_int_t)t->attempt,
-						       (json_int_t)t->failures, (json_int_t)is_done,
-						       server_index(servers, sv),
-						       t->snapshot ? t->snapshot : ""));
+	for (unsigned int i = 0; i < group->count;) {
+		struct entry first = entry_of(&group->task[i]);
+		unsigned int n = 0;
+		struct entry e = first;
+
+		while (is_same_entry(&e, &first) && i + ++n < group->count)
+			e = entry_of(&group->task[i + n]);
+		json_array_append_new(
+			tasks, json_pack("[IIIIIs]", (json_int_t)n, (json_int_t)first.attempt,
+					 (json_int_t)first.failures, (json_int_t)first.is_done,
+					 server_index(servers, first.server), first.snapshot));
+		i += n;
 	}
 	v = json_pack("{sososI}", "servers", servers, "tasks", tasks, "failed_attempt",
 		      (json_int_t)group->failed_attempt);
@@ -578,20 +612,20 @@
 static void merge_task(struct work_task *t, const json_t *row, const json_t *servers,
 		       struct fleet *fleet, int64_t settle_at)
 {
-	uint32_t attempt = (uint32_t)json_integer_value(json_array_get(row, 0));
-	uint32_t failures = (uint32_t)json_integer_value(json_array_get(row, 1));
-	json_int_t at = json_integer_value(json_array_get(row, 3));
+	uint32_t attempt = (uint32_t)json_integer_value(json_array_get(row, 1));
+	uint32_t failures = (uint32_t)json_integer_value(json_array_get(row, 2));
+	json_int_t at = json_integer_value(json_array_get(row, 4));
 	struct fleet_server *sv = NULL;
 
 	t->failures = MAX(t->failures, failures);
-	if (json_integer_value(json_array_get(row, 2))) {
+	if (json_integer_value(json_array_get(row, 3))) {
 		work_task_ending(t);
 		return;
 	}
 	if (attempt < t->attempt)
 		return;
 	t->attempt = attempt;
-	work_task_set_snapshot(t, str_from(json_string_value(json_array_get(row, 4))));
+	work_task_set_snapshot(t, str_from(json_string_value(json_array_get(row, 5))));
 	if (at >= 0)
 		sv = server_of(fleet, json_array_get(servers, (size_t)at));
 	if (sv && t->state == TASK_WAITING) {
@@ -601,16 +635,40 @@
 	}
 }
 
+/* tasks that a row speaks of; 0 when it can't be read */
+static uint64_t count_tasks(const json_t *tasks)
+{
+	uint64_t sum = 0;
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(tasks, i, row) {
+		json_int_t n = json_integer_value(json_array_get(row, 0));
+
+		if (n < 1 || n > WORK_TASKS_MAX)
+			return 0;
+		sum += (uint64_t)n;
+	}
+	return sum;
+}
+
 bool work_group_merge(struct work_group *group, struct str value, struct fleet *fleet,
 		      int64_t settle_at)
 {
 	json_t *v = json_loadb(value.ptr, value.len, 0, NULL);
 	const json_t *servers = json_object_get(v, "servers");
 	const json_t *tasks = json_object_get(v, "tasks");
-	bool ok = json_is_array(servers) && json_array_size(tasks) == group->count;
+	bool ok = json_is_array(servers) && count_tasks(tasks) == group->count;
+	unsigned int i = 0;
+	const json_t *row;
+	size_t k;
 
-	for (unsigned int i = 0; ok && i < group->count; i++)
-		merge_task(&group->task[i], json_array_get(tasks, i), servers, fleet, settle_at);
+	json_array_foreach(tasks, k, row) {
+		json_int_t n = ok ? json_integer_value(json_array_get(row, 0)) : 0;
+
+		while (n-- > 0)
+			merge_task(&group->task[i++], row, servers, fleet, settle_at);
+	}
 	if (ok)
 		group->failed_attempt =
 			MAX(group->failed_attempt, (uint32_t)base_json_int(v, "failed_attempt", 0));
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -76,11 +76,13 @@
  * @version: version of the stored row, 0 when there is none
  * @changes: counts changes in memory
  * @stored: value of @changes that the stored row holds
+ * @store_at: it may wait until then to be stored, monotonic ms; 0 when not set
  */
 struct work_row {
 	int64_t version;
 	uint64_t changes;
 	uint64_t stored;
+	int64_t store_at;
 };
 
 #define WORK_TASK_STATES(X)                                                                      \
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -16,6 +16,14 @@
 #define ENTRIES_MAX 90	    /* conditions and puts of one transaction; the store takes 100 */
 #define UNKNOWN_PAUSE_MS 80 /* before a transaction without an answer is sent again */
 #define INVALID_PAUSE_MS 1000
+/*
+ * Load pattern: the tasks of a wide step end one after the other, and each end
+ * would write the whole row again. Ends that nothing waits for are stored
+ * together; on a slow link, that the rows would fill, less often.
+ */
+#define PROGRESS_MIN_MS 50
+#define PROGRESS_MAX_MS 400
+#define PROGRESS_MS_MBPS 800  /* ms, times Mbit/s of the link */
 #define SWEEP_MARGIN_MS 30000 /* a job's row stays so much longer than its state must be told */
 #define SWEEP_JOBS_MAX 20     /* removed at a time */
 
@@ -104,6 +112,7 @@
 			c->conditions++;
 			has_put = true;
 		}
+		g->row.store_at = 0;
 		put(c, job, g);
 	}
 }
@@ -328,21 +337,45 @@
 	}
 }
 
-static bool is_dirty(const struct work_job *job)
+static int64_t progress_ms(const struct lead *l)
 {
-	if (job->row.changes > job->row.stored)
-		return true;
-	if (work_job_is_over(job))
-		return false;
-	for (guint i = 0; i < job->groups->len; i++) {
-		const struct work_group *g = g_ptr_array_index(job->groups, i);
+	return CLAMP((int64_t)(PROGRESS_MS_MBPS / MAX(l->d->site->link_mbps, 1)), PROGRESS_MIN_MS,
+		     PROGRESS_MAX_MS);
+}
 
-		if (g->row.changes > g->row.stored)
+/* a start waits for the row, or what follows the step does */
+static bool is_awaited(const struct work_group *g)
+{
+	if (g->done == g->count)
+		return true;
+	for (unsigned int i = 0; i < g->count; i++)
+		if (g->task[i].state == TASK_ASSIGNED)
 			return true;
-	}
 	return false;
 }
 
+static bool is_group_due(const struct lead *l, struct work_group *g, int64_t now)
+{
+	if (g->row.changes <= g->row.stored) {
+		g->row.store_at = 0;
+		return false;
+	}
+	if (!g->row.store_at)
+		g->row.store_at = now + progress_ms(l);
+	return now >= g->row.store_at || is_awaited(g);
+}
+
+static bool is_due(const struct lead *l, struct work_job *job, int64_t now)
+{
+	bool due = job->row.changes > job->row.stored;
+
+	if (work_job_is_over(job))
+		return due;
+	for (guint i = 0; i < job->groups->len && !due; i++)
+		due = is_group_due(l, g_ptr_array_index(job->groups, i), now);
+	return due;
+}
+
 void lead_rows_flush(struct lead *l)
 {
 	int64_t now = sited_now_ms();
@@ -353,7 +386,7 @@
 		unsigned int part = part_index(job->id);
 		struct commit *c = l->commits[part];
 
-		if (!is_dirty(job) || now < l->commit_after[part])
+		if (now < l->commit_after[part] || !is_due(l, job, now))
 			continue;
 		if (!c) {
 			c = talloc_zero(l->d, struct commit);
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -199,6 +199,35 @@
 }
 END_TEST
 
+/* small twin of the large site: rows of wide steps filled the leader's link */
+START_TEST(the_row_of_a_wide_step_is_short)
+{
+	struct fleet *f = sample_fleet(NULL, 10, 10);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 470, 1));
+	struct work_group *read = sample_begin(sample_job(f, 1, 1, 470, 1));
+	char *text;
+
+	for (unsigned int i = 0; i < 150; i++) {
+		sample_run(&g->task[i], sample_server(f, i / 8 % 10), 0);
+		if (i < 80)
+			work_task_done(&g->task[i]);
+	}
+	text = work_group_encode(f, g);
+	/* within one segment's reach of what names the servers */
+	ck_assert_uint_le(strlen(text), 1500);
+	ck_assert(work_group_merge(read, str_from(text), sample_fleet(f, 10, 10), 99));
+	for (unsigned int i = 0; i < 470; i++)
+		ck_assert_int_eq(read->task[i].state, i < 80	? TASK_DONE
+						      : i < 150 ? TASK_UNSETTLED
+								: TASK_WAITING);
+	ck_assert(!work_group_merge(
+		read, str_from("{\"servers\":[],\"tasks\":[[471,0,0,0,-1,\"\"]]}"), f, 99));
+	ck_assert(!work_group_merge(read, str_from("{\"servers\":[],\"tasks\":[[-1],[471]]}"), f,
+				    99));
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_newer_incarnation_knows_nothing_of_a_stored_assignment)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -243,6 +272,7 @@
 	tcase_add_test(t, members_of_a_gang_share_attempt_and_snapshot);
 	tcase_add_test(t, a_job_survives_its_row);
 	tcase_add_test(t, a_later_leader_finds_tasks_unsettled);
+	tcase_add_test(t, the_row_of_a_wide_step_is_short);
 	tcase_add_test(t, a_newer_incarnation_knows_nothing_of_a_stored_assignment);
 	tcase_add_test(t, keys_of_groups_are_split_or_refused);
 }
