--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -16,6 +16,13 @@
 /* a new leader reads all rows and looks at all servers first, and may be slow to answer */
 #define NEW_LEADER_MS 4000
 #define SILENT_NEW_MS 1700
+/*
+ * Load pattern: VMs or links so small that a new leader, which reads all rows, is
+ * as silent as the one before and is replaced while it reads. Each change of the
+ * lead that soon follows another doubles the patience with the next leader.
+ */
+#define LEAD_CHANGES_MS 10000
+#define PATIENCE_DOUBLINGS_MAX 2
 #define REFUSALS_MAX 2	     /* pings that nothing took at its address */
 #define UNANSWERED_PROBE 2   /* pings without an answer, before the store is asked */
 #define CONTEND_SMALL_MS 120 /* longer than a transaction of a larger VM takes */
@@ -62,6 +69,10 @@
 	leader->address.port = row->port;
 	leader->term = MAX(leader->term, row->term);
 	leader->version = row->version;
+	leader->changes =
+		leader->vm[0] && base_now() - leader->known_at < LEAD_CHANGES_MS * BASE_NS_PER_MS
+			? leader->changes + 1
+			: 0;
 	leader->known_at = base_now();
 	leader->heard_at = 0;
 	leader->store_failing_ms = 0;
@@ -361,7 +372,11 @@
 {
 	bool is_new = d->leader.known_at + NEW_LEADER_MS * BASE_NS_PER_MS > base_now();
 
-	return (is_new ? SILENT_NEW_MS : SILENT_MS) + SILENT_PER_VM_MS * (int64_t)d->peers->len;
+	int64_t ms = is_new ? (int64_t)SILENT_NEW_MS
+				      << MIN(d->leader.changes, PATIENCE_DOUBLINGS_MAX)
+			    : SILENT_MS;
+
+	return ms + SILENT_PER_VM_MS * (int64_t)d->peers->len;
 }
 
 static void leader_missed(struct sited *d, enum onc_result result)
