Keep work that can't afford it from a server after one failure

After one failure a server gets only work with attempts to spare, for 3 s or until something ends well there; not when a quarter of the servers fail, which is the jobs' doing. A gang that stands still no longer has the server of an arbitrary member suspected for 8 s: a server is suspected when two gangs stood still there while nothing else got on.

Tests replay both loads.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -166,6 +166,7 @@
 
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now)
 {
+	sv->doubted_until = now + FLEET_DOUBT_MS;
 	if (sv->last_failed_job && !strcmp(sv->last_failed_job, job))
 		return false;
 	TALLOC_FREE(sv->last_failed_job);
@@ -176,9 +177,17 @@
 	return true;
 }
 
-void fleet_note_success(struct fleet_server *sv)
+void fleet_note_progress(struct fleet_server *sv, int64_t now)
+{
+	sv->progress_at = now;
+	sv->stalls = 0;
+}
+
+void fleet_note_success(struct fleet_server *sv, int64_t now)
 {
 	sv->failures = 0;
+	sv->doubted_until = 0;
+	fleet_note_progress(sv, now);
 	sv->suspect_span = 0;
 	TALLOC_FREE(sv->last_failed_job);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -76,6 +76,9 @@
  * @is_reachable: it answers
  * @suspect_until: no new work before, because of failures, in ms
  * @suspect_span: how long it was last suspected, in ms
+ * @doubted_until: the last task that ended there failed; no work that can't afford it, in ms
+ * @progress_at: something that runs there got on, or ended well, in ms
+ * @stalls: gangs that stood still there since then
  * @reserved_until: kept free for a gang that is expected to start then, in ms; of plan
  * @failures: ends "failed" in a row, of different jobs
  * @last_failed_job: id of the job that failed here last
@@ -101,6 +104,9 @@
 	bool is_reachable;
 	int64_t suspect_until;
 	int64_t suspect_span;
+	int64_t doubted_until;
+	int64_t progress_at;
+	unsigned int stalls;
 	int64_t reserved_until;
 	unsigned int failures;
 	char *last_failed_job;
@@ -152,11 +158,14 @@
 #define FLEET_FAILURES_MAX 2	   /* in a row, before a server is suspected */
 #define FLEET_SUSPECT_MS 8000	   /* first time without new work */
 #define FLEET_SUSPECT_MAX_MS 60000 /* doubled each time up to this */
+#define FLEET_DOUBT_MS 3000	   /* after one failure, by whatever job */
 
 /** fleet_note_failure() - a task of @job failed there; true when the server became suspect */
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now);
+/** fleet_note_progress() - something that runs there got on */
+void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - a task ended well there */
-void fleet_note_success(struct fleet_server *sv);
+void fleet_note_success(struct fleet_server *sv, int64_t now);
 /** fleet_suspect() - take no new work there for a while, whatever the reason */
 void fleet_suspect(struct fleet_server *sv, int64_t now);
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -44,7 +44,7 @@
 struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx);
 
 /** plan_begin_round() - what did not fit before may fit now */
-void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet);
+void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now);
 /**
  * plan_place() - servers for the waiting tasks of a group
  * @out: one entry for each task of the group; NULL where there is no server
@@ -101,5 +101,7 @@
 
 /** plan_progress() - judge a running task by what its server last reported */
 enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at);
+/** plan_server_stalls() - nothing that runs there has got on for as long as makes a task stalled */
+bool plan_server_stalls(const struct fleet_server *sv, int64_t now);
 
 #endif
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -1,6 +1,10 @@
 /*
  * Where a task runs.
  *
+ * Load pattern: some servers fail whatever they start, within milliseconds. They
+ * always have room, so that every job with few attempts loses them there. After
+ * one failure only work that can afford another tries the server.
+ *
  * Load pattern: tasks of one accelerator and tasks of a whole server come
  * mixed, and gangs want one rack. Best fit on accelerators keeps whole servers
  * free; a gang takes the rack that it fills most tightly, so that the others
@@ -13,21 +17,28 @@
 
 /* share of its run time that a task waits for a server near its data, in percent */
 #define DATA_PATIENCE_PERCENT 100
+#define RISK_ATTEMPTS_MIN 3 /* of a job whose tasks may try a server where others fail */
+/* when more than one server in so many is doubted, the jobs are to blame */
+#define DOUBT_SHARE 4
 
 struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx)
 {
 	return talloc_zero(ctx, struct plan_scratch);
 }
 
-void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet)
+void plan_begin_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
 {
+	unsigned int doubted = 0;
+
 	s->refusal_count = 0;
 	s->has_reserved = false;
 	for (guint i = 0; i < fleet->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		sv->reserved_until = 0;
+		doubted += sv->doubted_until > now;
 	}
+	s->ignores_doubt = doubted * DOUBT_SHARE > fleet->all->len;
 }
 
 static unsigned int mates_on(const struct fleet_server *sv, const struct work_group *group)
@@ -62,8 +73,17 @@
 	}
 }
 
-static bool is_candidate(const struct fleet_server *sv, const struct work_group *group, int64_t now)
+/* one failure more or two leave the job its attempts; a gang fails with any of its members */
+static bool can_afford_failure(const struct work_group *group)
+{
+	return !group->step->is_gang && group->job->attempts >= RISK_ATTEMPTS_MIN;
+}
+
+static bool is_candidate(const struct plan_scratch *s, const struct fleet_server *sv,
+			 const struct work_group *group, int64_t now)
 {
+	if (sv->doubted_until > now && !s->ignores_doubt && !can_afford_failure(group))
+		return false;
 	return fleet_takes_work(sv, now) && suits(sv, group) && plan_may_use(sv, group, now);
 }
 
@@ -75,7 +95,7 @@
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
-		if (is_candidate(sv, group, now))
+		if (is_candidate(s, sv, group, now))
 			s->rack_first[sv->rack + 1]++;
 	}
 	for (unsigned int rack = 0; rack < s->racks; rack++)
@@ -107,7 +127,7 @@
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		/* rack_places counts those filled so far */
-		if (is_candidate(sv, group, now))
+		if (is_candidate(s, sv, group, now))
 			fill_try(&s->tries[s->rack_first[sv->rack] + s->rack_places[sv->rack]++],
 				 sv, group, stopping_is_free);
 	}
--- a/lib/plan/plan_progress.c
+++ b/lib/plan/plan_progress.c
@@ -87,3 +87,8 @@
 		return PROGRESS_GOOD;
 	return is_slow(t) ? PROGRESS_SLOW : PROGRESS_GOOD;
 }
+
+bool plan_server_stalls(const struct fleet_server *sv, int64_t now)
+{
+	return now - sv->progress_at > STALL_MIN_MS;
+}
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -38,6 +38,7 @@
  * @rack_first: index of the first candidate of each rack, and past the last of the last
  * @saved: copy of @tries to go back to
  * @rack_places: for each rack, tasks of the group that it has room for
+ * @ignores_doubt: so many servers are doubted that it says nothing of them
  * @has_reserved: servers are kept for a gang in this round
  * @refusals: needs for which there was no room in this round
  */
@@ -49,6 +50,7 @@
 	unsigned int *rack_first;
 	unsigned int *rack_places;
 	unsigned int racks;
+	bool ignores_doubt;
 	bool has_reserved;
 	struct plan_refusal refusals[PLAN_REFUSALS_MAX];
 	unsigned int refusal_count;
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -446,7 +446,7 @@
 	if (!l->is_handing_over) {
 		redeem_all(l, &at);
 		ready = collect_ready(l, &at);
-		plan_begin_round(l->scratch, l->fleet);
+		plan_begin_round(l->scratch, l->fleet, at.now);
 		for (guint i = 0; i < ready->len; i++)
 			place_group(l, g_array_index(ready, struct ranked, i).group, &at);
 		g_array_free(ready, TRUE);
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -19,6 +19,7 @@
 #define STOP_RETRY_MS 150
 /* a server that has less room than thought is asked again after so long */
 #define ROOM_SUSPECT_MS 500
+#define STALLS_MAX 2 /* gangs that stood still on a server while nothing else got on there */
 /* a server that left an order without an answer gets no other work until a look was tried */
 #define SILENT_SUSPECT_MS 1000
 
@@ -342,6 +343,30 @@
 	return g && index < g->count ? &g->task[index] : NULL;
 }
 
+/*
+ * Members of a gang pace each other, so that all stand still with one. What else
+ * runs on their servers tells which of them it is.
+ */
+static void suspect_stalled(struct work_task *t, int64_t now)
+{
+	struct work_group *g = t->group;
+
+	if (!g->step->is_gang) {
+		fleet_suspect(t->server, now);
+		return;
+	}
+	for (unsigned int i = 0; i < g->count; i++) {
+		struct fleet_server *sv = g->task[i].server;
+
+		if (!sv || !plan_server_stalls(sv, now) || sv->suspect_until > now)
+			continue;
+		/* of a gang's servers all but one are sound; two gangs meet on the one that isn't
+		 */
+		if (++sv->stalls >= STALLS_MAX)
+			fleet_suspect(sv, now);
+	}
+}
+
 static void check_progress(struct lead *l, struct work_task *t)
 {
 	struct plan_clock at = {sited_now_ms(), sited_wall_ms()};
@@ -356,7 +381,7 @@
 		note_task("task_slow", t, t->server, "a new start elsewhere ends sooner");
 		break;
 	}
-	fleet_suspect(t->server, at.now);
+	suspect_stalled(t, at.now);
 	if (t->group->step->is_gang)
 		lead_group_stop(l, t->group, "a member of its gang does not get on");
 	else
@@ -393,6 +418,7 @@
 	if (run->percent != t->percent) {
 		t->percent = run->percent;
 		t->progress_at = sited_now_ms();
+		fleet_note_progress(sv, t->progress_at);
 	}
 	if (t->state == TASK_RUNNING)
 		check_progress(l, t);
@@ -402,7 +428,7 @@
 {
 	struct work_group *g = t->group;
 
-	fleet_note_success(sv);
+	fleet_note_success(sv, sited_now_ms());
 	if (t->server == sv)
 		work_task_done(t);
 	else
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -80,7 +80,7 @@
 	fleet_suspect(sv, 0);
 	fleet_suspect(sv, 0);
 	ck_assert_int_eq(sv->suspect_until, 2 * FLEET_SUSPECT_MS);
-	fleet_note_success(sv);
+	fleet_note_success(sv, 0);
 	fleet_suspect(sv, 0);
 	ck_assert_int_eq(sv->suspect_until, FLEET_SUSPECT_MS);
 	talloc_free(f);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -64,7 +64,7 @@
 {
 	struct plan_scratch *s = plan_scratch_new(f);
 
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	return plan_place(s, f, g, &start, out);
 }
 
@@ -176,6 +176,76 @@
 }
 END_TEST
 
+/*
+ * Large site, scale-2: a twelfth of the servers fail whatever they start, and
+ * have room again at once. A gang with two attempts lost both there.
+ */
+START_TEST(servers_that_fail_all_they_start_take_one_attempt_of_a_gang)
+{
+	struct fleet *f = sample_fleet(NULL, 24, 8);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *gang = sample_gang(f, 1, 1, 8, 4);
+	struct fleet_server *out[8];
+	unsigned int failed = 0;
+
+	/* others are so full that the gang just fits; those that fail are empty */
+	for (unsigned int i = 0; i < 22; i++)
+		sample_run(&sample_begin(sample_job(f, 10 + i, 1, 1, 4))->task[0],
+			   sample_server(f, i), start.now);
+	for (unsigned int attempt = 0; attempt < 4; attempt++) {
+		bool fails = false;
+
+		plan_begin_round(s, f, start.now);
+		ck_assert_uint_eq(plan_place(s, f, gang, &start, out), 8);
+		for (unsigned int i = 0; i < 8; i++) {
+			if (out[i] != sample_server(f, 22) && out[i] != sample_server(f, 23))
+				continue;
+			fleet_note_failure(out[i], gang->job->id, start.now);
+			fails = true;
+		}
+		failed += fails;
+		/* the first attempt may meet them; best fit leaves them for last else */
+		fleet_note_failure(sample_server(f, 22), "another", start.now);
+		fleet_note_failure(sample_server(f, 23), "another", start.now);
+	}
+	ck_assert_uint_le(failed, 1);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_server_that_failed_is_tried_by_work_that_can_afford_it)
+{
+	struct fleet *f = sample_fleet(NULL, 8, 8);
+	struct work_job *patient = sample_job(f, 1, 1, 1, 1);
+	struct work_group *pressed = sample_begin(sample_job(f, 2, 1, 1, 1));
+	struct fleet_server *out[1];
+
+	patient->attempts = 4;
+	for (unsigned int i = 1; i < 8; i++)
+		sample_server(f, i)->presence = FLEET_DRAINING;
+	fleet_note_failure(sample_server(f, 0), "another", start.now);
+	ck_assert_uint_eq(place(f, sample_begin(patient), out), 1);
+	ck_assert_uint_eq(place(f, pressed, out), 0);
+	fleet_note_success(sample_server(f, 0), start.now);
+	ck_assert_uint_eq(place(f, pressed, out), 1);
+	talloc_free(f);
+}
+END_TEST
+
+/* many jobs that can never be done come at once */
+START_TEST(jobs_that_fail_everywhere_condemn_no_servers)
+{
+	struct fleet *f = sample_fleet(NULL, 8, 8);
+	struct work_group *g = sample_begin(sample_job(f, 1, 1, 1, 1));
+	struct fleet_server *out[1];
+
+	for (unsigned int i = 0; i < 8; i++)
+		fleet_note_failure(sample_server(f, i), "poison", start.now);
+	ck_assert_uint_eq(place(f, g, out), 1);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_need_without_room_is_not_tried_again_in_the_round)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -186,12 +256,12 @@
 	struct fleet_server *out[1];
 
 	sample_run(&full->task[0], sample_server(f, 0), 0);
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
 	ck_assert_uint_eq(plan_place(s, f, small, &start, out), 1);
 	work_task_release(&full->task[0]);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 0);
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	ck_assert_uint_eq(plan_place(s, f, large, &start, out), 1);
 	talloc_free(f);
 }
@@ -209,7 +279,7 @@
 {
 	struct fleet_server *out[SERVERS];
 
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	if (plan_place(s, f, gang, at, out))
 		return true;
 	plan_reserve(s, f, gang, at);
@@ -268,11 +338,11 @@
 	sample_run(&running->task[0], sample_server(f, 0), start.now - 1000);
 	gang->ready_since = start.now - 5000;
 	quick->step[0].estimate_ms = 1000;
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	ck_assert(plan_reserve(s, f, gang, &start));
 	ck_assert_uint_eq(plan_place(s, f, slow, &start, out), 0);
 	ck_assert_uint_eq(plan_place(s, f, urgent, &start, out), 1);
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	ck_assert(plan_reserve(s, f, gang, &start));
 	ck_assert_uint_eq(plan_place(s, f, sample_begin(quick), &start, out), 1);
 	talloc_free(f);
@@ -288,7 +358,7 @@
 
 	sample_run(&running->task[0], sample_server(f, 0), start.now);
 	gang->ready_since = start.now;
-	plan_begin_round(s, f);
+	plan_begin_round(s, f, start.now);
 	ck_assert(!plan_reserve(s, f, gang, &start));
 	talloc_free(f);
 }
@@ -422,6 +492,18 @@
 }
 END_TEST
 
+START_TEST(a_server_where_something_gets_on_does_not_stall)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+
+	sample_server(f, 0)->progress_at = start.now - 300;
+	sample_server(f, 1)->progress_at = start.now - 6000;
+	ck_assert(!plan_server_stalls(sample_server(f, 0), start.now));
+	ck_assert(plan_server_stalls(sample_server(f, 1), start.now));
+	talloc_free(f);
+}
+END_TEST
+
 /* grown Kolkhi quiet-1: three quarters of the work thrown away */
 START_TEST(a_member_of_a_gang_that_waits_for_the_others_is_not_stalled)
 {
@@ -478,6 +560,9 @@
 	tcase_add_test(t, work_waits_a_while_for_a_server_near_its_data);
 	tcase_add_test(t, no_more_of_a_step_on_one_server_than_it_allows);
 	tcase_add_test(t, servers_that_take_no_work_get_none);
+	tcase_add_test(t, servers_that_fail_all_they_start_take_one_attempt_of_a_gang);
+	tcase_add_test(t, a_server_that_failed_is_tried_by_work_that_can_afford_it);
+	tcase_add_test(t, jobs_that_fail_everywhere_condemn_no_servers);
 	tcase_add_test(t, a_need_without_room_is_not_tried_again_in_the_round);
 	tcase_add_test(t, single_tasks_do_not_starve_a_gang);
 	tcase_add_test(t, what_ends_in_time_may_use_kept_servers);
@@ -488,6 +573,7 @@
 	tcase_add_test(t, urgent_work_stops_no_urgent_work);
 	tcase_add_test(t, room_of_what_already_stops_is_used_first);
 	tcase_add_test(t, a_task_that_stands_still_is_stalled);
+	tcase_add_test(t, a_server_where_something_gets_on_does_not_stall);
 	tcase_add_test(t, a_member_of_a_gang_that_waits_for_the_others_is_not_stalled);
 	tcase_add_test(t, progress_before_a_checkpoint_does_not_count_for_the_pace);
 	tcase_add_test(t, a_declaration_that_is_off_makes_no_server_slow);
