Ask callers to return after a second in an outage too

Cause: callers of all sites wait 3 s for an answer in all. Two seconds left them one more try, and none when the outage ended in their last second.

--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -5,8 +5,11 @@
 
 #include <string.h>
 
-#define RETRY_AFTER_S 1	       /* a missing configuration or leader is there in a second */
-#define RETRY_AFTER_OUTAGE_S 2 /* outages last several seconds, callers retry a few times only */
+/*
+ * A missing configuration or leader is there in a second. An outage may be over
+ * at any moment, and callers have 3 s in all: sooner returns give them more tries.
+ */
+#define RETRY_AFTER_S 1
 #define CONFIRM_RESERVE_MS 100 /* of the caller's time, kept to answer */
 /* a VM without a way to the store for longer sends callers elsewhere */
 #define READY_FAILING_MAX_MS 400
@@ -55,11 +58,6 @@
 		httpd_reply_header(req, "Connection", "close");
 }
 
-static unsigned int retry_after_s(const struct sited *d)
-{
-	return store_failing_ms(d->store) ? RETRY_AFTER_OUTAGE_S : RETRY_AFTER_S;
-}
-
 static void note(const struct front_call *c, unsigned int status, const char *state,
 		 const char *reason)
 {
@@ -89,7 +87,7 @@
 	else if (status == 200)
 		callers_reply_ok(req);
 	else
-		callers_reply_error(req, status, reason, status == 503 ? retry_after_s(c->d) : 0);
+		callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
 out:
 	talloc_free(c);
 }
@@ -125,7 +123,7 @@
 		  "status", (json_int_t)status, "reason", reason, "config",
 		  (json_int_t)(d->queues ? d->queues->version : 0));
 	close_if_stopping(d, req);
-	callers_reply_error(req, status, reason, status == 503 ? retry_after_s(d) : 0);
+	callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
 }
 
 static void reply_pending(struct sited *d, struct httpd_request *req, const struct queue *queue)
