Count no silence of a server as a standstill, and act on nothing after a pause

Operators of similar systems told of machines that were only silent and had their work started again elsewhere. It could happen here: a server that was silent for 3 s and then listed a task with the progress of before was taken to hold a task that stands still; and the members of a gang were stopped because one of them was on a server that did not answer. The time in which nothing was seen of a task no longer counts, and a gang with a member on a silent server is not judged until that server answers or its leases are over.

They told as well of processes that were paused and acted on a permission that had run out. Here orders of a former term are refused by the servers, leases are times on the servers' clocks, and every start follows a transaction that expects the claim. A leader that notices that it was paused now also places nothing and renews no lease before the store has said again that it leads.

--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -92,6 +92,14 @@
 	return (int64_t)ts.tv_sec * 1000000000LL + ts.tv_nsec;
 }
 
+int64_t base_boot_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000000000LL + ts.tv_nsec;
+}
+
 int64_t base_deadline_in(int64_t ms)
 {
 	return base_now() + ms * BASE_NS_PER_MS;
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -77,6 +77,9 @@
 
 /* ---- time: a deadline is a point on this process's monotonic clock ---- */
 
+/** base_boot_now() - like base_now(), but goes on while the VM is suspended; ns */
+int64_t base_boot_now(void);
+
 /** base_now() - monotonic clock in ns */
 int64_t base_now(void);
 /** base_deadline_in() - the deadline @ms milliseconds from now */
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -13,6 +13,7 @@
 #define ROUND_DELAY_MS 2      /* events that come together are handled by one round */
 #define ROUND_SHARE 4	      /* rounds take at most one part in so many of the time */
 #define ROUND_EVERY_MS 100    /* time alone makes things due: occurrences, patience, promises */
+#define PAUSE_MS 1000	      /* a tick later than this: the VM was paused, or as good as */
 #define DUE_MARGIN_MS 15      /* clocks of VMs differ a little; a timed job must not be early */
 #define PROMISE_MARGIN_MS 400 /* on top of the longest stop; then victims' server is gone */
 #define STOP_LISTED_MS 300    /* from a stop's end until the next start there is stored */
@@ -45,10 +46,63 @@
 	return 0;
 }
 
+/* ---- a VM that was paused ---- */
+
+struct confirming {
+	struct sited *d;
+	uint64_t serial;
+	int64_t sent_at;
+};
+
+static void on_confirmed(const struct store_result *r, void *data)
+{
+	struct confirming *c = data;
+	struct lead *l = lead_current(c->d, c->serial);
+	bool found = r->status == STORE_OK && r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY);
+
+	if (l && found && r->rows[0].version == l->row_version) {
+		l->confirmed_at = MAX(l->confirmed_at, c->sent_at);
+		log_event("lead_confirmed", "{sI sI}", "term", (json_int_t)l->term, "took_ms",
+			  (json_int_t)(sited_now_ms() - c->sent_at));
+		lead_kick(l);
+	} else if (l && found) {
+		sited_check_row(c->d, &r->rows[0]);
+	}
+	talloc_free(c);
+}
+
+/* the feed, which confirms the lead too, may wait for a second */
+static void confirm_now(struct lead *l)
+{
+	static const struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+	struct confirming *c = talloc_zero(l->d, struct confirming);
+
+	c->d = l->d;
+	c->serial = l->serial;
+	c->sent_at = sited_now_ms();
+	store_read(l->d->store, &range, base_deadline_in(SITED_CALL_MS), on_confirmed, c);
+}
+
+bool lead_may_act(struct lead *l)
+{
+	int64_t late_ms = (base_boot_now() - l->ticked_at) / BASE_NS_PER_MS;
+
+	if (l->ticked_at && late_ms > PAUSE_MS) {
+		l->ticked_at = base_boot_now();
+		l->woke_at = sited_now_ms();
+		log_event("lead_paused", "{sI sI}", "term", (json_int_t)l->term, "for_ms",
+			  (json_int_t)late_ms);
+		confirm_now(l);
+	}
+	return l->confirmed_at >= l->woke_at;
+}
+
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct lead *l = data;
 
+	lead_may_act(l);
+	l->ticked_at = base_boot_now();
 	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_EVERY_MS), on_tick, l);
 	lead_agents_tick(l);
 	if (!l->is_loaded)
@@ -450,6 +504,8 @@
 	GArray *ready;
 
 	l->round = NULL;
+	if (!lead_may_act(l))
+		return;
 	begin_due(l, at.wall);
 	if (!l->is_handing_over) {
 		redeem_all(l, &at);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -24,6 +24,8 @@
  * @started_at: when the lead was won, on base_now()'s clock
  * @row_version: version of the row that made this VM lead
  * @confirmed_at: the store said at that time that this VM still leads, ms
+ * @ticked_at: when the term's timer fired last, on base_boot_now()'s clock
+ * @woke_at: when it was noticed that this VM had been paused, ms; 0 before
  * @is_loaded: all rows have been read; before, nothing is placed
  * @loads: reads still under way
  * @jobs: id to struct work_job, all that are stored
@@ -50,6 +52,8 @@
 	int64_t started_at;
 	int64_t row_version;
 	int64_t confirmed_at;
+	int64_t ticked_at;
+	int64_t woke_at;
 	bool is_loaded;
 	unsigned int loads;
 	GHashTable *jobs;
@@ -90,6 +94,7 @@
  * @misses: looks in a row without an answer
  * @next_look: no look before, monotonic ms
  * @last_look: when the newest look was sent, monotonic ms
+ * @answered_at: when the newest look was answered, monotonic ms; 0 before
  * @timer: pending call for the next look, or NULL
  * @agent: which of the agents carries out its orders, as of @agent_version
  * @agent_version: of struct agents, 0 before the first order
@@ -113,6 +118,7 @@
 	unsigned int misses;
 	int64_t next_look;
 	int64_t last_look;
+	int64_t answered_at;
 	struct mtimer *timer;
 	int agent;
 	uint64_t agent_version;
@@ -130,6 +136,12 @@
 struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
 /** lead_term_of() - term in the row of a leader or of a claim, 0 when it can't be read */
 int64_t lead_term_of(const struct store_row *row);
+/**
+ * lead_may_act() - the store has said that this VM leads since it was last paused
+ *
+ * Nothing is placed and no lease is renewed on a permission from before a pause.
+ */
+bool lead_may_act(struct lead *l);
 /** lead_kick() - have a round soon */
 void lead_kick(struct lead *l);
 /** lead_gauges() - appends what is taken and free to @text, in the common text format */
@@ -178,6 +190,8 @@
  * Return: false when a newer term was seen; this VM leads no more, and @l is gone.
  */
 bool lead_server_answered(struct lead *l, struct fleet_server *sv, const struct order_result *r);
+/** lead_server_is_silent() - a busy server has not answered for longer than a look waits */
+bool lead_server_is_silent(struct lead *l, struct fleet_server *sv);
 /** lead_server_lost() - this incarnation runs nothing any more */
 void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why);
 /** lead_server_lease() - lease to ask for, on the server's clock */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -23,6 +23,7 @@
 #define RENEW_EVERY_MS 1500 /* a look without a wait, while ends can't be stored */
 #define ACK_LATER_MS 1500   /* ends of a server that runs nothing more are acknowledged so late */
 #define LEASE_MARGIN_MS 60
+#define SEEN_EVERY_MS (ORDERS_LOOK_WAIT_MAX_MS + LOOK_ANSWER_MS) /* a busy server, at least */
 #define LIST_AGE_MAX_MS 1000  /* of an entry in the list of servers */
 #define DOMAINS_MAX 32	      /* failure domains of a site; 11 are designed for */
 #define SILENT_MS 700	      /* a server that answered within it is not out of reach */
@@ -199,9 +200,9 @@
 }
 
 /* this leader may be replaced without knowing it, so it must not renew for ever */
-static bool may_renew(const struct lead *l)
+static bool may_renew(struct lead *l)
 {
-	return sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
+	return lead_may_act(l) && sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
 }
 
 /* ---- looks ---- */
@@ -255,6 +256,32 @@
 	g_ptr_array_free(tasks, TRUE);
 }
 
+/*
+ * Load pattern: a backend server, its VM or its link is silent for seconds, and
+ * what runs there runs on or waits. Nothing was seen of it meanwhile, so that
+ * time is no standstill.
+ */
+static void allow_for_silence(struct server_io *io, int64_t now)
+{
+	const GPtrArray *tasks = io->sv->tasks;
+	int64_t silent = io->answered_at ? now - io->answered_at - SEEN_EVERY_MS : 0;
+
+	io->answered_at = now;
+	for (guint i = 0; silent > 0 && i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+
+		t->progress_at += silent;
+		t->first_at += silent;
+	}
+}
+
+bool lead_server_is_silent(struct lead *l, struct fleet_server *sv)
+{
+	const struct server_io *io = lead_io(l, sv);
+
+	return io->misses || (io->answered_at && sited_now_ms() - io->answered_at > SEEN_EVERY_MS);
+}
+
 static void look_answered(struct lead *l, const struct look *look, const struct order_result *r)
 {
 	struct fleet_server *sv = look->sv;
@@ -268,6 +295,7 @@
 	sv->is_fenced = true;
 	sv->is_reachable = true;
 	io->misses = 0;
+	allow_for_silence(io, sited_now_ms());
 	io->told = MAX(io->told, look->acknowledged);
 	take_ends(l, sv, r);
 	memset(&sv->unclaimed, 0, sizeof(sv->unclaimed));
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -367,10 +367,23 @@
 	}
 }
 
+static bool has_silent_member(struct lead *l, const struct work_group *g)
+{
+	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
+		if (g->task[i].server && lead_server_is_silent(l, g->task[i].server))
+			return true;
+	return false;
+}
+
 static void check_progress(struct lead *l, struct work_task *t)
 {
 	struct plan_clock at = {sited_now_ms(), sited_wall_ms()};
 
+	/* its members stand still with it, until it answers or its leases are over */
+	if (has_silent_member(l, t->group)) {
+		t->progress_at = at.now;
+		return;
+	}
 	switch (plan_progress(t, &at)) {
 	case PROGRESS_GOOD:
 		return;
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -149,6 +149,32 @@
 }
 END_TEST
 
+/* a server of another version, or one whose memory failed */
+START_TEST(answers_with_values_of_other_types_do_no_harm)
+{
+	static const char *const answers[] = {
+		"{\"running\":[1,null,[],[null,\"x\",3,\"y\"]],\"ended\":[[]]}",
+		"{\"ended\":[[1,\"t\",1,7,null]]}",
+		"{\"ended\":[[\"1\",{},[],{},{}],null,\"x\"]}",
+		"{\"ended\":{\"a\":1},\"running\":\"x\",\"clock-ms\":\"y\",\"born\":[]}",
+		"{\"running\":[[\"\",-1,\"\",1e300]],\"ended\":[[-9,\"\",-1,\"done\",\"\"]]}",
+	};
+	struct fixture *f = fixture_new(200, "{}");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		struct order_target to = target(f);
+		struct order_look look = {.wait_ms = 10};
+
+		f->http->answer = answers[i];
+		orders_look(f->orders, &to, &look, on_done, f);
+		while (!f->is_done)
+			tevent_loop_once(f->ev);
+		ck_assert_int_eq(f->result, ORDER_DONE);
+	}
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(names_of_tasks_are_parsed_or_refused)
 {
 	char id[WORK_ID_LEN + 1];
@@ -170,6 +196,7 @@
 	tcase_add_test(t, a_start_names_task_attempt_fence_and_server);
 	tcase_add_test(t, refusals_are_told_apart);
 	tcase_add_test(t, a_look_lists_runs_and_ends);
+	tcase_add_test(t, answers_with_values_of_other_types_do_no_harm);
 	tcase_add_test(t, names_of_tasks_are_parsed_or_refused);
 }
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -495,6 +495,43 @@
     await cut
 
 
+async def leader_wakes_after_its_time(site):
+    """It placed work on a permission from before it was paused, while another led."""
+    for _ in range(3):
+        leader = site.leader()
+        site.faults.append("pause")
+        leader.send(signal.SIGSTOP)
+        await asyncio.sleep(2.5)
+        leader.send(signal.SIGCONT)
+        await asyncio.sleep(1.5)
+    wins = sorted(site.events("lead_won"), key=lambda e: e["time_us"])
+    for before, after in zip(wins, wins[1:]):
+        late = [e for e in site.events("placed") if e["vm"] == before["vm"] != after["vm"]
+                and after["time_us"] < e["time_us"] < after["time_us"] + 6e6]
+        again = [w["time_us"] for w in wins if w["vm"] == before["vm"] and w["time_us"] > after["time_us"]]
+        late = [e for e in late if not again or e["time_us"] < min(again)]
+        site.expected.append(("%s places nothing under term %d" % (before["vm"], after["term"]), not late))
+
+
+async def servers_are_silent_for_a_while(site):
+    """Work on servers that had been silent for 3 s was taken to stand still and started elsewhere."""
+    for _ in range(4):
+        job = site.add_job()
+        job.count, job.steps, job.spec = 2, 1, {"ms": 15000, "gang": 0, "fail": 0}
+        await site.submit(job)
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+    await asyncio.sleep(3)
+    frozen = [s for s in site.pool.servers if any(r.spec["ms"] == 15000 for r in s.runs.values())]
+    for server in frozen:
+        server.silent = server.hang = True
+    await asyncio.sleep(3)
+    for server in frozen:
+        server.silent = server.hang = False
+    await asyncio.sleep(6)
+    stalled = list(site.events("task_stalled"))
+    site.expected.append(("nothing is taken to stand still, %d were" % len(stalled), bool(frozen) and not stalled))
+
+
 async def server_answers_no_more(site):
     """Looks without an answer put off the end of the leases, so its tasks never ran elsewhere."""
     server = max(site.pool.servers, key=lambda s: len(s.runs))
@@ -613,7 +650,7 @@
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
-             server_answers_no_more, small_leader_hands_over]
+             leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
