--- a/src/cli_log.c
+++ b/src/cli_log.c
@@ -17,7 +17,8 @@
 	"store_lost",	     "store_regained",	 "server_unreachable",
 	"server_lost",	     "server_suspected", "config_taken",
 	"started",	     "stopping",	 "stopped",
-	"feed_history_gone",
+	"feed_history_gone", "lead_paused",	 "lead_confirmed",
+	"agent_silent",	     "agents_changed",	 "lease_renewed_alone",
 };
 
 /* fields that each line has, or that are shown by themselves */
--- a/src/sited.h
+++ b/src/sited.h
@@ -184,6 +184,9 @@
 
 /* ---- sited_agent.c ---- */
 
+/* the payload of a job is kept at least so long after its last start */
+#define AGENT_PAYLOAD_MS 20000
+
 /** sited_agent_start() - renew leases while a leader that this VM helps is silent */
 void sited_agent_start(struct sited *d);
 /** sited_on_start(), sited_on_stop(), sited_on_look() - carry out an order of the leader */
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -3,7 +3,7 @@
  * is sent once, and its answer passed back. While the leader is silent, leases
  * of servers that it last had looked at from here are renewed, see lib/renewal.
  */
-#include "sited_lead.h"
+#include "sited.h"
 
 #include <string.h>
 
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -243,6 +243,7 @@
 {
 	struct fleet_amount sum[4] = {{0}};
 	static const char *const names[] = {"capacity", "used", "promised", "unclaimed"};
+	int64_t kept = 0;
 
 	for (guint i = 0; i < l->fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
@@ -256,7 +257,16 @@
 		text = talloc_asprintf_append_buffer(
 			text, "currantlane_accelerators{state=\"%s\"} %" PRId64 "\n", names[i],
 			sum[i].accelerators);
-	return talloc_asprintf_append_buffer(text, "currantlane_jobs_active %u\n", l->active->len);
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+
+		kept += sv->is_kept ? MAX(fleet_room(sv).accelerators, 0) : 0;
+	}
+	return talloc_asprintf_append_buffer(
+		text,
+		"currantlane_accelerators{state=\"kept\"} %" PRId64
+		"\ncurrantlane_agents %u\ncurrantlane_probes %u\ncurrantlane_jobs_active %u\n",
+		kept, lead_agents_count(l), l->probes, l->active->len);
 }
 
 /* ---- placing ---- */
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -216,9 +216,6 @@
 	int64_t renewal_limit;
 };
 
-/* an agent keeps the payload of a job at least so long after its last start */
-#define AGENT_PAYLOAD_MS 20000
-
 struct agents *lead_agents_new(struct lead *l);
 /** lead_agents_tick() - take over who was heard lately */
 void lead_agents_tick(struct lead *l);
