Let large VMs go first after an outage; tell a restarted agent the payloads again

A small VM that knew of a large one within 10 s now contends 0.8 s after the large ones, not 0.12 s.

Found by reading: an agent that was started again has no payloads that the leader took it to have. Each start through it was sent a second time by the leader, for up to 10 s, and its server avoided for 1 s; the leader now forgets what an agent has when a start gets no answer.

--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -210,7 +210,7 @@
 	struct sited *d;
 	uint64_t serial;
 	struct fleet_server *sv; /* valid while the lead is */
-	bool is_look;
+	enum sited_proc proc;
 	char vm[64];
 	order_done *done;
 	void *data;
@@ -274,6 +274,14 @@
 		io->lease_limit = 0;
 }
 
+static void forget_payloads(struct lead *l, const char *vm)
+{
+	struct agent *agent = find_agent(l->agents, vm);
+
+	if (agent)
+		g_hash_table_remove_all(agent->payloads);
+}
+
 static void on_agent_answer(enum onc_result result, void *res, void *data)
 {
 	struct agent_call *call = data;
@@ -285,8 +293,11 @@
 			 call->vm);
 		r = (struct order_result){.status = ORDER_UNKNOWN};
 	}
-	if (result == ONC_OK && l && call->is_look)
+	if (result == ONC_OK && l && call->proc == SITED_PROC_LOOK)
 		take_renewals(l, call, res);
+	/* an agent that was started again has no payloads any more */
+	if (call->proc == SITED_PROC_START && r.status == ORDER_UNKNOWN && l)
+		forget_payloads(l, call->vm);
 	if (result != ONC_OK && l)
 		avoid_agent(l, call->vm, result);
 	call->done(&r, call->data);
@@ -325,7 +336,7 @@
 	call->d = l->d;
 	call->serial = l->serial;
 	call->sv = to->sv;
-	call->is_look = proc == SITED_PROC_LOOK;
+	call->proc = proc;
 	g_strlcpy(call->vm, agent->vm, sizeof(call->vm));
 	call->done = done;
 	call->data = data;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -26,6 +26,8 @@
 #define REFUSALS_MAX 2	     /* pings that nothing took at its address */
 #define UNANSWERED_PROBE 2   /* pings without an answer, before the store is asked */
 #define CONTEND_SMALL_MS 120 /* longer than a transaction of a larger VM takes */
+/* after an outage of the store, transactions of large VMs may still be lost or on their way */
+#define CONTEND_SMALL_LAST_MS 800
 #define SMALL_LEADS_MIN_MS 3000
 #define CONTEND_SPREAD_MS 20	   /* so that not all contend at the same moment */
 #define CONTEND_SPREAD_PER_VM_MS 2 /* a transaction takes 8 ms, and one follows the other */
@@ -270,7 +272,10 @@
 	int64_t delay = (int64_t)(base_random64() % (uint64_t)spread_ms) +
 			MIN(age_ms / AGE_PER_DELAY, CONTEND_AGE_MAX_MS);
 
-	return sited_is_large(d) ? delay : delay + spread_ms + CONTEND_SMALL_MS;
+	if (sited_is_large(d))
+		return delay;
+	return delay + spread_ms +
+	       (sited_knew_large_peer(d) ? CONTEND_SMALL_LAST_MS : CONTEND_SMALL_MS);
 }
 
 static void contend(struct sited *d, const char *why)
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -8,16 +8,17 @@
 #include "mtimer/mtimer.h"
 #include "sited_lead.h"
 
-#define PING_ANSWER_MS 1000  /* a leader that is busy answers late, and is alive */
-#define PEER_FORGET_MS 60000 /* a VM that was not heard of for so long has been replaced */
-#define PING_VMS_MAX 32	     /* VMs that ping on one tick; 160 pings a second take 2 % of a core */
-#define PING_TICKS_MAX 8     /* callers may be told numbers up to 2 s old */
-#define PEER_SILENT_MS 700   /* three pings of a VM did not come, in a small site */
-#define PEER_RECENT_MS 5000  /* a VM that pinged within this was there a moment ago */
-#define VMS_SAID_MAX 32	     /* in one answer; a VM needs a few others, not all */
-#define PEER_HEARD_MS 1500   /* what a VM said of its store is believed for so long */
-#define VMS_EVERY_MS 5000    /* the list of VMs changes with their restarts only */
-#define CONFIG_BEHIND_MAX 2  /* pings; an own feed brings a change within one */
+#define PING_ANSWER_MS 1000   /* a leader that is busy answers late, and is alive */
+#define PEER_FORGET_MS 60000  /* a VM that was not heard of for so long has been replaced */
+#define PING_VMS_MAX 32	      /* VMs that ping on one tick; 160 pings a second take 2 % of a core */
+#define PING_TICKS_MAX 8      /* callers may be told numbers up to 2 s old */
+#define PEER_SILENT_MS 700    /* three pings of a VM did not come, in a small site */
+#define LARGE_RECENT_MS 10000 /* the list of VMs comes every 5 s */
+#define PEER_RECENT_MS 5000   /* a VM that pinged within this was there a moment ago */
+#define VMS_SAID_MAX 32	      /* in one answer; a VM needs a few others, not all */
+#define PEER_HEARD_MS 1500    /* what a VM said of its store is believed for so long */
+#define VMS_EVERY_MS 5000     /* the list of VMs changes with their restarts only */
+#define CONFIG_BEHIND_MAX 2   /* pings; an own feed brings a change within one */
 #define CONFIG_ANSWER_MS 1000
 #define STORED_ANSWER_MS 1000
 #define VACANT_ANSWER_MS 1000
@@ -167,6 +168,17 @@
 	return false;
 }
 
+bool sited_knew_large_peer(const struct sited *d)
+{
+	for (guint i = 0; i < d->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(d->peers, i);
+
+		if (p->is_large && is_within(MAX(p->heard_at, p->known_at), LARGE_RECENT_MS))
+			return true;
+	}
+	return false;
+}
+
 unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max)
 {
 	int64_t silent_ms = PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -59,6 +59,8 @@
 unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max);
 /** sited_announce_lead() - ping the large VMs: they learn who leads, and are heard */
 void sited_announce_lead(struct sited *d);
+/** sited_knew_large_peer() - a VM that should lead instead of a small one was there lately */
+bool sited_knew_large_peer(const struct sited *d);
 /** sited_domain_is_silent() - no VM of another failure domain pings this leader any more */
 bool sited_domain_is_silent(const struct sited *d, const char *failure_domain);
 /** sited_relay_target() - a VM that answers and reaches the store, or NULL */
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -646,9 +646,40 @@
         site.expected.append((vm.name + " goes on", process.poll() is None))
 
 
-BY_AGENTS = [agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
+async def agent_is_started_again(site):
+    """It has no payloads of jobs that the leader takes it to have; their starts must still be made."""
+    job = site.add_job()
+    job.count, job.steps, job.spec = 40, 1, {"ms": 1500, "gang": 0, "fail": 0}
+    await site.submit(job)
+    site.following.append(asyncio.ensure_future(site.watch(job)))
+    await asyncio.sleep(0.5)
+    for server in site.pool.servers[:ZONES]:
+        await site.kill(agent_of(site, server))
+    await asyncio.sleep(8)
+
+
+async def large_vm_takes_over_after_an_outage(site):
+    """A small VM won, because the transactions of the large ones were lost in the outage."""
+    for vm in site.vms[2:]:
+        vm.resize(0.12)
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await asyncio.sleep(6)
+    leader, large, began = site.leader(), [vm.name for vm in site.vms[:2]], time.time() * 1e6
+    site.faults += ["kill", "silent store"]
+    outage = asyncio.ensure_future(site.store_mode("silent", 3))
+    await asyncio.sleep(0.3)
+    leader.send(signal.SIGKILL)
+    await outage
+    await asyncio.sleep(1.5)
+    small = [w["vm"] for w in site.events("lead_won") if w["time_us"] > began and w["vm"] not in large]
+    site.expected.append(("a large VM wins, %s did" % small, not small))
+
+
+BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
