--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -16,13 +16,11 @@
 /**
  * struct watched - a server whose leases this VM may renew
  * @born: incarnation that answered last; its clock counts from then
- * @acknowledged: ends up to this number may be forgotten there
  */
 struct watched {
 	struct renewal renewal;
 	int64_t born;
 	char *address;
-	int64_t acknowledged;
 };
 
 /* an order under way; @server of a look, else NULL */
@@ -89,7 +87,6 @@
 	}
 	talloc_free(w->address);
 	w->address = talloc_strdup(w, args->to.address);
-	w->acknowledged = MAX(w->acknowledged, args->acknowledged);
 	w->renewal.looks++;
 	renewal_order(&w->renewal, args->to.term, args->renewal_limit, sited_now_ms());
 }
@@ -153,7 +150,8 @@
 				  .address = w->address,
 				  .term = w->renewal.term,
 				  .deadline = base_deadline_in(RENEWAL_ANSWER_MS)};
-	struct order_look look = {.acknowledged = w->acknowledged, .lease_until = until};
+	/* acknowledges nothing: another incarnation may have the id, and counts its ends anew */
+	struct order_look look = {.lease_until = until};
 
 	ctx->d = d;
 	ctx->server = talloc_strdup(ctx, server);
