--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -270,8 +270,9 @@
 	for (guint i = 0; silent > 0 && i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 
-		t->progress_at += silent;
-		t->first_at += silent;
+		/* an idle server is not looked at either: what has begun since is not shifted */
+		t->progress_at = MIN(t->progress_at + silent, now);
+		t->first_at = MIN(t->first_at + silent, now);
 	}
 }
 
