--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -64,17 +64,16 @@
 static void set_leader(struct sited *d, const struct sited_leader_row *row, const char *source)
 {
 	struct sited_leader *leader = &d->leader;
+	bool follows_soon = leader->vm[0] && row->vm[0] &&
+			    base_now() - leader->known_at < LEAD_CHANGES_MS * BASE_NS_PER_MS;
 
+	leader->changes = follows_soon ? leader->changes + 1 : 0;
 	sited_drop_client(d, &d->leader.client);
 	g_strlcpy(leader->vm, row->vm, sizeof(leader->vm));
 	g_strlcpy(leader->address.ip, row->ip, sizeof(leader->address.ip));
 	leader->address.port = row->port;
 	leader->term = MAX(leader->term, row->term);
 	leader->version = row->version;
-	leader->changes =
-		leader->vm[0] && base_now() - leader->known_at < LEAD_CHANGES_MS * BASE_NS_PER_MS
-			? leader->changes + 1
-			: 0;
 	leader->known_at = base_now();
 	leader->heard_at = 0;
 	leader->store_failing_ms = 0;
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -360,7 +360,7 @@
 
 		if (!sv || !plan_server_stalls(sv, now) || sv->suspect_until > now)
 			continue;
-		/* of a gang's servers all but one are sound; two gangs meet on the one that isn't
+		/* all but one of a gang's servers are sound; two gangs meet on the one that isn't
 		 */
 		if (++sv->stalls >= STALLS_MAX)
 			fleet_suspect(sv, now);
