Drop an agent's connection with the agent; one figure of a peer's silence

The agent's destructor now drops its client, also where a VM is no longer heard. The silence after which a peer counts as gone was worked out in two places. A comment named an index where a pointer stands. Decisions are unchanged.

--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -22,12 +22,14 @@
 
 /**
  * struct agent - an entry VM that carries out orders
+ * @d: owns @client, whose callbacks may still be due when the lead is over
  * @client: RPC client to it; pings have their own
  * @avoid_until: no orders through it before, on base_now()'s clock
  * @payloads: ids of jobs whose payload it has; so a wide job's text is sent once
  * @payloads_since: when the oldest of them was sent, on base_now()'s clock
  */
 struct agent {
+	struct sited *d;
 	char vm[64];
 	char failure_domain[64];
 	bool is_large;
@@ -42,7 +44,7 @@
  * struct agents - all of them
  * @known: struct agent, each VM that was heard lately
  * @usable: those of @known that are not avoided, as struct share_vm
- * @of_usable: index in @known of each of @usable
+ * @of_usable: the agent of each entry of @usable
  * @version: counts changes of @usable
  */
 struct agents {
@@ -90,6 +92,7 @@
 static int agent_destructor(struct agent *agent)
 {
 	g_hash_table_destroy(agent->payloads);
+	sited_drop_client(agent->d, &agent->client);
 	return 0;
 }
 
@@ -105,6 +108,7 @@
 
 	if (!agent) {
 		agent = talloc_zero(a, struct agent);
+		agent->d = l->d;
 		agent->payloads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 		talloc_set_destructor(agent, agent_destructor);
 		g_strlcpy(agent->vm, vm->vm, sizeof(agent->vm));
@@ -134,7 +138,6 @@
 		if (k < count)
 			continue;
 		g_ptr_array_remove_index(a->known, i);
-		sited_drop_client(l->d, &agent->client);
 		talloc_free(agent);
 	}
 }
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -144,9 +144,15 @@
 	return MIN(d->peers->len / PING_VMS_MAX + 1, PING_TICKS_MAX);
 }
 
+/* a VM of a large site pings on one tick of several */
+static int64_t peer_silent_ms(const struct sited *d)
+{
+	return PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
+}
+
 bool sited_peers_are_missing(const struct sited *d)
 {
-	int64_t silent_ms = PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
+	int64_t silent_ms = peer_silent_ms(d);
 
 	for (guint i = 0; i < d->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(d->peers, i);
@@ -181,7 +187,7 @@
 
 unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max)
 {
-	int64_t silent_ms = PEER_SILENT_MS + (sited_ping_ticks(d) - 1) * SITED_TICK_MS;
+	int64_t silent_ms = peer_silent_ms(d);
 	unsigned int count = 0;
 
 	for (guint i = 0; i < d->peers->len && count < max; i++) {
