Rate a task by an earlier attempt's pace, and restart it once for its declared run time

At 67 s 142 of 336 accelerators were in use, 10 servers were empty, but only 18 of 42 accepted work; gangs whose tasks need a whole server found none. Ruled out: full pool, a leader that does not decide (it placed others).

Change: the pace of an attempt that was stopped for its pace is kept with the group and is what the next attempt is compared with. A task that is only behind its declared run time is restarted, but its server is not suspected.

Measured: the new test fails with the old rating (no task of the job ever ends).

--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -124,9 +124,12 @@
 enum plan_progress {
 	PROGRESS_NORMAL,
 	PROGRESS_STALLED, /* no progress for too long */
-	PROGRESS_SLOW,	  /* a restart on another server is expected to end sooner */
+	PROGRESS_SLOW,	  /* tasks of its group were several times as fast on other servers */
+	PROGRESS_OVERDUE, /* far behind the declared run time, with no other pace to compare */
 };
 
+/** plan_pace() - pace of a running task in percent per second, 0 when not known yet */
+double plan_pace(const struct work_task *t);
 /** plan_progress() - rate a running task by the progress that its server last reported */
 enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at);
 /** plan_server_is_stalled() - no task there has made progress for the minimum stall time */
--- a/lib/plan/plan_progress.c
+++ b/lib/plan/plan_progress.c
@@ -4,8 +4,12 @@
  * Load pattern: on some servers tasks stall or run several times too slowly, although
  * the servers answer all calls. A job completes with its last task, so such a task is
  * stopped and restarted on another server. Declared run times are off by a factor of
- * two or more. The pace of a task is therefore compared with that of its siblings, and
- * with the declared run time only when too few siblings have a known pace.
+ * two or more. The pace of a task is therefore compared with that of its siblings, or
+ * with the pace that an earlier attempt of the group had elsewhere.
+ *
+ * Load pattern: the declared run time of a job is a tenth of the real one, and all its
+ * tasks are on one server, so that there is no other pace. The declared run time then
+ * causes one restart at most: the second attempt shows that no server is at fault.
  */
 #include "plan.h"
 
@@ -17,11 +21,10 @@
 /* remaining time over that of a restart at the median pace of the siblings */
 #define SLOW_FACTOR 2.5
 #define SLOW_SIBLINGS_MIN 3 /* siblings with a known pace that the median needs */
-/* remaining time over the declared run time, when that median is unknown */
+/* remaining time over the declared run time, when no other pace is known */
 #define SLOW_ALONE_FACTOR 6
 
-/* 0 when not known yet */
-static double pace_percent_per_s(const struct work_task *t)
+double plan_pace(const struct work_task *t)
 {
 	int64_t observed_ms = t->progress_at - t->first_percent_at;
 
@@ -46,7 +49,7 @@
 
 	for (unsigned int i = 0; i < t->group->count; i++) {
 		const struct work_task *sibling = &t->group->task[i];
-		double pace = sibling->server != t->server ? pace_percent_per_s(sibling) : 0;
+		double pace = sibling->server != t->server ? plan_pace(sibling) : 0;
 
 		if (pace > 0)
 			g_array_append_val(paces, pace);
@@ -58,21 +61,25 @@
 	return median;
 }
 
-static bool is_slow(const struct work_task *t)
+static enum plan_progress rate_pace(const struct work_task *t)
 {
-	double pace = pace_percent_per_s(t);
-	double median_pace = pace > 0 ? siblings_pace(t) : 0;
-	double remaining = pace > 0 ? (100 - t->percent) * 1000.0 / pace : 0;
+	const struct work_group *g = t->group;
+	double pace = plan_pace(t);
+	double pace_elsewhere = pace > 0 ? siblings_pace(t) : 0;
+	double remaining_ms;
 	double restart_ms;
 
 	if (pace <= 0)
-		return false;
-	if (median_pace > 0) {
-		restart_ms = (t->group->step->checkpoints ? 100 - t->percent : 100) * 1000.0 /
-			     median_pace;
-		return remaining > SLOW_FACTOR * restart_ms;
-	}
-	return remaining > SLOW_ALONE_FACTOR * (double)t->group->step->estimate_ms;
+		return PROGRESS_NORMAL;
+	remaining_ms = (100 - t->percent) * 1000.0 / pace;
+	if (pace_elsewhere <= 0)
+		pace_elsewhere = g->earlier_pace;
+	if (pace_elsewhere <= 0)
+		return remaining_ms > SLOW_ALONE_FACTOR * (double)g->step->estimate_ms
+			       ? PROGRESS_OVERDUE
+			       : PROGRESS_NORMAL;
+	restart_ms = (g->step->checkpoints ? 100 - t->percent : 100) * 1000.0 / pace_elsewhere;
+	return remaining_ms > SLOW_FACTOR * restart_ms ? PROGRESS_SLOW : PROGRESS_NORMAL;
 }
 
 enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at)
@@ -90,7 +97,7 @@
 	/* outside its rack or data rack a task is expected to be slow; a gang runs at one pace */
 	if (step->same_rack || step->data_rack || step->is_gang)
 		return PROGRESS_NORMAL;
-	return is_slow(t) ? PROGRESS_SLOW : PROGRESS_NORMAL;
+	return rate_pace(t);
 }
 
 bool plan_server_is_stalled(const struct fleet_server *sv, int64_t now)
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -155,6 +155,8 @@
  * @wait_logged_at: when a log line last reported that it waits, monotonic ms; 0 before
  * @done: number of tasks done
  * @failed_attempt: latest attempt of the gang that was counted as failed
+ * @earlier_pace: highest pace of a task that was stopped for its pace, in percent per
+ *	second; 0 before. It is not stored.
  */
 struct work_group {
 	struct work_job *job;
@@ -165,6 +167,7 @@
 	unsigned int count;
 	unsigned int done;
 	uint32_t failed_attempt;
+	double earlier_pace;
 	int64_t ready_since;
 	int64_t wait_logged_at;
 	struct work_row row;
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -393,13 +393,18 @@
 		return;
 	case PROGRESS_STALLED:
 		log_task_event("task_stalled", t, t->server, "no progress");
+		suspect_stalled_servers(t, at.now);
 		break;
 	case PROGRESS_SLOW:
 		log_task_event("task_slow", t, t->server,
 			       "a restart on another server would end sooner");
+		suspect_stalled_servers(t, at.now);
+		break;
+	case PROGRESS_OVERDUE:
+		log_task_event("task_slow", t, t->server, "far behind its declared run time");
 		break;
 	}
-	suspect_stalled_servers(t, at.now);
+	t->group->earlier_pace = MAX(t->group->earlier_pace, plan_pace(t));
 	if (t->group->step->is_gang)
 		lead_group_stop(l, t->group, "a member of its gang makes too little progress");
 	else
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -653,6 +653,86 @@
 }
 END_TEST
 
+#define TASKS 8
+#define REAL_RUN_MS 7000
+#define OBSERVE_MS 100
+
+/* lists the progress of the group's tasks; tasks that were stopped run on another server */
+static unsigned int replay_progress(struct fleet *f, struct work_group *g,
+				    const struct plan_clock *at)
+{
+	unsigned int suspected = 0;
+
+	for (unsigned int i = 0; i < g->count; i++) {
+		struct work_task *t = &g->task[i];
+		struct fleet_server *next = sample_server(f, (t->attempt + i) % f->all->len);
+
+		if (t->state != TASK_RUNNING)
+			continue;
+		t->percent = (int)((at->now - t->started_at) * 100 / REAL_RUN_MS);
+		t->progress_at = at->now;
+		if (t->percent >= 100) {
+			work_task_finish(t);
+			continue;
+		}
+		if (plan_progress(t, at) == PROGRESS_NORMAL)
+			continue;
+		suspected += plan_progress(t, at) == PROGRESS_SLOW;
+		g->earlier_pace = MAX(g->earlier_pace, plan_pace(t));
+		work_task_release(t);
+		sample_run(t, next, at->now);
+		set_progress(t, at->now, 0, at->now, 0);
+	}
+	return suspected;
+}
+
+/*
+ * Found on Afiladora, all-servers-odd, seed 75: all tasks of a job whose declared run time
+ * was a tenth of the real one ran on one server. Each was stopped and restarted as slow
+ * until the day ended, and each server that had run one was suspected, so that large gangs
+ * found no server for 30 s.
+ */
+START_TEST(a_declared_run_time_that_is_too_short_costs_one_restart)
+{
+	struct fleet *f = sample_fleet(NULL, 6, 6);
+	struct work_job *job = sample_job(f, 1, 1, TASKS, 1);
+	struct plan_clock at = start;
+	unsigned int suspected = 0;
+	struct work_group *g;
+
+	job->step[0].estimate_ms = REAL_RUN_MS / 10;
+	g = sample_start(job);
+	for (unsigned int i = 0; i < TASKS; i++) {
+		sample_run(&g->task[i], sample_server(f, 0), at.now);
+		set_progress(&g->task[i], at.now, 0, at.now, 0);
+	}
+	while (g->done < TASKS && at.now < start.now + 10 * REAL_RUN_MS) {
+		at.now += OBSERVE_MS;
+		suspected += replay_progress(f, g, &at);
+	}
+	ck_assert_uint_eq(g->done, TASKS);
+	for (unsigned int i = 0; i < TASKS; i++)
+		ck_assert_uint_le(g->task[i].attempt, 2);
+	ck_assert_uint_eq(suspected, 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_slow_server_is_found_by_an_earlier_attempt)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *g = sample_start(sample_job(f, 1, 1, 1, 1));
+
+	g->earlier_pace = 20;
+	sample_run(&g->task[0], sample_server(f, 0), start.now - 3000);
+	set_progress(&g->task[0], start.now - 3000, 0, start.now, 10);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_SLOW);
+	set_progress(&g->task[0], start.now - 3000, 0, start.now, 40);
+	ck_assert_int_eq(plan_progress(&g->task[0], &start), PROGRESS_NORMAL);
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, urgent_work_goes_first);
@@ -685,6 +765,8 @@
 	tcase_add_test(t, a_member_of_a_gang_that_waits_for_the_others_is_not_stalled);
 	tcase_add_test(t, progress_before_a_checkpoint_does_not_count_for_the_pace);
 	tcase_add_test(t, a_wrong_declared_run_time_makes_no_task_slow);
+	tcase_add_test(t, a_declared_run_time_that_is_too_short_costs_one_restart);
+	tcase_add_test(t, a_slow_server_is_found_by_an_earlier_attempt);
 }
 
 int main(void)
