Answer 504, not 503, while an earlier transaction of the job may still be performed

Change: a VM remembers, for 30 s and up to 4096 jobs, the jobs of which a transaction got no answer (lib/recent), and rejects them with 504 until the store has said what became of them. A VM that is cut off now says so at once also when the answer is 504. Not covered: another VM that the caller asks while the store is away can't know of the transaction.

--- a/src/sited.c
+++ b/src/sited.c
@@ -22,6 +22,8 @@
 #define IDLE_S 30
 #define SMALL_BODY_MAX 4096
 /* The operator's body limit is not checked, only the store's row size. */
+#define UNSETTLED_SUBMITS_MAX \
+	4096 /* of 200 bytes each; 130 a second for as long as they are kept */
 #define FRONT_BODY_MAX (1024 * 1024)
 #define OTHER_DESCRIPTORS 300	 /* files, listeners, the store, other entry VMs */
 #define SERVER_CONNECTIONS_MAX 3 /* per server: one for the waiting poll, two for orders */
@@ -169,6 +171,7 @@
 	sited_metrics_init(&d->metrics);
 	d->store_http = httpc_new(d, ev, 0, 0);
 	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX, server_connections_max(d));
+	d->unsettled_submits = recent_new(d, UNSETTLED_SUBMITS_MAX);
 	d->store = store_new(d, d->store_http, &d->site->store);
 	d->orders = orders_new(d, d->server_http);
 	if (!listen_all(d, metrics_port)) {
--- a/src/sited.h
+++ b/src/sited.h
@@ -28,6 +28,7 @@
 #include "plan/plan.h"
 #include "proto/proto.h"
 #include "queues/queues.h"
+#include "recent/recent.h"
 #include "share/share.h"
 #include "sited_metrics.h"
 #include "sited_peers.h"
@@ -120,6 +121,7 @@
  * @stop_at: earliest time at which the process exits, on base_now_ns()'s clock; 0 unless stopping
  * @handover_deadline: latest start of the handover transaction, on base_now_ns()'s clock
  * @open_requests: callers' requests in progress
+ * @unsettled_submits: ids of jobs of which a transaction without an answer may be performed
  * @direct_servers_max: a leader sends its orders itself to up to this many servers; for more
  *                      servers, other VMs relay the orders
  * @renewals: id of a server to struct renewed_server of sited_agent.c, its lease renewal state
@@ -152,6 +154,7 @@
 	int64_t stop_at;
 	int64_t handover_deadline;
 	unsigned int open_requests;
+	struct recent *unsettled_submits;
 	unsigned int direct_servers_max;
 	GHashTable *renewals;
 	GHashTable *payloads;
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -2,7 +2,9 @@
  * Submits, queries and cancels jobs for callers. A job is accepted when its row is
  * stored, which any VM can do. Answers 429 and 503 mean that a job was not accepted
  * and never will be, so they are sent only when no transaction of the job may still
- * be performed. While that is uncertain, the answer is 504 and the caller retries.
+ * be performed. While that is uncertain, the answer is 504 and the caller retries. A VM
+ * remembers the jobs that it answered so, because the caller's next request for one may
+ * find the store still away.
  *
  * Load pattern: the store rejects the calls of some VMs, or a network partition separates
  * them from the store, while other VMs reach it. Such a VM passes requests to a peer that
@@ -108,11 +110,10 @@
 
 static void send_submit(struct front_call *c)
 {
-	if (is_cut_off(c) && !c->is_outcome_unknown)
+	if (is_cut_off(c))
 		front_finish(c, 503, "neither the store nor a peer that reaches it can be asked");
 	else if (!front_time_is_left(c))
-		front_finish(c, c->is_outcome_unknown ? 504 : 503,
-			     "no time is left to store the job");
+		front_finish(c, 503, "no time is left to store the job");
 	else
 		store_commit(c->d->store, c->tx, front_call_deadline(c, SITED_STORE_TIMEOUT_MS),
 			     on_submitted, c);
@@ -120,6 +121,7 @@
 
 static void start_submit(struct front_call *c)
 {
+	c->is_outcome_unknown = recent_has(c->d->unsettled_submits, c->id, sited_now_ms());
 	c->value = work_job_encode(c, c->job);
 	if ((int64_t)strlen(c->value) > c->d->site->row_bytes_max) {
 		front_finish(c, 413, "the job is larger than a row of the store");
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -10,6 +10,8 @@
  * at any moment, and callers wait 3 s in all, so a short delay gives them more attempts.
  */
 #define RETRY_AFTER_S 1
+/* A transaction without an answer may be performed seconds later, and a caller gives up in 3 s. */
+#define UNSETTLED_MS 30000
 #define CONFIRM_RESERVE_MS 100 /* part of the caller's time that is reserved for the answer */
 /* A VM whose calls to the store fail for longer reports not ready, unless a peer can help. */
 #define READY_FAILING_MAX_MS 400
@@ -92,8 +94,25 @@
 	talloc_free(c);
 }
 
+/* A transaction without an answer may still be performed, so the job may still be accepted. */
+static unsigned int true_status(struct front_call *c, unsigned int status)
+{
+	struct recent *unsettled = c->d->unsettled_submits;
+
+	if (c->kind != FRONT_SUBMIT)
+		return status;
+	if (status == 200)
+		recent_remove(unsettled, c->id);
+	if (c->is_outcome_unknown && status == 503)
+		status = 504;
+	if (c->is_outcome_unknown && status == 504)
+		recent_add(unsettled, c->id, sited_now_ms() + UNSETTLED_MS, sited_now_ms());
+	return status;
+}
+
 void front_finish(struct front_call *c, unsigned int status, const char *reason)
 {
+	status = true_status(c, status);
 	if (status != 200)
 		sited_count(&c->d->metrics, status == 504 ? COUNT_UNANSWERED : COUNT_REFUSED);
 	reply(c, status, WORK_STATE_COUNT, reason);
--- a/src/sited_front.h
+++ b/src/sited_front.h
@@ -32,7 +32,8 @@
  * @job: the submitted job, NULL for other operations
  * @value: text of the job's row to be stored
  * @tx: transaction that stores the row
- * @is_outcome_unknown: a transaction without an answer may have been or may still be performed
+ * @is_outcome_unknown: a transaction of this or of an earlier request for the job got no
+ *	answer and may have been or may still be performed
  * @relays: how often this VM passed the request on to a peer
  */
 struct front_call {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -477,6 +477,26 @@
     site.store.answers_late = 0.0
 
 
+async def refused_after_a_lost_answer(site):
+    """A VM answered 503 to a job whose earlier transaction, without an answer, was performed seconds later."""
+    vm, jobs = site.vms[0], [site.add_job() for _ in range(6)]
+    site.faults.append("late and reset store")
+    site.store.late = 1.0
+    first = [asyncio.ensure_future(site.ask("POST", job, vm=vm, timeout=4.0)) for job in jobs]
+    await asyncio.sleep(0.2)
+    site.store.mode = "reset"
+    lost = [bool(answer) and answer[0] == 504 for answer in await asyncio.gather(*first)]
+    again = [await site.ask("POST", job, vm=vm) for job in jobs]
+    refused = [job.id for job, was_lost, answer in zip(jobs, lost, again) if was_lost and answer and answer[0] == 503]
+    site.expected.append(("transactions without an answer, %d" % sum(lost), any(lost)))
+    site.expected.append(("no job is refused while its transaction may be performed, %s were" % refused, not refused))
+    site.store.mode, site.store.late = "up", 0.0
+    await asyncio.sleep(5)
+    for job in jobs:
+        job.accepted = time.monotonic()
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+
+
 async def one_vm_is_turned_away(site):
     """It kept callers for 2.7 s and answered 504, though all other VMs reached the store."""
     vm = next(v for v in site.vms if v is not site.leader())
@@ -680,7 +700,7 @@
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
+             handover_with_a_slow_store, refused_after_a_lost_answer, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
 
