Add "currantlane log summary": where the time of jobs went

An operator's question is why work was late last night. The command reads the logs of all processes and gives, for each queue and outcome (in time, late, too late, failed, cancelled, rejected, open), the mean time a job spent on acceptance, waiting for a leader, for capacity, for the store, running, after a stop for lack of progress, on servers that did not answer, stopped for urgent work, after a failure, and done but not shown; and the core-seconds thrown away by cause. Lines that can't be read are counted and skipped. Decisions and counting are in lib/summary, apart from files and printing.

--- /dev/null
+++ b/lib/summary/summary.c
@@ -0,0 +1,432 @@
+#include "summary.h"
+
+#include <string.h>
+
+#include "work/work.h"
+
+enum event_kind {
+	EVENT_REJECTED,
+	EVENT_ACCEPTED,
+	EVENT_KNOWN,
+	EVENT_PLACED,
+	EVENT_START, /* a task was started or adopted */
+	EVENT_STOP,  /* a task was stopped or released; its phase is the cause */
+	EVENT_DONE,
+	EVENT_ENDED,
+};
+
+/**
+ * struct event - a log line of a job
+ * @took_us: for EVENT_ACCEPTED and EVENT_REJECTED, age of the request, in us
+ * @phase: for EVENT_STOP, what the job waits for from then on
+ */
+struct event {
+	int64_t time_us;
+	int32_t took_us;
+	uint8_t kind;
+	uint8_t phase;
+};
+
+/**
+ * struct job - what the lines say of one job
+ * @queue: interned, or NULL while unknown
+ * @objective_ms: 0 while unknown
+ * @state: final state, or WORK_STATE_COUNT
+ */
+struct job {
+	char id[WORK_ID_LEN + 1];
+	const char *queue;
+	int64_t priority;
+	int64_t objective_ms;
+	enum work_state state;
+	GArray *events;
+};
+
+/**
+ * struct summary - what the lines say of all jobs
+ * @jobs: id to struct job
+ * @wastes: cause to struct summary_waste
+ */
+struct summary {
+	GHashTable *jobs;
+	GHashTable *wastes;
+	uint64_t malformed;
+	GStringChunk *names;
+	GPtrArray *rows;
+	GPtrArray *waste_list;
+};
+
+const char *summary_phase_name(enum summary_phase phase)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		SUMMARY_PHASES(X)
+#undef X
+	};
+
+	return names[phase];
+}
+
+const char *summary_outcome_name(enum summary_outcome outcome)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		SUMMARY_OUTCOMES(X)
+#undef X
+	};
+
+	return names[outcome];
+}
+
+static void job_free(gpointer data)
+{
+	struct job *job = data;
+
+	g_array_free(job->events, TRUE);
+	g_free(job);
+}
+
+static int summary_destructor(struct summary *s)
+{
+	g_hash_table_destroy(s->jobs);
+	g_hash_table_destroy(s->wastes);
+	g_ptr_array_free(s->rows, TRUE);
+	g_ptr_array_free(s->waste_list, TRUE);
+	g_string_chunk_free(s->names);
+	return 0;
+}
+
+struct summary *summary_new(TALLOC_CTX *ctx)
+{
+	struct summary *s = talloc_zero(ctx, struct summary);
+
+	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	s->wastes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	s->names = g_string_chunk_new(4096);
+	s->rows = g_ptr_array_new_with_free_func(g_free);
+	s->waste_list = g_ptr_array_new();
+	talloc_set_destructor(s, summary_destructor);
+	return s;
+}
+
+/* ---- lines ---- */
+
+static struct job *find_or_add_job(struct summary *s, const char *id)
+{
+	struct job *job = g_hash_table_lookup(s->jobs, id);
+
+	if (job)
+		return job;
+	job = g_new0(struct job, 1);
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->priority = -1;
+	job->state = WORK_STATE_COUNT;
+	job->events = g_array_new(FALSE, FALSE, sizeof(struct event));
+	g_hash_table_insert(s->jobs, job->id, job);
+	return job;
+}
+
+/* what a job waits for after a task was stopped, by the reason in the line */
+static enum summary_phase phase_of(const char *why)
+{
+	static const struct {
+		const char *part;
+		enum summary_phase phase;
+	} reasons[] = {
+		{"urgent", PHASE_PREEMPTED},
+		{"leaving", PHASE_PREEMPTED},
+		{"progress", PHASE_SLOW},
+		{"failed", PHASE_FAILED},
+		{"broken", PHASE_FAILED},
+		{"lost a member", PHASE_FAILED},
+		{"not confirmed", PHASE_UNREACHABLE},
+		{"lease", PHASE_UNREACHABLE},
+		{"server", PHASE_UNREACHABLE},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
+		if (strstr(why, reasons[i].part))
+			return reasons[i].phase;
+	return PHASE_COUNT;
+}
+
+static void add_event(struct job *job, const json_t *line, enum event_kind kind,
+		      enum summary_phase phase)
+{
+	struct event e = {.time_us = base_json_int(line, "time_us", 0),
+			  .took_us = (int32_t)(base_json_int(line, "took_ms", 0) * 1000),
+			  .kind = (uint8_t)kind,
+			  .phase = (uint8_t)phase};
+
+	g_array_append_val(job->events, e);
+}
+
+static void add_waste(struct summary *s, const json_t *line)
+{
+	const char *cause = base_json_str(line, "why", "");
+	int64_t core_ms = base_json_int(line, "ran_ms", 0) * base_json_int(line, "cores", 0);
+	struct summary_waste *waste = g_hash_table_lookup(s->wastes, cause);
+
+	if (base_json_bool(line, "checkpoints", false) || core_ms <= 0)
+		return;
+	if (!waste) {
+		waste = g_new0(struct summary_waste, 1);
+		waste->cause = g_string_chunk_insert_const(s->names, cause);
+		g_hash_table_insert(s->wastes, (char *)waste->cause, waste);
+	}
+	waste->tasks++;
+	waste->core_ms += core_ms;
+}
+
+static void add_request(struct job *job, const json_t *line)
+{
+	int64_t status = base_json_int(line, "status", 0);
+
+	if (!strcmp(base_json_str(line, "kind", ""), "submit") &&
+	    !base_json_bool(line, "for_peer", false))
+		add_event(job, line, status == 200 ? EVENT_ACCEPTED : EVENT_REJECTED, PHASE_COUNT);
+}
+
+static void add_known(struct summary *s, struct job *job, const json_t *line)
+{
+	job->queue = g_string_chunk_insert_const(s->names, base_json_str(line, "queue", ""));
+	job->priority = base_json_int(line, "priority", -1);
+	job->objective_ms = base_json_int(line, "objective_ms", 0);
+	add_event(job, line, EVENT_KNOWN, PHASE_COUNT);
+}
+
+static void add_release(struct summary *s, struct job *job, const json_t *line)
+{
+	enum summary_phase phase = phase_of(base_json_str(line, "why", ""));
+
+	/* a task that was stopped is counted there; its release only repeats the time */
+	if (strcmp(base_json_str(line, "state", ""), "stopping"))
+		add_waste(s, line);
+	if (phase != PHASE_COUNT)
+		add_event(job, line, EVENT_STOP, phase);
+}
+
+static void add_line_of_job(struct summary *s, struct job *job, const json_t *line)
+{
+	const char *event = base_json_str(line, "event", "");
+
+	if (!strcmp(event, "request_answered")) {
+		add_request(job, line);
+	} else if (!strcmp(event, "job_known")) {
+		add_known(s, job, line);
+	} else if (!strcmp(event, "placed")) {
+		add_event(job, line, EVENT_PLACED, PHASE_COUNT);
+	} else if (!strcmp(event, "task_start") || !strcmp(event, "task_adopted")) {
+		add_event(job, line, EVENT_START, PHASE_COUNT);
+	} else if (!strcmp(event, "task_stop")) {
+		add_waste(s, line);
+		add_event(job, line, EVENT_STOP, phase_of(base_json_str(line, "why", "")));
+	} else if (!strcmp(event, "task_released")) {
+		add_release(s, job, line);
+	} else if (!strcmp(event, "task_start_failed")) {
+		add_event(job, line, EVENT_STOP, PHASE_UNREACHABLE);
+	} else if (!strcmp(event, "task_ended") &&
+		   !strcmp(base_json_str(line, "why", ""), "done")) {
+		add_event(job, line, EVENT_DONE, PHASE_COUNT);
+	} else if (!strcmp(event, "job_ended") || !strcmp(event, "job_ended_elsewhere")) {
+		job->state = work_state_parse(base_json_str(line, "state", ""));
+		add_event(job, line, EVENT_ENDED, PHASE_COUNT);
+	}
+}
+
+void summary_add_line(struct summary *s, const char *line)
+{
+	const char *start = strchr(line, '{');
+	json_t *v = start ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+	const char *id = base_json_str(v, "id", "");
+
+	if (!json_is_object(v) || !json_is_integer(json_object_get(v, "time_us")))
+		s->malformed++;
+	else if (work_id_is_valid(str_from(id)))
+		add_line_of_job(s, find_or_add_job(s, id), v);
+	json_decref(v);
+}
+
+uint64_t summary_malformed(const struct summary *s)
+{
+	return s->malformed;
+}
+
+/* ---- phases of a job ---- */
+
+static gint compare_event(gconstpointer a, gconstpointer b)
+{
+	const struct event *x = a;
+	const struct event *y = b;
+
+	return x->time_us < y->time_us ? -1 : x->time_us > y->time_us;
+}
+
+static enum summary_phase next_phase(enum summary_phase phase, const struct event *e)
+{
+	bool is_known = phase != PHASE_ACCEPT && phase != PHASE_LEADER;
+
+	switch ((enum event_kind)e->kind) {
+	case EVENT_REJECTED:
+		return phase;
+	case EVENT_ACCEPTED:
+		return phase == PHASE_ACCEPT ? PHASE_LEADER : phase;
+	case EVENT_KNOWN:
+		return is_known ? phase : PHASE_CAPACITY;
+	case EVENT_PLACED:
+		return PHASE_STORE;
+	case EVENT_START:
+		return PHASE_RUN;
+	case EVENT_STOP:
+		return e->phase == PHASE_COUNT ? phase : (enum summary_phase)e->phase;
+	case EVENT_DONE:
+	case EVENT_ENDED:
+		return phase;
+	}
+	return phase;
+}
+
+/**
+ * struct span - the time of one job
+ * @started_us: when its first submission arrived
+ * @ended_us: when its final state was stored, or the last line of the job
+ * @is_accepted: a submission was accepted, or a leader knows the job
+ */
+struct span {
+	int64_t started_us;
+	int64_t ended_us;
+	int64_t phase_us[PHASE_COUNT];
+	bool is_accepted;
+};
+
+static void add_phase_time(struct span *span, enum summary_phase phase, int64_t from, int64_t to)
+{
+	span->phase_us[phase] += MAX(to - from, 0);
+}
+
+static struct span measure(const struct job *job)
+{
+	struct span span = {.is_accepted = false};
+	enum summary_phase phase = PHASE_ACCEPT;
+	int64_t last_done = 0;
+	int64_t at;
+
+	g_array_sort(job->events, compare_event);
+	at = g_array_index(job->events, struct event, 0).time_us;
+	at -= g_array_index(job->events, struct event, 0).took_us;
+	span.started_us = at;
+	for (guint i = 0; i < job->events->len; i++) {
+		const struct event *e = &g_array_index(job->events, struct event, i);
+		bool is_shown = e->kind == EVENT_ENDED && job->state == WORK_COMPLETE && last_done;
+
+		/* a request after the end, or the end under another leader, takes no time */
+		if (span.ended_us)
+			break;
+		add_phase_time(&span, is_shown && at == last_done ? PHASE_SHOW : phase, at,
+			       e->time_us);
+		span.is_accepted |= e->kind == EVENT_ACCEPTED || e->kind == EVENT_KNOWN;
+		if (e->kind == EVENT_DONE)
+			last_done = e->time_us;
+		else if (e->kind == EVENT_ENDED)
+			span.ended_us = e->time_us;
+		phase = next_phase(phase, e);
+		at = e->time_us;
+	}
+	return span;
+}
+
+static enum summary_outcome outcome_of(const struct job *job, const struct span *span)
+{
+	int64_t took_ms = (span->ended_us - span->started_us) / 1000;
+
+	switch (job->state) {
+	case WORK_FAILED:
+		return SUMMARY_FAILED;
+	case WORK_CANCELLED:
+		return SUMMARY_CANCELLED;
+	case WORK_COMPLETE:
+		if (took_ms <= job->objective_ms)
+			return SUMMARY_IN_TIME;
+		return took_ms <= WORK_LATE_FACTOR * job->objective_ms ? SUMMARY_LATE
+								       : SUMMARY_TOO_LATE;
+	default:
+		return span->is_accepted ? SUMMARY_OPEN : SUMMARY_REJECTED;
+	}
+}
+
+/* ---- totals ---- */
+
+static struct summary_row *find_or_add_row(struct summary *s, const struct job *job,
+					   enum summary_outcome outcome)
+{
+	const char *queue = job->queue ? job->queue : "";
+	struct summary_row *row;
+
+	for (guint i = 0; i < s->rows->len; i++) {
+		row = g_ptr_array_index(s->rows, i);
+		if (row->outcome == outcome && !strcmp(row->queue, queue))
+			return row;
+	}
+	row = g_new0(struct summary_row, 1);
+	row->queue = queue;
+	row->priority = job->priority;
+	row->outcome = outcome;
+	g_ptr_array_add(s->rows, row);
+	return row;
+}
+
+static gint compare_row(gconstpointer a, gconstpointer b)
+{
+	const struct summary_row *x = *(struct summary_row *const *)a;
+	const struct summary_row *y = *(struct summary_row *const *)b;
+	int by_queue = strcmp(x->queue, y->queue);
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	return by_queue ? by_queue : (int)x->outcome - (int)y->outcome;
+}
+
+GPtrArray *summary_rows(struct summary *s)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_ptr_array_set_size(s->rows, 0);
+	g_hash_table_iter_init(&it, s->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct job *job = value;
+		struct summary_row *row;
+		struct span span;
+
+		if (!job->events->len)
+			continue;
+		span = measure(job);
+		row = find_or_add_row(s, job, outcome_of(job, &span));
+		row->jobs++;
+		for (int i = 0; i < PHASE_COUNT; i++)
+			row->phase_us[i] += span.phase_us[i];
+	}
+	g_ptr_array_sort(s->rows, compare_row);
+	return s->rows;
+}
+
+static gint compare_waste(gconstpointer a, gconstpointer b)
+{
+	const struct summary_waste *x = *(struct summary_waste *const *)a;
+	const struct summary_waste *y = *(struct summary_waste *const *)b;
+
+	return x->core_ms > y->core_ms ? -1 : x->core_ms < y->core_ms;
+}
+
+GPtrArray *summary_wastes(struct summary *s)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_ptr_array_set_size(s->waste_list, 0);
+	g_hash_table_iter_init(&it, s->wastes);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		g_ptr_array_add(s->waste_list, value);
+	g_ptr_array_sort(s->waste_list, compare_waste);
+	return s->waste_list;
+}
--- a/src/cli.c
+++ b/src/cli.c
@@ -90,6 +90,7 @@
 	"       currantlane [options] status IP:PORT...\n"
 	"       currantlane [options] trace TRACE-ID FILE...\n"
 	"       currantlane [options] log JOB-ID FILE...\n"
+	"       currantlane [options] log summary FILE...\n"
 	"\n"
 	"exit codes: 0 done, 1 faults or differences found, 2 wrong usage,\n"
 	"            3 another operator was first, 4 a service did not answer\n\n";
@@ -102,6 +103,8 @@
 		return cli_status(cli, words + 1, count - 1);
 	if (count >= 3 && !strcmp(words[0], "trace"))
 		return cli_trace(cli, words[1], words + 2, count - 2);
+	if (count >= 3 && !strcmp(words[0], "log") && !strcmp(words[1], "summary"))
+		return cli_log_summary(cli, words + 2, count - 2);
 	if (count >= 3 && !strcmp(words[0], "log"))
 		return cli_log(cli, words[1], words + 2, count - 2);
 	fputs(usage, stderr);
--- a/src/cli.h
+++ b/src/cli.h
@@ -90,6 +90,9 @@
 /** cli_log() - print the lines of @id in the log files, in order of time */
 int cli_log(struct cli *cli, const char *id, const char *const *files, int count);
 
+/** cli_log_summary() - print where the time of the jobs in the log files went */
+int cli_log_summary(struct cli *cli, const char *const *files, int count);
+
 /** cli_trace() - print the spans of trace @id in the trace files, in order of start */
 int cli_trace(struct cli *cli, const char *id, const char *const *files, int count);
 
