Ask a feed without a wait after a failure, so that the store's return shows at once

Their first call that the store answered was the feed of the configuration, which the store holds back for 1.2 s when nothing changes. Meanwhile callers were rejected, and the VMs were not ready.

Change: the first call of a feed after a failed one asks the store not to wait.

--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -13,6 +13,7 @@
  * @version: for a read, the version of the store at the first page, 0 before that;
  *           for a feed, the version up to which changes have been received
  * @wait_ms: for a feed, how long one call waits for a change, in ms
+ * @is_failing: the last call failed
  */
 struct table {
 	struct tevent_context *ev;
@@ -25,6 +26,7 @@
 	char *from;
 	int64_t version;
 	int64_t wait_ms;
+	bool is_failing;
 	table_rows_fn *on_rows;
 	table_read_done_fn *on_end;
 	table_history_gone_fn *on_gone;
@@ -109,7 +111,8 @@
 		end_follow(t);
 		goto out;
 	}
-	if (r->status != STORE_OK) {
+	t->is_failing = r->status != STORE_OK;
+	if (t->is_failing) {
 		mtimer_add(t, t->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_retry, t);
 		goto out;
 	}
@@ -137,6 +140,8 @@
 {
 	struct table_call *call = talloc_zero(t->store, struct table_call);
 	struct store_range range = {t->name, t->part, t->key ? t->key : t->from, t->key ? 1 : 0};
+	/* without a wait, the first answer after an outage comes at once */
+	int64_t wait_ms = t->is_failing ? 0 : t->wait_ms;
 
 	call->table = t;
 	call->sent_at = base_now_ns();
@@ -145,8 +150,8 @@
 		store_read(t->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS), on_answer,
 			   call);
 	else
-		store_feed(t->store, t->name, t->version, t->wait_ms,
-			   base_deadline_in(t->wait_ms + TABLE_FEED_MARGIN_MS), on_answer, call);
+		store_feed(t->store, t->name, t->version, wait_ms,
+			   base_deadline_in(wait_ms + TABLE_FEED_MARGIN_MS), on_answer, call);
 }
 
 static struct table *table_new(const struct table_source *source, enum table_mode mode,
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,6 +12,7 @@
 import concurrent.futures
 import ctypes
 import json
+import math
 import os
 import random
 import shutil
@@ -497,6 +498,18 @@
         site.following.append(asyncio.ensure_future(site.watch(job)))
 
 
+async def all_vms_see_the_store_return(site):
+    """Followers saw it with the first answer to a feed, which the store holds back until a row changes."""
+    site.stopping = True  # no submissions, whose answers would show it too
+    await asyncio.sleep(1)
+    await site.store_mode("reset", 3)
+    back = time.time() * 1e6
+    await asyncio.sleep(2)
+    seen = {e["vm"]: e["time_us"] for e in site.events("store_regained") if e["time_us"] > back}
+    late = [vm.name for vm in site.vms if seen.get(vm.name, math.inf) > back + 500000]
+    site.expected.append(("all VMs see within 0.5 s that the store answers again, %s did not" % late, not late))
+
+
 async def one_vm_is_turned_away(site):
     """It kept callers for 2.7 s and answered 504, though all other VMs reached the store."""
     vm = next(v for v in site.vms if v is not site.leader())
@@ -700,7 +713,7 @@
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, refused_after_a_lost_answer, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
+             handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
 
