Release tasks of a server's old incarnation when a row names a newer one

While rows are loaded, a row that names a newer incarnation than the list marks the old one as replaced. Tasks that other rows had placed there stayed unconfirmed: a replaced incarnation is not polled, and no deadline applied to them. They waited until the next leader.

Change: they wait for a server again, as a task does whose row names an old incarnation. The new test fails with the old code.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -598,6 +598,20 @@
 	return text;
 }
 
+/* An incarnation that has been replaced is polled no more, so its tasks wait again here. */
+static void release_unconfirmed(const struct fleet_server *sv)
+{
+	GPtrArray *tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+
+	for (guint i = 0; i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+
+		if (t->state == TASK_UNCONFIRMED)
+			work_task_release(t);
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
 static struct fleet_server *decode_server(struct fleet *fleet, const json_t *entry)
 {
 	const char *id = json_string_value(json_array_get(entry, 0));
@@ -608,6 +622,8 @@
 	if (!id || (sv && sv->born > born))
 		return NULL; /* a newer incarnation does not have the task */
 	if (!sv || sv->born != born) {
+		if (sv)
+			release_unconfirmed(sv);
 		sv = fleet_add(fleet, id, born);
 		sv->address = talloc_strdup(sv, address ? address : "");
 	}
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -237,6 +237,34 @@
 }
 END_TEST
 
+/*
+ * A server restarts and the leader dies: the list and one row still name the old incarnation,
+ * another row the new one. The tasks of the old one once waited for a poll that never came.
+ */
+START_TEST(a_row_that_names_a_newer_incarnation_releases_tasks_of_the_old_one)
+{
+	struct fleet *before = sample_fleet(NULL, 1, 1);
+	struct fleet *after = sample_fleet(NULL, 1, 1);
+	struct fleet *loaded = sample_fleet(NULL, 1, 1);
+	struct work_group *old = sample_start(sample_job(before, 1, 1, 1, 1));
+	struct work_group *new = sample_start(sample_job(after, 2, 1, 1, 1));
+	struct work_group *read_old = sample_start(sample_job(loaded, 1, 1, 1, 1));
+	struct work_group *read_new = sample_start(sample_job(loaded, 2, 1, 1, 1));
+
+	sample_server(after, 0)->born = sample_server(before, 0)->born + 500;
+	sample_run(&old->task[0], sample_server(before, 0), 0);
+	sample_run(&new->task[0], sample_server(after, 0), 0);
+	ck_assert(work_group_merge(read_old, str_from(work_group_encode(before, old)), loaded, 99));
+	ck_assert_int_eq(read_old->task[0].state, TASK_UNCONFIRMED);
+	ck_assert(work_group_merge(read_new, str_from(work_group_encode(after, new)), loaded, 99));
+	ck_assert_int_eq(read_new->task[0].state, TASK_UNCONFIRMED);
+	ck_assert_int_eq(read_old->task[0].state, TASK_WAITING);
+	talloc_free(before);
+	talloc_free(after);
+	talloc_free(loaded);
+}
+END_TEST
+
 START_TEST(a_task_stored_on_a_replaced_incarnation_waits)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -282,6 +310,7 @@
 	tcase_add_test(t, a_job_row_is_decoded_as_it_was_encoded);
 	tcase_add_test(t, tasks_that_an_earlier_leader_placed_are_unconfirmed);
 	tcase_add_test(t, the_row_of_a_wide_step_is_short);
+	tcase_add_test(t, a_row_that_names_a_newer_incarnation_releases_tasks_of_the_old_one);
 	tcase_add_test(t, a_task_stored_on_a_replaced_incarnation_waits);
 	tcase_add_test(t, group_keys_are_parsed_or_rejected);
 }
