Let a job go first of its priority once it has waited ten objectives

Cause: work that came later and can still meet its objective goes before late work for as long as it comes. plan_order.c said that an old job is not starved by later ones, which was true within the last tier only: on a pool that is always full a late job waited for ever.

Change: a tier before all others of the same priority for jobs that have waited for ten times their objective, the oldest first. Urgent work still goes before all other work.

Kept for the promise that no admitted job waits for ever; new_jobs_do_not_starve_a_late_one fails with the old order.

--- a/lib/plan/plan_order.c
+++ b/lib/plan/plan_order.c
@@ -3,16 +3,20 @@
  *
  * Load pattern: bursts of urgent and of large jobs on a nearly full pool build up
  * a backlog that can't be finished in time. Urgent work goes before all other work.
- * Each of the two has three tiers: jobs that can still meet their deadline, then jobs
- * that can still end within WORK_LATE_FACTOR times their objective, then all others.
- * Jobs that have missed their deadline therefore don't make others miss theirs.
- * Within the last tier, groups are sorted by the time at which they became due, within
- * the others by the latest time at which they must start. Both times are fixed, so an
- * old job is not starved by jobs that arrive later.
+ * Each of the two has four tiers: jobs that have waited for STARVED_FACTOR times their
+ * objective, then jobs that can still meet their deadline, then jobs that can still end
+ * within WORK_LATE_FACTOR times their objective, then all others.
+ * Jobs that have missed their deadline therefore don't make others miss theirs, but a
+ * stream of new jobs doesn't starve them either.
+ * Within the first and the last tier, groups are sorted by the time at which they became
+ * due, within the others by the latest time at which they must start. Both times are fixed.
  */
 #include "plan.h"
 
-#define TIERS_PER_PRIORITY 3
+enum tier { TIER_STARVED, TIER_IN_TIME, TIER_LATE, TIER_TOO_LATE, TIERS_PER_PRIORITY };
+
+/* multiple of its objective after which a job goes before those that came later */
+#define STARVED_FACTOR 10
 
 struct plan_rank plan_rank(const struct work_group *group, const struct plan_clock *at)
 {
@@ -23,13 +27,17 @@
 	bool is_urgent = job->priority == QUEUES_URGENT_PRIORITY;
 	struct plan_rank rank = {.tier = is_urgent ? 0 : TIERS_PER_PRIORITY};
 
-	if (ends <= due + objective) {
+	if (at->wall > due + STARVED_FACTOR * objective) {
+		rank.tier += TIER_STARVED;
+		rank.key = due;
+	} else if (ends <= due + objective) {
+		rank.tier += TIER_IN_TIME;
 		rank.key = due + objective - group->step->critical_path_ms;
 	} else if (ends <= due + WORK_LATE_FACTOR * objective) {
-		rank.tier += 1;
+		rank.tier += TIER_LATE;
 		rank.key = due + WORK_LATE_FACTOR * objective - group->step->critical_path_ms;
 	} else {
-		rank.tier += 2;
+		rank.tier += TIER_TOO_LATE;
 		rank.key = due;
 	}
 	return rank;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -58,6 +58,37 @@
 }
 END_TEST
 
+/*
+ * On a pool that is always full, each new job can still meet its deadline. A job that has
+ * missed its own once stayed behind all of them for as long as they came.
+ */
+START_TEST(new_jobs_do_not_starve_a_late_one)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct work_job *late = sample_job(ctx, 1, 1, 1, 1);
+	struct plan_clock at = start;
+	bool has_turn = false;
+
+	late->accepted_ms = start.wall;
+	sample_start(late);
+	for (unsigned int i = 2; !has_turn && at.wall < start.wall + 200000; i++) {
+		struct work_job *fresh = sample_job(ctx, i, 1, 1, 1);
+
+		at.wall += 500;
+		fresh->accepted_ms = at.wall;
+		/* the late job's turn comes when it goes first; until then the new one runs */
+		has_turn = at.wall > start.wall + 20000 &&
+			   goes_first(plan_rank(work_job_group(late, 0, 0), &at),
+				      plan_rank(sample_start(fresh), &at));
+	}
+	ck_assert(has_turn);
+	/* urgent work is not held up by it */
+	ck_assert(goes_first(plan_rank(sample_start(sample_job(ctx, 1000, 0, 1, 1)), &at),
+			     plan_rank(work_job_group(late, 0, 0), &at)));
+	talloc_free(ctx);
+}
+END_TEST
+
 /* ---- placement: small and large tasks mixed, gangs that want one rack ---- */
 
 static unsigned int place(struct fleet *f, struct work_group *g, struct fleet_server **out)
@@ -781,6 +812,7 @@
 	tcase_add_test(t, urgent_work_goes_first);
 	tcase_add_test(t, jobs_past_their_deadline_go_last);
 	tcase_add_test(t, the_group_that_must_start_earliest_goes_first);
+	tcase_add_test(t, new_jobs_do_not_starve_a_late_one);
 	tcase_add_test(t, small_tasks_leave_whole_servers_free);
 	tcase_add_test(t, a_gang_is_placed_whole_or_not_at_all);
 	tcase_add_test(t, a_gang_takes_the_rack_with_the_least_free_capacity);
