--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -67,9 +67,23 @@
 }
 END_TEST
 
+START_TEST(a_timeout_that_would_overflow_a_deadline_is_limited)
+{
+	ck_assert_int_eq(callers_timeout_ms("2500"), 2500);
+	ck_assert_int_gt(callers_timeout_ms(NULL), 0);
+	ck_assert_int_eq(callers_timeout_ms("-1"), callers_timeout_ms(NULL));
+	ck_assert_int_eq(callers_timeout_ms("soon"), callers_timeout_ms(NULL));
+	ck_assert_int_gt(base_deadline_in(callers_timeout_ms("9223372036854775807")),
+			 base_now_ns());
+	ck_assert_int_gt(base_deadline_in(callers_timeout_ms("99999999999999999999")),
+			 base_now_ns());
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_job_gets_the_settings_of_its_queue);
+	tcase_add_test(t, a_timeout_that_would_overflow_a_deadline_is_limited);
 	tcase_add_test(t, invalid_bodies_are_rejected_with_a_reason);
 }
 
