--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -155,7 +155,7 @@
  * @wait_logged_at: when a log line last reported that it waits, monotonic ms; 0 before
  * @done: number of tasks done
  * @failed_attempt: latest attempt of the gang that was counted as failed
- * @earlier_pace: highest pace of a task that was stopped for its pace, in percent per
+ * @earlier_pace: highest pace of a task that was stopped for lack of progress, in percent per
  *	second; 0 before. It is not stored.
  */
 struct work_group {
