--- a/lib/summary/summary.c
+++ b/lib/summary/summary.c
@@ -289,7 +289,7 @@
 /**
  * struct span - the time of one job
  * @started_us: when its first submission arrived
- * @ended_us: when its final state was stored, or the last line of the job
+ * @ended_us: when its final state was stored; 0 when no line says so
  * @is_accepted: a submission was accepted, or a leader knows the job
  */
 struct span {
@@ -299,38 +299,31 @@
 	bool is_accepted;
 };
 
-static void add_phase_time(struct span *span, enum summary_phase phase, int64_t from, int64_t to)
-{
-	span->phase_us[phase] += MAX(to - from, 0);
-}
-
+/* lines after the end, of requests or of another leader, take no time */
 static struct span measure(const struct job *job)
 {
 	struct span span = {.is_accepted = false};
 	enum summary_phase phase = PHASE_ACCEPT;
-	int64_t last_done = 0;
-	int64_t at;
+	const struct event *previous = NULL;
 
 	g_array_sort(job->events, compare_event);
-	at = g_array_index(job->events, struct event, 0).time_us;
-	at -= g_array_index(job->events, struct event, 0).took_us;
-	span.started_us = at;
-	for (guint i = 0; i < job->events->len; i++) {
+	for (guint i = 0; i < job->events->len && !span.ended_us; i++) {
 		const struct event *e = &g_array_index(job->events, struct event, i);
-		bool is_shown = e->kind == EVENT_ENDED && job->state == WORK_COMPLETE && last_done;
 
-		/* a request after the end, or the end under another leader, takes no time */
-		if (span.ended_us)
-			break;
-		add_phase_time(&span, is_shown && at == last_done ? PHASE_SHOW : phase, at,
-			       e->time_us);
+		if (!previous) {
+			span.started_us = e->time_us - e->took_us;
+			span.phase_us[phase] += e->took_us;
+		} else {
+			if (e->kind == EVENT_ENDED && job->state == WORK_COMPLETE &&
+			    previous->kind == EVENT_DONE)
+				phase = PHASE_SHOW;
+			span.phase_us[phase] += e->time_us - previous->time_us;
+		}
 		span.is_accepted |= e->kind == EVENT_ACCEPTED || e->kind == EVENT_KNOWN;
-		if (e->kind == EVENT_DONE)
-			last_done = e->time_us;
-		else if (e->kind == EVENT_ENDED)
+		if (e->kind == EVENT_ENDED)
 			span.ended_us = e->time_us;
 		phase = next_phase(phase, e);
-		at = e->time_us;
+		previous = e;
 	}
 	return span;
 }
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -94,13 +94,14 @@
 	talloc_free(c);
 }
 
-/* A transaction without an answer may still be performed, so the job may still be accepted. */
-static unsigned int true_status(struct front_call *c, unsigned int status)
+/*
+ * 503 says that the job never runs. That is not certain while a transaction without an
+ * answer may still be performed, which 504 says.
+ */
+static unsigned int submit_status(struct front_call *c, unsigned int status)
 {
 	struct recent *unsettled = c->d->unsettled_submits;
 
-	if (c->kind != FRONT_SUBMIT)
-		return status;
 	if (status == 200)
 		recent_remove(unsettled, c->id);
 	if (c->is_outcome_unknown && status == 503)
@@ -112,7 +113,8 @@
 
 void front_finish(struct front_call *c, unsigned int status, const char *reason)
 {
-	status = true_status(c, status);
+	if (c->kind == FRONT_SUBMIT)
+		status = submit_status(c, status);
 	if (status != 200)
 		sited_count(&c->d->metrics, status == 504 ? COUNT_UNANSWERED : COUNT_REFUSED);
 	reply(c, status, WORK_STATE_COUNT, reason);
