Count a leader's silence only from some time after the store's return

Change: silence of the leader counts from 1.5 s after the store's return on, or later. A leader at whose address no process listens is replaced at once, as before.

Open: a task stored on a server that has left waits 14.7 s after each takeover.

--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -23,6 +23,12 @@
  */
 #define LEAD_CHANGES_MS 10000
 #define SILENCE_DOUBLINGS_MAX 2
+/*
+ * Load pattern: a failure domain was cut off, and its VMs see the store again before their
+ * connections to the leader have recovered. Silence counts only from this time after the
+ * store's return on, so that they don't replace a healthy leader.
+ */
+#define RECONNECT_MS 1500
 #define REFUSALS_MAX 2		   /* pings that no process accepted at its address */
 #define UNANSWERED_PROBE_MIN 2	   /* unanswered pings before the store is probed */
 #define CONTEND_SMALL_DELAY_MS 120 /* longer than a transaction of a large VM takes */
@@ -390,6 +396,10 @@
 static void handle_leader_silence(struct sited *d, enum onc_result result)
 {
 	int64_t now = base_now_ns();
+	int64_t regained_at = store_regained_at(d->store);
+	int64_t silent_since = regained_at ? MAX(d->leader.silent_since,
+						 regained_at + RECONNECT_MS * BASE_NS_PER_MS)
+					   : d->leader.silent_since;
 
 	/* This VM may be cut off itself, so silence does not count while the store fails. */
 	if (store_failing_ms(d->store)) {
@@ -401,7 +411,7 @@
 	if (result == ONC_NOT_SENT)
 		d->leader.refusals++;
 	if (d->leader.refusals >= REFUSALS_MAX ||
-	    now - d->leader.silent_since > silence_limit_ms(d) * BASE_NS_PER_MS)
+	    now - silent_since > silence_limit_ms(d) * BASE_NS_PER_MS)
 		contend(d, "the leader does not answer");
 }
 
