--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -8,6 +8,7 @@
 /*
  * A configuration or a leader is usually available within a second. An outage may end
  * at any moment, and callers wait 3 s in all, so a short delay gives them more attempts.
+ * Without a delay they use up their attempts at once, after a 504 as well.
  */
 #define RETRY_AFTER_S 1
 /* A transaction without an answer may be performed seconds later, and a caller gives up in 3 s. */
@@ -89,7 +90,8 @@
 	else if (status == 200)
 		callers_reply_ok(req);
 	else
-		callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
+		callers_reply_error(req, status, reason,
+				    status == 503 || status == 504 ? RETRY_AFTER_S : 0);
 out:
 	talloc_free(c);
 }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -491,6 +491,8 @@
     refused = [job.id for job, was_lost, answer in zip(jobs, lost, again) if was_lost and answer and answer[0] == 503]
     site.expected.append(("transactions without an answer, %d" % sum(lost), any(lost)))
     site.expected.append(("no job is refused while its transaction may be performed, %s were" % refused, not refused))
+    hasty = [a for a in again if a and a[0] == 504 and "retry-after" not in a[1]]
+    site.expected.append(("a 504 says when to come back, %d did not" % len(hasty), not hasty))
     site.store.mode, site.store.late = "up", 0.0
     await asyncio.sleep(5)
     for job in jobs:
