--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -14,6 +14,17 @@
 	return names[presence];
 }
 
+const char *fleet_admission_name(enum fleet_admission admission)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		FLEET_ADMISSIONS(X)
+#undef X
+	};
+
+	return names[admission];
+}
+
 static int fleet_destructor(struct fleet *f)
 {
 	for (guint i = 0; i < f->all->len; i++) {
@@ -126,10 +137,20 @@
 	}
 }
 
+enum fleet_admission fleet_admission(const struct fleet_server *sv, int64_t now)
+{
+	if (sv->presence != FLEET_LISTED)
+		return FLEET_NOT_LISTED;
+	if (!sv->is_fenced)
+		return FLEET_UNFENCED;
+	if (!sv->is_reachable)
+		return FLEET_UNREACHABLE;
+	return sv->suspect_until > now ? FLEET_SUSPECT : FLEET_ACCEPTING;
+}
+
 bool fleet_accepts_work(const struct fleet_server *sv, int64_t now)
 {
-	return sv->presence == FLEET_LISTED && sv->is_fenced && sv->is_reachable &&
-	       sv->suspect_until <= now;
+	return fleet_admission(sv, now) == FLEET_ACCEPTING;
 }
 
 struct fleet_resources fleet_unused_capacity(const struct fleet_server *sv)
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -66,6 +66,23 @@
 /** fleet_presence_name() - name as listed in FLEET_PRESENCES */
 const char *fleet_presence_name(enum fleet_presence presence);
 
+#define FLEET_ADMISSIONS(X)                                                               \
+	X(FLEET_ACCEPTING, "accepting")	    /* new tasks may be placed there */           \
+	X(FLEET_NOT_LISTED, "not_listed")   /* draining, unlisted or replaced */          \
+	X(FLEET_UNFENCED, "unfenced")	    /* it has not seen the term of this leader */ \
+	X(FLEET_UNREACHABLE, "unreachable") /* it does not answer */                      \
+	X(FLEET_SUSPECT, "suspect")	    /* its suspect period has not ended */
+
+enum fleet_admission {
+#define X(id, name) id,
+	FLEET_ADMISSIONS(X)
+#undef X
+		FLEET_ADMISSION_COUNT
+};
+
+/** fleet_admission_name() - name as listed in FLEET_ADMISSIONS */
+const char *fleet_admission_name(enum fleet_admission admission);
+
 /**
  * struct fleet_server - one incarnation of a backend server
  * @id: id of the server, the same for all its incarnations
@@ -172,6 +189,8 @@
 /** fleet_prune() - free unlisted or replaced servers without tasks for which @may_free is true */
 void fleet_prune(struct fleet *f, bool (*may_free)(struct fleet_server *sv));
 
+/** fleet_admission() - whether new tasks may be placed on @sv at @now, else the first obstacle */
+enum fleet_admission fleet_admission(const struct fleet_server *sv, int64_t now);
 /** fleet_accepts_work() - true if new tasks may be placed on @sv at @now */
 bool fleet_accepts_work(const struct fleet_server *sv, int64_t now);
 /**
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -59,19 +59,47 @@
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
 			const struct work_group *group, const struct plan_clock *at,
 			struct fleet_server **out);
+#define PLAN_REFUSALS(X)                                                               \
+	X(PLAN_PLACED, "")                                                             \
+	X(PLAN_UNMET_BEFORE, "an equal or smaller need was not met in this round")     \
+	X(PLAN_NO_SLOT, "no server has room for a task")                               \
+	X(PLAN_GANG_TOO_LARGE, "the servers have no room for all members of the gang") \
+	X(PLAN_AWAITS_RACK, "no rack has room for all tasks")                          \
+	X(PLAN_AWAITS_DATA_RACK, "the data rack has no room")
+
+/** enum plan_refusal - the rule by which plan_place() placed no task */
+enum plan_refusal {
+#define X(id, text) id,
+	PLAN_REFUSALS(X)
+#undef X
+};
+
+/** plan_refusal_text() - text as listed in PLAN_REFUSALS */
+const char *plan_refusal_text(enum plan_refusal refusal);
+
 /**
  * struct plan_explanation - why a group was not placed, for the log
- * @candidates: servers that accept new work and match the service and label of the group
+ * @refusal: outcome of the latest plan_place()
+ * @servers: servers of the group's service, by admission
+ * @candidates: servers that accept new work and that the group may use
  * @with_capacity: candidates with enough free capacity for one task
  * @free_accelerators: free accelerators of all candidates together
+ * @on_probation: accepting servers that the group avoids because a task failed there
+ * @mislabelled: accepting servers without the required label
+ * @set_aside: accepting servers that are headroom or reserved for other work
  */
 struct plan_explanation {
+	enum plan_refusal refusal;
+	unsigned int servers[FLEET_ADMISSION_COUNT];
 	unsigned int candidates;
 	unsigned int with_capacity;
 	int64_t free_accelerators;
+	unsigned int on_probation;
+	unsigned int mislabelled;
+	unsigned int set_aside;
 };
 
-/** plan_explain() - count candidates and their free capacity for a group that was not placed */
+/** plan_explain() - explain why the group of the latest plan_place() was not placed */
 void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  const struct plan_clock *at, struct plan_explanation *explanation);
 
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -53,10 +53,25 @@
 	return n;
 }
 
+const char *plan_refusal_text(enum plan_refusal refusal)
+{
+	static const char *const texts[] = {
+#define X(id, text) text,
+		PLAN_REFUSALS(X)
+#undef X
+	};
+
+	return texts[refusal];
+}
+
+static bool has_required_label(const struct fleet_server *sv, const struct work_group *group)
+{
+	return !group->step->label || fleet_has_label(sv, group->step->label);
+}
+
 static bool suits(const struct fleet_server *sv, const struct work_group *group)
 {
-	return !strcmp(sv->service, group->job->service) &&
-	       (!group->step->label || fleet_has_label(sv, group->step->label));
+	return !strcmp(sv->service, group->job->service) && has_required_label(sv, group);
 }
 
 static void grow_scratch(struct plan_scratch *s, const struct fleet *fleet)
@@ -79,10 +94,16 @@
 	return !group->step->is_gang && group->job->attempts >= PROBATION_ATTEMPTS_MIN;
 }
 
+static bool avoids(const struct plan_scratch *s, const struct fleet_server *sv,
+		   const struct work_group *group, int64_t now)
+{
+	return sv->probation_until > now && !s->ignores_probation && !can_afford_failure(group);
+}
+
 static bool is_candidate(const struct plan_scratch *s, const struct fleet_server *sv,
 			 const struct work_group *group, int64_t now)
 {
-	if (sv->probation_until > now && !s->ignores_probation && !can_afford_failure(group))
+	if (avoids(s, sv, group, now))
 		return false;
 	return fleet_accepts_work(sv, now) && suits(sv, group) && plan_may_use(sv, group, now);
 }
@@ -325,14 +346,19 @@
 				      const struct work_group *group, struct fleet_server **out)
 {
 	unsigned int rack = siblings_rack(group);
+	unsigned int placed;
 
 	if (rack == PLAN_ANY_RACK)
 		rack = tightest_rack(s, group);
 	if (rack == PLAN_ANY_RACK && any_rack_could_fit(s, fleet, group)) {
 		memset(out, 0, group->count * sizeof(*out));
+		s->refusal = PLAN_AWAITS_RACK;
 		return 0;
 	}
-	return plan_assign_waiting(s, group, rack, out);
+	placed = plan_assign_waiting(s, group, rack, out);
+	if (!placed)
+		s->refusal = PLAN_AWAITS_RACK;
+	return placed;
 }
 
 static unsigned int place_near_data(struct plan_scratch *s, const struct fleet *fleet,
@@ -346,8 +372,12 @@
 	if (rack != PLAN_ANY_RACK) {
 		plan_save_candidates(s);
 		placed = plan_assign_waiting(s, group, rack, out);
-		if (placed || at->now < group->ready_since + wait_limit_ms)
+		if (placed)
 			return placed;
+		if (at->now < group->ready_since + wait_limit_ms) {
+			s->refusal = PLAN_AWAITS_DATA_RACK;
+			return 0;
+		}
 		plan_restore_candidates(s);
 	}
 	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
@@ -402,14 +432,22 @@
 	unsigned int slots;
 
 	memset(out, 0, group->count * sizeof(*out));
-	if (is_known_unmet(s, group))
+	s->refusal = PLAN_PLACED;
+	if (is_known_unmet(s, group)) {
+		s->refusal = PLAN_UNMET_BEFORE;
 		return 0;
+	}
 	plan_collect_candidates(s, fleet, group, at->now, false);
 	slots = plan_count_slots(s, group);
-	if (!slots)
+	if (!slots) {
 		record_unmet_need(s, group);
-	if (!slots || (group->step->is_gang && slots < group->count))
+		s->refusal = PLAN_NO_SLOT;
+		return 0;
+	}
+	if (group->step->is_gang && slots < group->count) {
+		s->refusal = PLAN_GANG_TOO_LARGE;
 		return 0;
+	}
 	if (group->step->data_rack)
 		return place_near_data(s, fleet, group, at, out);
 	if (group->step->same_rack && group->count > 1)
@@ -421,6 +459,23 @@
 		  const struct plan_clock *at, struct plan_explanation *explanation)
 {
 	memset(explanation, 0, sizeof(*explanation));
+	explanation->refusal = s->refusal;
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+		enum fleet_admission admission = fleet_admission(sv, at->now);
+
+		if (strcmp(sv->service, group->job->service))
+			continue;
+		explanation->servers[admission]++;
+		if (admission != FLEET_ACCEPTING)
+			continue;
+		if (!has_required_label(sv, group))
+			explanation->mislabelled++;
+		else if (avoids(s, sv, group, at->now))
+			explanation->on_probation++;
+		else if (!plan_may_use(sv, group, at->now))
+			explanation->set_aside++;
+	}
 	plan_collect_candidates(s, fleet, group, at->now, false);
 	explanation->candidates = s->count;
 	for (unsigned int i = 0; i < s->count; i++) {
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -53,6 +53,7 @@
  * @ignores_probation: probation is not applied in this round, because so many servers
  *                     are on probation that the jobs must be at fault
  * @has_reservation: servers are reserved for a gang in this round
+ * @refusal: outcome of the latest plan_place()
  * @unmet_needs: needs that no server could meet in this round
  * @unmet_need_count: entries of @unmet_needs in use
  */
@@ -66,6 +67,7 @@
 	unsigned int racks;
 	bool ignores_probation;
 	bool has_reservation;
+	enum plan_refusal refusal;
 	struct plan_unmet_need unmet_needs[PLAN_UNMET_NEEDS_MAX];
 	unsigned int unmet_need_count;
 };
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -228,14 +228,11 @@
 	return group->step->is_gang && awaiting && awaiting < group->count;
 }
 
-bool work_group_is_ready(const struct work_group *group)
+bool work_group_is_unblocked(const struct work_group *group)
 {
 	const struct work_step *s = group->step;
-	unsigned int waiting = work_group_waiting_count(group);
 
-	if (work_job_has_ended(group->job) || !waiting)
-		return false;
-	if (s->is_gang && waiting < group->count)
+	if (work_job_has_ended(group->job))
 		return false;
 	for (unsigned int i = 0; i < s->after_count; i++) {
 		const struct work_group *predecessor =
@@ -247,6 +244,15 @@
 	return true;
 }
 
+bool work_group_is_ready(const struct work_group *group)
+{
+	unsigned int waiting = work_group_waiting_count(group);
+
+	if (!waiting || (group->step->is_gang && waiting < group->count))
+		return false;
+	return work_group_is_unblocked(group);
+}
+
 /* ---- tasks ---- */
 
 bool work_task_is_placed(const struct work_task *t)
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -191,6 +191,9 @@
  * @ended_ms: wall clock when it reached a final state
  * @groups: struct work_group of all started occurrences, in order of occurrence and step
  * @occurrences: number of started occurrences
+ * @idle_since: since when nothing of the job runs although a task's turn has come, monotonic
+ *	ms; 0 when not so
+ * @idle_report_at: when the next log line reports that, monotonic ms
  */
 struct work_job {
 	char id[WORK_ID_LEN + 1];
@@ -212,6 +215,8 @@
 	int64_t ended_ms;
 	GPtrArray *groups;
 	unsigned int occurrences;
+	int64_t idle_since;
+	int64_t idle_report_at;
 	struct work_row row;
 };
 
@@ -259,6 +264,8 @@
 /** work_objective_ms() - objective for the time from due to done of an occurrence, in ms */
 int64_t work_objective_ms(const struct work_job *job);
 
+/** work_group_is_unblocked() - true if the job has not ended and the preceding steps are done */
+bool work_group_is_unblocked(const struct work_group *group);
 /**
  * work_group_is_ready() - true if the group has tasks to place now
  *
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -110,6 +110,7 @@
 	if (!l->is_loaded)
 		return;
 	lead_servers_tick(l);
+	lead_idle_tick(l);
 	lead_request_round(l);
 }
 
@@ -245,11 +246,14 @@
 {
 	struct fleet_resources sum[4] = {{0}};
 	static const char *const names[] = {"capacity", "used", "promised", "unclaimed"};
+	unsigned int servers[FLEET_ADMISSION_COUNT] = {0};
+	int64_t now = sited_now_ms();
 	int64_t headroom = 0;
 
 	for (guint i = 0; i < l->fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
 
+		servers[fleet_admission(sv, now)]++;
 		fleet_resources_add(&sum[0], &sv->capacity, 1);
 		fleet_resources_add(&sum[1], &sv->used, 1);
 		fleet_resources_add(&sum[2], &sv->awaiting_preemption, 1);
@@ -259,6 +263,10 @@
 		text = talloc_asprintf_append_buffer(
 			text, "currantlane_accelerators{state=\"%s\"} %" PRId64 "\n", names[i],
 			sum[i].accelerators);
+	for (unsigned int i = 0; i < FLEET_ADMISSION_COUNT; i++)
+		text = talloc_asprintf_append_buffer(
+			text, "currantlane_servers{admission=\"%s\"} %u\n",
+			fleet_admission_name((enum fleet_admission)i), servers[i]);
 	for (guint i = 0; i < l->fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
 
@@ -267,8 +275,10 @@
 	return talloc_asprintf_append_buffer(
 		text,
 		"currantlane_accelerators{state=\"kept\"} %" PRId64
-		"\ncurrantlane_agents %u\ncurrantlane_probes %u\ncurrantlane_jobs_active %u\n",
-		headroom, lead_agents_count(l), l->probes, l->active->len);
+		"\ncurrantlane_agents %u\ncurrantlane_probes %u\ncurrantlane_jobs_active %u\n"
+		"currantlane_jobs_idle %u\ncurrantlane_job_longest_idle_seconds %.3f\n",
+		headroom, lead_agents_count(l), l->probes, l->active->len, l->idle_jobs,
+		(double)l->longest_idle_ms / BASE_MS_PER_S);
 }
 
 /* ---- placement ---- */
@@ -382,12 +392,18 @@
 		return;
 	g->wait_logged_at = at->now;
 	plan_explain(l->scratch, l->fleet, g, at, &explanation);
-	log_event("not_placed", "{ss si si si sI si si sI}", "id", g->job->id, "occurrence",
-		  (int)g->occurrence, "step", (int)g->step_index, "waiting",
+	log_event("not_placed", "{ss si si si sI ss si si sI si si si si si si}", "id", g->job->id,
+		  "occurrence", (int)g->occurrence, "step", (int)g->step_index, "waiting",
 		  (int)work_group_waiting_count(g), "waited_ms",
-		  (json_int_t)(at->now - g->ready_since), "servers", (int)explanation.candidates,
+		  (json_int_t)(at->now - g->ready_since), "why",
+		  plan_refusal_text(explanation.refusal), "servers", (int)explanation.candidates,
 		  "with_room", (int)explanation.with_capacity, "free_accelerators",
-		  (json_int_t)explanation.free_accelerators);
+		  (json_int_t)explanation.free_accelerators, "unfenced",
+		  (int)explanation.servers[FLEET_UNFENCED], "unreachable",
+		  (int)explanation.servers[FLEET_UNREACHABLE], "suspect",
+		  (int)explanation.servers[FLEET_SUSPECT], "on_probation",
+		  (int)explanation.on_probation, "mislabelled", (int)explanation.mislabelled,
+		  "set_aside", (int)explanation.set_aside);
 }
 
 static void place_group(struct lead *l, struct work_group *g, const struct plan_clock *at)
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -43,6 +43,9 @@
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
  * @next_round_at: earliest start of the next round, on base_now_ns()'s clock
+ * @next_idle_check_at: earliest time of the next search for idle jobs, monotonic ms
+ * @idle_jobs: jobs of which nothing has run for some time although a task's turn has come
+ * @longest_idle_ms: longest such time of a job, in ms
  * @is_handing_over: handover of leadership in progress; nothing new is placed
  */
 struct lead {
@@ -73,6 +76,9 @@
 	int64_t list_version;
 	struct mtimer *round;
 	int64_t next_round_at;
+	int64_t next_idle_check_at;
+	unsigned int idle_jobs;
+	int64_t longest_idle_ms;
 	bool is_handing_over;
 };
 
@@ -242,6 +248,11 @@
 void lead_send_poll(struct lead *l, const struct lead_order_target *to,
 		    const struct order_poll *look, order_done *done, void *data);
 
+/* ---- sited_idle.c ---- */
+
+/** lead_idle_tick() - report jobs of which nothing runs although a task's turn has come */
+void lead_idle_tick(struct lead *l);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment */
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -207,6 +207,65 @@
 }
 END_TEST
 
+/* ---- explanation ---- */
+
+static struct plan_explanation explain(struct fleet *f, struct work_group *g)
+{
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct plan_explanation explanation;
+	struct fleet_server *out[8];
+
+	plan_start_round(s, f, start.now);
+	ck_assert_uint_eq(plan_place(s, f, g, &start, out), 0);
+	plan_explain(s, f, g, &start, &explanation);
+	return explanation;
+}
+
+START_TEST(an_explanation_counts_the_servers_that_are_excluded)
+{
+	struct fleet *f = sample_fleet(NULL, 8, 8);
+	struct work_group *g = sample_gang(f, 1, 1, 1, 1);
+	struct plan_explanation explanation;
+
+	sample_server(f, 0)->presence = FLEET_DRAINING;
+	sample_server(f, 1)->is_fenced = false;
+	sample_server(f, 2)->is_reachable = false;
+	sample_server(f, 3)->suspect_until = start.now + 1;
+	sample_server(f, 4)->probation_until = start.now + 1;
+	sample_server(f, 5)->is_headroom = true;
+	sample_server(f, 6)->service = talloc_strdup(f, "another");
+	sample_server(f, 7)->used.accelerators = 8;
+	explanation = explain(f, g);
+	ck_assert_int_eq(explanation.refusal, PLAN_NO_SLOT);
+	ck_assert_uint_eq(explanation.servers[FLEET_NOT_LISTED], 1);
+	ck_assert_uint_eq(explanation.servers[FLEET_UNFENCED], 1);
+	ck_assert_uint_eq(explanation.servers[FLEET_UNREACHABLE], 1);
+	ck_assert_uint_eq(explanation.servers[FLEET_SUSPECT], 1);
+	ck_assert_uint_eq(explanation.servers[FLEET_ACCEPTING], 3);
+	ck_assert_uint_eq(explanation.on_probation, 1);
+	ck_assert_uint_eq(explanation.set_aside, 1);
+	ck_assert_uint_eq(explanation.candidates, 1);
+	ck_assert_uint_eq(explanation.with_capacity, 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(an_explanation_names_the_rule_that_refused)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 1);
+	struct work_job *job = sample_job(f, 1, 1, 2, 8);
+	struct work_group *g;
+
+	ck_assert_int_eq(explain(f, sample_gang(f, 2, 1, 3, 8)).refusal, PLAN_GANG_TOO_LARGE);
+	sample_server(f, 0)->used.accelerators = 8;
+	job->step[0].data_rack = talloc_strdup(job, "r0");
+	g = sample_start(job);
+	g->ready_since = start.now;
+	ck_assert_int_eq(explain(f, g).refusal, PLAN_AWAITS_DATA_RACK);
+	talloc_free(f);
+}
+END_TEST
+
 /*
  * Found on the large site, scale-2: a twelfth of the servers fail every task and then
  * have free capacity again at once. A gang with two attempts lost both of them there.
@@ -820,6 +879,8 @@
 	tcase_add_test(t, a_task_waits_for_its_data_rack_up_to_a_limit);
 	tcase_add_test(t, tasks_of_a_step_per_server_are_limited);
 	tcase_add_test(t, servers_that_do_not_accept_work_get_none);
+	tcase_add_test(t, an_explanation_counts_the_servers_that_are_excluded);
+	tcase_add_test(t, an_explanation_names_the_rule_that_refused);
 	tcase_add_test(t, servers_that_fail_every_task_cost_a_gang_at_most_one_attempt);
 	tcase_add_test(t, a_server_on_probation_gets_work_with_attempts_to_spare);
 	tcase_add_test(t, probation_of_every_server_excludes_none);
