--- a/tools/check.py
+++ b/tools/check.py
@@ -37,7 +37,7 @@
 
 def red_lines(out):
     """Single figures and promises that failed in a program's output."""
-    return [line for line in out.splitlines() if re.search(r"\bFAIL\b|VIOLATED|TOO LITTLE", line)]
+    return [line for line in out.splitlines() if re.search(r"\bFAIL\b|VIOLATED|TOO LITTLE|:[EFS]:\w+:\w+:\d+: ", line)]
 
 
 def is_known(line, names):
