An unmet need excludes only groups that avoid the same servers

A step that may use servers on probation was skipped in a round after a step that may not use them had found no server, although the server on probation had room for it.

The need is compared by service, label and resources. It now also records that servers on probation were not tried, and then does not hold for groups that try them.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -402,6 +402,8 @@
 	for (unsigned int i = 0; i < s->unmet_need_count; i++) {
 		const struct plan_unmet_need *r = &s->unmet_needs[i];
 
+		if (r->avoids_probation && can_afford_failure(group))
+			continue;
 		if (applies_to(r, group) && fleet_resources_fit(&r->need, &group->step->need) &&
 		    same_text(r->label, group->step->label) &&
 		    same_text(r->service, group->job->service))
@@ -418,6 +420,7 @@
 	if (s->unmet_need_count == PLAN_UNMET_NEEDS_MAX || group->step->per_server_max)
 		return;
 	r = &s->unmet_needs[s->unmet_need_count++];
+	r->avoids_probation = !can_afford_failure(group);
 	r->service = group->job->service;
 	r->label = group->step->label;
 	r->need = group->step->need;
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -25,6 +25,8 @@
  * struct plan_unmet_need - a need that no server could meet in this round
  * @min_estimate_ms: when servers were reserved for a gang, the need stays unmet only for
  *                   tasks of at least this declared run time that are not urgent; else 0
+ * @avoids_probation: servers on probation were not tried, so that the need stays unmet only
+ *                    for groups that avoid them too
  * @service: service of the group
  * @label: label that the group requires, or NULL
  * @need: resources of one task
@@ -34,6 +36,7 @@
  */
 struct plan_unmet_need {
 	int64_t min_estimate_ms;
+	bool avoids_probation;
 	const char *service;
 	const char *label;
 	struct fleet_resources need;
