A gang waits for one rack only while some rack can take it

A gang that wants one rack waited without a limit as soon as each rack had a server that did not answer or was not fenced: a rack was taken to hold it by its listed servers, whatever their state. Meanwhile, plan_reserve(), which counts servers that accept work, found no rack and reserved servers of several racks, which the gang never took and nobody else could use.

A rack now counts by the servers that accept work, or will when a suspect period ends within the time that the wait is worth: a spread gang runs about three times as long. As long as plan_place() waits for a rack, plan_reserve() reserves nothing outside one.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -17,6 +17,11 @@
 
 /* wait limit for a server in the data rack, in percent of the declared run time */
 #define DATA_WAIT_PERCENT 100
+/*
+ * In percent of the declared run time: a gang that is spread over racks runs about three
+ * times as long, so a rack that is usable only after this time is not worth the wait.
+ */
+#define RACK_WAIT_PERCENT 200
 #define PROBATION_ATTEMPTS_MIN 3 /* attempts of a job that may use a server on probation */
 /* when more than 1 in 4 servers is on probation, the jobs are at fault, not the servers */
 #define PROBATION_SHARE 4
@@ -325,15 +330,16 @@
 	return best;
 }
 
-/* some rack could hold the whole group if nothing else ran there */
-static bool any_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
-			       const struct work_group *group)
+bool plan_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
+			 const struct work_group *group, int64_t now)
 {
+	int64_t latest = now + group->step->estimate_ms * RACK_WAIT_PERCENT / 100;
+
 	clear_rack_slots(s);
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
-		if (sv->presence != FLEET_LISTED || !suits(sv, group))
+		if (!fleet_accepts_work(sv, latest) || !suits(sv, group))
 			continue;
 		s->rack_slots[sv->rack] += slots_in(&sv->capacity, group, 0);
 		if (s->rack_slots[sv->rack] >= group->count)
@@ -343,14 +349,15 @@
 }
 
 static unsigned int place_in_one_rack(struct plan_scratch *s, const struct fleet *fleet,
-				      const struct work_group *group, struct fleet_server **out)
+				      const struct work_group *group, int64_t now,
+				      struct fleet_server **out)
 {
 	unsigned int rack = siblings_rack(group);
 	unsigned int placed;
 
 	if (rack == PLAN_ANY_RACK)
 		rack = tightest_rack(s, group);
-	if (rack == PLAN_ANY_RACK && any_rack_could_fit(s, fleet, group)) {
+	if (rack == PLAN_ANY_RACK && plan_rack_could_fit(s, fleet, group, now)) {
 		memset(out, 0, group->count * sizeof(*out));
 		s->refusal = PLAN_AWAITS_RACK;
 		return 0;
@@ -454,7 +461,7 @@
 	if (group->step->data_rack)
 		return place_near_data(s, fleet, group, at, out);
 	if (group->step->same_rack && group->count > 1)
-		return place_in_one_rack(s, fleet, group, out);
+		return place_in_one_rack(s, fleet, group, at->now, out);
 	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
 }
 
--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -150,6 +150,10 @@
 		best = rack;
 		best_at = latest_free_at(slots);
 	}
+	/* plan_place() would not use a reservation of several racks as long as it waits for one */
+	if (best == PLAN_ANY_RACK && group->step->same_rack &&
+	    plan_rack_could_fit(s, fleet, group, at->now))
+		goto out;
 	/* when no single rack can hold the gang, or it needn't be in one, use all racks */
 	found = collect_slots(s, group, best, at->now, slots);
 	if (found)
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -107,6 +107,9 @@
  * the reservation starts.
  */
 bool plan_may_use(const struct fleet_server *sv, const struct work_group *group, int64_t now);
+/** plan_rack_could_fit() - whether a rack that is usable in time could hold the group when empty */
+bool plan_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
+			 const struct work_group *group, int64_t now);
 /** plan_best_candidate() - best candidate that one more task fits on, or NULL */
 struct plan_candidate *plan_best_candidate(struct plan_scratch *s, const struct work_group *group,
 					   const struct work_task *task, unsigned int rack);
