Work does not wait for a preference while the pool has ample room

Callers saw accepted jobs of which nothing ran for seconds, with most of the pool idle.

Class: a preference that is enforced like a requirement, with a wait that nothing bounds.

A group of which nothing is at work is now placed anywhere after 1.5 s, on headroom and reserved servers too, when less than half of the pool is in use and it fits twice. In a fuller pool nothing changes: there a rack, and a reservation, are worth the wait.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -10,6 +10,10 @@
  * free. A gang takes the rack with the least free capacity that it fits in, so that
  * other racks stay free for large gangs. A task with a data rack first waits for a
  * server there, because it runs several times as long elsewhere.
+ *
+ * Load pattern: a backlog drains from a pool of which most is free, but in fragments: no rack
+ * is free as a whole, a data rack is full or has left, or servers are reserved for a wide gang.
+ * Neither a preferred rack nor a reservation of others then holds work back for long.
  */
 #include "plan_scratch.h"
 
@@ -22,6 +26,9 @@
  * times as long, so a rack that is usable only after this time is not worth the wait.
  */
 #define RACK_WAIT_PERCENT 200
+/* wait for a preferred rack, or behind a reservation, while the pool has ample room */
+#define AMPLE_ROOM_WAIT_MS 1500
+#define AMPLE_ROOM_FACTOR 2	 /* the pool is used to less than 1/2, and the work fits 2 times */
 #define PROBATION_ATTEMPTS_MIN 3 /* attempts of a job that may use a server on probation */
 /* when more than 1 in 4 servers is on probation, the jobs are at fault, not the servers */
 #define PROBATION_SHARE 4
@@ -110,7 +117,7 @@
 {
 	if (avoids(s, sv, group, now))
 		return false;
-	return fleet_accepts_work(sv, now) && suits(sv, group) && plan_may_use(sv, group, now);
+	return fleet_accepts_work(sv, now) && suits(sv, group) && plan_may_use(s, sv, group, now);
 }
 
 /* sets @rack_first, so that the candidates can be stored sorted by rack */
@@ -435,13 +442,12 @@
 		s->has_reservation && !plan_is_urgent(group) ? MAX(group->step->estimate_ms, 1) : 0;
 }
 
-unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
-			const struct work_group *group, const struct plan_clock *at,
-			struct fleet_server **out)
+static unsigned int place_as_preferred(struct plan_scratch *s, const struct fleet *fleet,
+				       const struct work_group *group, const struct plan_clock *at,
+				       struct fleet_server **out)
 {
 	unsigned int slots;
 
-	memset(out, 0, group->count * sizeof(*out));
 	s->refusal = PLAN_PLACED;
 	if (is_known_unmet(s, group)) {
 		s->refusal = PLAN_UNMET_BEFORE;
@@ -465,6 +471,81 @@
 	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
 }
 
+/* ---- ample room ---- */
+
+static bool is_at_work(const struct work_group *group)
+{
+	for (unsigned int i = 0; i < group->count; i++) {
+		enum work_task_state state = group->task[i].state;
+
+		if (state == TASK_ASSIGNED || state == TASK_STARTING || state == TASK_RUNNING)
+			return true;
+	}
+	return false;
+}
+
+static bool pool_is_mostly_free(const struct fleet *fleet, const char *service)
+{
+	int64_t capacity = 0;
+	int64_t used = 0;
+
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		if (sv->presence != FLEET_LISTED || strcmp(sv->service, service))
+			continue;
+		capacity += fleet_millicore_equivalent(&sv->capacity);
+		used += fleet_millicore_equivalent(&sv->used);
+	}
+	return used * AMPLE_ROOM_FACTOR < capacity;
+}
+
+/* the preferred rack first, then any server; those set aside for other work too */
+static unsigned int place_in_ample_room(struct plan_scratch *s, const struct fleet *fleet,
+					const struct work_group *group, const struct plan_clock *at,
+					struct fleet_server **out)
+{
+	unsigned int needed = group->step->is_gang ? group->count : 1;
+	unsigned int rack = PLAN_ANY_RACK;
+	unsigned int placed;
+
+	s->uses_set_aside = true;
+	plan_collect_candidates(s, fleet, group, at->now, false);
+	s->uses_set_aside = false;
+	if (plan_count_slots(s, group) < AMPLE_ROOM_FACTOR * needed)
+		return 0;
+	if (group->step->data_rack)
+		rack = fleet_find_rack(fleet, group->step->data_rack);
+	else if (group->step->same_rack)
+		rack = tightest_rack(s, group);
+	plan_save_candidates(s);
+	placed = plan_assign_waiting(s, group, rack, out);
+	if (!placed && rack != PLAN_ANY_RACK) {
+		plan_restore_candidates(s);
+		placed = plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
+	}
+	if (placed)
+		s->refusal = PLAN_PLACED;
+	return placed;
+}
+
+unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
+			const struct work_group *group, const struct plan_clock *at,
+			struct fleet_server **out)
+{
+	unsigned int placed;
+
+	memset(out, 0, group->count * sizeof(*out));
+	placed = place_as_preferred(s, fleet, group, at, out);
+	if (placed || !group->waiting_since || at->now < group->waiting_since + AMPLE_ROOM_WAIT_MS)
+		return placed;
+	/* each task of an endless step counts, however full the pool is */
+	if (!group->step->is_endless &&
+	    (is_at_work(group) || !pool_is_mostly_free(fleet, group->job->service)))
+		return placed;
+	return place_in_ample_room(s, fleet, group, at, out);
+}
+
 void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  const struct plan_clock *at, struct plan_explanation *explanation)
 {
@@ -483,7 +564,7 @@
 			explanation->mislabelled++;
 		else if (avoids(s, sv, group, at->now))
 			explanation->on_probation++;
-		else if (!plan_may_use(sv, group, at->now))
+		else if (!plan_may_use(s, sv, group, at->now))
 			explanation->set_aside++;
 	}
 	plan_collect_candidates(s, fleet, group, at->now, false);
--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -163,11 +163,14 @@
 	return found;
 }
 
-bool plan_may_use(const struct fleet_server *sv, const struct work_group *group, int64_t now)
+bool plan_may_use(const struct plan_scratch *s, const struct fleet_server *sv,
+		  const struct work_group *group, int64_t now)
 {
 	int64_t ends = now + (int64_t)(BACKFILL_FACTOR * (double)group->step->estimate_ms);
 
 	if (plan_is_urgent(group))
 		return true;
+	if (s->uses_set_aside)
+		return true;
 	return !sv->is_headroom && (!sv->reserved_until || ends <= sv->reserved_until);
 }
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -56,6 +56,7 @@
  * @ignores_probation: probation is not applied in this round, because so many servers
  *                     are on probation that the jobs must be at fault
  * @has_reservation: servers are reserved for a gang in this round
+ * @uses_set_aside: headroom and reserved servers are candidates of the current group
  * @refusal: outcome of the latest plan_place()
  * @unmet_needs: needs that no server could meet in this round
  * @unmet_need_count: entries of @unmet_needs in use
@@ -70,6 +71,7 @@
 	unsigned int racks;
 	bool ignores_probation;
 	bool has_reservation;
+	bool uses_set_aside;
 	enum plan_refusal refusal;
 	struct plan_unmet_need unmet_needs[PLAN_UNMET_NEEDS_MAX];
 	unsigned int unmet_need_count;
@@ -106,7 +108,8 @@
  * A reserved server may be backfilled by a task that is expected to end before
  * the reservation starts.
  */
-bool plan_may_use(const struct fleet_server *sv, const struct work_group *group, int64_t now);
+bool plan_may_use(const struct plan_scratch *s, const struct fleet_server *sv,
+		  const struct work_group *group, int64_t now);
 /** plan_rack_could_fit() - whether a rack that is usable in time could hold the group when empty */
 bool plan_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
 			 const struct work_group *group, int64_t now);
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -152,6 +152,7 @@
  * struct work_group - one step of one occurrence
  * @occurrence: 0 for a job that isn't timed
  * @ready_since: when its first task could have started, monotonic ms; 0 before
+ * @waiting_since: since when it has had a task to place, monotonic ms; 0 when it has none
  * @wait_logged_at: when a log line last reported that it waits, monotonic ms; 0 before
  * @done: number of tasks done
  * @failed_attempt: latest attempt of the gang that was counted as failed
@@ -169,6 +170,7 @@
 	uint32_t failed_attempt;
 	double earlier_pace;
 	int64_t ready_since;
+	int64_t waiting_since;
 	int64_t wait_logged_at;
 	struct work_row row;
 };
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -325,6 +325,8 @@
 				continue;
 			if (!r.group->ready_since)
 				record_ready(l, r.group, at->now);
+			if (!r.group->waiting_since)
+				r.group->waiting_since = at->now;
 			r.rank = plan_rank(r.group, at);
 			g_array_append_val(ready, r);
 		}
@@ -337,6 +339,8 @@
 {
 	struct work_job *job = g->job;
 
+	if (!work_group_waiting_count(g))
+		g->waiting_since = 0;
 	if (job->state == WORK_QUEUED)
 		work_job_set_state(job, WORK_RUNNING, sited_wall_ms());
 	log_event("placed", "{ss si si sI sI sI}", "id", job->id, "occurrence", (int)g->occurrence,
--- a/tests/test_plan_idle.c
+++ b/tests/test_plan_idle.c
@@ -423,6 +423,8 @@
 		g->task[i].started_at = w->at.now;
 		g->task[i].progress_at = w->at.now;
 	}
+	if (!work_group_waiting_count(g))
+		g->waiting_since = 0;
 }
 
 /* starts the awaiting tasks whose victims have stopped; a gang only as a whole */
@@ -522,6 +524,8 @@
 						   w->at.now);
 			if (!g->ready_since)
 				g->ready_since = w->at.now;
+			if (!g->waiting_since)
+				g->waiting_since = w->at.now;
 			g_ptr_array_add(ready, g);
 		}
 	}
