soak: ask that no job has nothing running while there is room

Callers saw accepted jobs with nothing running, long after the trouble, in a pool that was more than half free. No check asked for that.

The soak now samples every 0.1 s what the backend servers run and what the callers were told: from 14 s after the last fault on, no job may have nothing running for 3 s while the turn of one of its tasks has come, there is room for twice its waiting tasks, and less than half of the accelerators are in use.

Scenarios in which servers that run members of gangs are gone for good and the leader changes twice.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -47,6 +47,7 @@
         self.hang = False       # tasks make no progress
         self.draining = False
         self.listed = None
+        self.is_gone = False    # for good: it neither answers nor runs anything
         self.reborn()
 
     def reborn(self):
@@ -62,6 +63,15 @@
         for run in crashed:
             self.pool.close(run, "crashed")
 
+    async def leave_for_good(self, is_unlisted):
+        """It crashes and does not return; its entry is removed after three beats, or stays."""
+        self.is_gone = self.silent = True
+        self.http.reset_connections()
+        self.reborn()
+        if is_unlisted:
+            await asyncio.sleep(3 * BEAT_S)
+            await self.pool.store.apply([("servers", "", self.name, None)])
+
     def clock(self):
         return int(time.time() * 1000) - self.born + 1
 
@@ -208,7 +218,7 @@
     def began(self, run):
         self.runs.append(run)
         self.open.setdefault(run.group, []).append(run)
-        used = sum(self.needs.get(r.task[:16], 1) for r in run.server.runs.values())
+        used = self.in_use(run.server)
         if used > CAPACITY["gpu"]:
             self.starts_over_capacity.append((run.task, run.server.name, used))
 
@@ -245,6 +255,13 @@
             for member in list(members):
                 member.server.end(member, "done")
 
+    def in_use(self, server):
+        return sum(self.needs.get(r.task[:16], 1) for r in server.runs.values())
+
+    def live(self):
+        """Servers that take work."""
+        return [s for s in self.servers if not s.silent and not s.draining]
+
     async def tick(self):
         last = time.monotonic()
         while True:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
 import time
 
 from site_http import call
-from site_servers import Pool, ZONES
+from site_servers import CAPACITY, Pool, ZONES
 from site_store import Store
 
 BUILD = os.environ.get("BUILD", "build")
@@ -34,6 +34,10 @@
 ATTEMPTS = 3            # of the queue
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
+IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
+IDLE_MAX_S = 3.0        # for so long
+SAMPLE_S = 0.1
+WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
 PORTS_FIRST = 20000     # plays side by side must not take each other's
 PORT_BLOCKS = 100
 PORTS_A_BLOCK = 120
@@ -67,6 +71,14 @@
             step["gang"] = True
         return {"spec": json.dumps(self.spec), "steps": [step] + [dict(step, after=[0])] * (self.steps - 1)}
 
+    def turn(self, done):
+        """Tasks whose turn has come, by the tasks that are done."""
+        for step in range(self.steps):
+            left = [t for t in ("%s.0.%d.%d" % (self.id, step, i) for i in range(self.count)) if t not in done]
+            if left:
+                return left
+        return []
+
     def tasks(self):
         return ["%s.0.%d.%d" % (self.id, s, i) for s in range(self.steps) for i in range(self.count)]
 
@@ -149,6 +161,13 @@
         self.following = []     # of jobs
         self.turned_away = []   # (what, whether it went well), at a VM that the store turned away
         self.expected = []      # (what, whether it was so), of the scenario played
+        self.quiet_at = None    # end of the traffic and of the faults
+        self.samples = 0        # of jobs that had not ended, since then
+        self.idle = {}          # id of a job -> since when nothing runs, though it could
+        self.idle_too_long = {}  # id of a job -> (seconds after the end, seconds without a run)
+        self.idle_limit_s = None  # from when servers were gone until the jobs there run again
+        self.gone_at = None     # when servers were gone for good
+        self.idle_last = 0.0    # seconds after the end until which some job was so
 
     async def config(self, version):
         routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
@@ -237,6 +256,54 @@
         for task in self.following:
             task.cancel()
 
+    # ---- jobs that have nothing running, though they could ----
+
+    def has_room_twice(self, job, tasks):
+        """Room for twice the waiting tasks, while less than half of the pool is in use."""
+        live = self.pool.live()
+        used = [self.pool.in_use(s) for s in live]
+        slots = sum(max(CAPACITY["gpu"] - u, 0) // job.gpu for u in used)
+        return sum(used) * 2 < CAPACITY["gpu"] * len(live) and slots >= 2 * tasks
+
+    def idle_jobs(self):
+        done = {r.task for r in self.pool.runs if r.how == "done"}
+        running = {r.task[:16] for s in self.pool.live() for r in s.runs.values()}
+        for job in self.jobs:
+            if not job.accepted or job.asked_to_cancel or job.seen.keys() & self.ends_of(job):
+                continue
+            waiting = job.turn(done)
+            if not waiting or self.has_used_up_attempts(job):
+                continue
+            self.samples += 1
+            if job.id not in running and self.has_room_twice(job, len(waiting)):
+                yield job
+
+    def has_used_up_attempts(self, job):
+        failed = {(r.attempt, "" if job.spec["gang"] else r.task) for r in self.pool.runs
+                  if r.task[:16] == job.id and r.how == "failed"}
+        return any(len([1 for _, task in failed if task == t]) >= ATTEMPTS for _, t in failed)
+
+    def end_of_faults(self):
+        """And of the traffic; planned stops may follow."""
+        self.stopping, self.quiet_at = True, self.quiet_at or time.monotonic()
+
+    def idle_since_gone(self):
+        return self.quiet_at + self.idle_last - self.gone_at
+
+    async def sample(self):
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            if not self.quiet_at:
+                continue
+            now = time.monotonic()
+            idle = {job.id for job in self.idle_jobs()}
+            self.idle = {i: self.idle.get(i, now) for i in idle}
+            if idle:
+                self.idle_last = now - self.quiet_at
+            for i, since in self.idle.items():
+                if now - max(since, self.quiet_at + IDLE_FROM_S) > IDLE_MAX_S:
+                    self.idle_too_long[i] = (round(now - self.quiet_at, 1), round(now - since, 1))
+
     # ---- faults ----
 
     def victim(self):
@@ -251,8 +318,8 @@
         await asyncio.sleep(self.rng.uniform(0.1, 1.5))
         vm.start()
 
-    async def terminate(self):
-        vm = self.victim()
+    async def terminate(self, vm=None):
+        vm = vm or self.victim()
         process = vm.process  # another fault may start the next one meanwhile
         vm.send(signal.SIGTERM)
         self.stops += 1
@@ -409,6 +476,11 @@
                 ("no start after a cancellation", sum(bool(j.cancelled) for j in self.jobs), late),
                 ("a refused job never runs", len(refused) or 1, refused_ran),
                 ("an accepted job ends", len(accepted), unfinished),
+                ("no job has nothing running while there is room", self.samples or 1,
+                 ["%s for %.1f s, %.1f s after the last fault" % (i, for_s, at)
+                  for i, (at, for_s) in self.idle_too_long.items()]),
+                ("jobs of servers that are gone run again in time", 1, ["%.1f s" % self.idle_since_gone()]
+                 if self.idle_limit_s and self.idle_since_gone() > self.idle_limit_s else []),
                 ("an accepted job is never unknown", len(accepted), [j.id for j in accepted if "unknown" in j.seen]),
                 ("complete means that all is done", self.said_complete, self.lies),
                 ("failed means that the attempts are used up", len(accepted), wrongly),
@@ -712,12 +784,108 @@
     site.expected.append(("a large VM wins, %s did" % small, not small))
 
 
+def runs_of(site, job):
+    return [r for r in site.pool.runs if r.task[:16] == job.id and not r.ended]
+
+
+async def start_gangs(site):
+    jobs = [site.add_job() for _ in range(3)]
+    for job in jobs:
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 3, 1, 4, False, "urgent"
+        job.spec = {"ms": 8000, "gang": 3, "fail": 0}
+        site.pool.needs[job.id] = job.gpu
+        await site.submit(job)
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+    for _ in range(100):
+        await asyncio.sleep(0.1)
+        if all(len(runs_of(site, job)) == job.count for job in jobs):
+            break
+    else:
+        site.expected.append(("all gangs run", False))
+    return jobs
+
+
+def leave_for_good(site, gangs, is_unlisted):
+    """A server of each gang."""
+    for server in {runs_of(site, job)[0].server for job in gangs if runs_of(site, job)}:
+        asyncio.ensure_future(server.leave_for_good(is_unlisted))
+    site.gone_at = time.monotonic()
+
+
+async def gangs_lose_servers(site, is_unlisted):
+    leave_for_good(site, await start_gangs(site), is_unlisted)
+
+
+async def two_leaders_die_after_servers(site, is_unlisted):
+    await gangs_lose_servers(site, is_unlisted)
+    await site.kill(site.leader())
+    await asyncio.sleep(2)
+    await site.kill(site.leader())
+
+
+async def unlisted_servers_and_two_leaders_die(site):
+    """Each leader waited anew for the end of leases that only the first one can have renewed."""
+    await two_leaders_die_after_servers(site, True)
+
+
+async def silent_servers_and_two_leaders_die(site):
+    """The same; the servers stay in the list."""
+    await two_leaders_die_after_servers(site, False)
+
+
+async def planned_stops_after_servers_died(site):
+    """Each leader that stopped knew until when its servers held leases; the next one waited from the start."""
+    await gangs_lose_servers(site, True)
+    await site.kill(site.leader())
+    site.end_of_faults()
+    for _ in range(2):
+        await asyncio.sleep(3.5)
+        site.following.append(asyncio.ensure_future(site.terminate(site.leader())))
+    site.idle_limit_s = WAIT_FOR_LEASES_S
+
+
+async def small_leader_hands_over_after_servers_died(site):
+    """The same, as a small VM led in between."""
+    large = site.vms[0]
+    for vm in site.vms[1:]:
+        vm.resize(0.12)
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await asyncio.sleep(7)
+    site.expected.append(("the large VM leads", site.leader() is large))
+    await gangs_lose_servers(site, True)
+    site.faults += ["kill", "hand-over"]
+    large.send(signal.SIGKILL)
+    large.process.wait()
+    await asyncio.sleep(2)
+    large.start()
+    site.idle_limit_s = WAIT_FOR_LEASES_S
+
+
+async def third_leader_falls_silent_after_servers_died(site):
+    """Machines of two leaders and of the next fall silent; the silence of a new leader is tolerated for longer."""
+    gangs, loop = await start_gangs(site), asyncio.get_running_loop()
+    for i in range(3):
+        leader = site.leader()
+        site.faults.append("pause")
+        if i == 2:
+            leave_for_good(site, gangs, True)
+        leader.send(signal.SIGSTOP)
+        loop.call_later(30, leader.send, signal.SIGCONT)
+        while i < 2 and site.leader() is leader:
+            await asyncio.sleep(0.1)
+
+
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+SCENARIOS = BY_AGENTS + [planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
+BY_NAME = [unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
+           third_leader_falls_silent_after_servers_died]  # too long to be played with the others
+
 
 async def play(seed, seconds, scenario, directory, per_second):
     site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
@@ -725,13 +893,15 @@
         await site.start()
         await asyncio.sleep(1.5)
         clients = asyncio.ensure_future(site.clients(per_second))
+        sampler = asyncio.ensure_future(site.sample())
         if scenario:
             await asyncio.sleep(2)
             await scenario(site)
         else:
             await site.chaos(seconds)
-        site.stopping = True
+        site.end_of_faults()
         await clients
+        sampler.cancel()
         return site, site.check()
     finally:
         site.stop()
@@ -741,11 +911,15 @@
     """Text of the report, and whether a promise was broken."""
     directory = tempfile.mkdtemp(prefix="currantlane-soak-")
     given_ports.clear()
-    function = next((f for f in SCENARIOS if f.__name__ == scenario), None)
+    function = next((f for f in SCENARIOS + BY_NAME if f.__name__ == scenario), None)
     site, rows = asyncio.run(play(seed, args.seconds, function, directory, args.per_second))
     bad = any(violations or not times for _, times, violations in rows)
-    lines = ["seed %d, %s: %d jobs, %d runs: %s" % (seed, scenario or "%d faults" % len(site.faults), len(site.jobs),
-                                                    len(site.pool.runs), "FAIL" if bad else "ok")]
+    idle = "%.1f s after the end" % site.idle_last
+    if site.gone_at:
+        idle += ", %.1f s after servers were gone" % site.idle_since_gone()
+    lines = ["seed %d, %s: %d jobs, %d runs, the last idle %s: %s" % (
+        seed, scenario or "%d faults" % len(site.faults), len(site.jobs), len(site.pool.runs), idle,
+        "FAIL" if bad else "ok")]
     for promise, times, violations in rows:
         if violations or not times or is_alone:
             lines.append("  %-50s exercised %5d, %s" % (promise, times, "VIOLATED %d: %s" % (
@@ -767,14 +941,15 @@
     parser.add_argument("--seeds", type=int, default=1, help="play so many seeds from the first on")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--per-second", type=float, default=4, help="jobs submitted")
-    parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS] + ["all"])
+    parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS + BY_NAME] + ["all"])
     parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
     parser.add_argument("--jobs", type=int, default=1, help="plays side by side")
     parser.add_argument("--keep", help="folder for the logs of failed plays")
     args = parser.parse_args()
     plays = []
     if args.scenario:
-        plays += [(args.seed, s.__name__) for s in SCENARIOS if args.scenario in ("all", s.__name__)]
+        plays += [(args.seed, s.__name__) for s in SCENARIOS + BY_NAME
+                  if args.scenario == s.__name__ or args.scenario == "all" and s not in BY_NAME]
     if args.regressions:
         plays += [(seed, None) for seed in REGRESSIONS]
     if not plays:
