Start tasks only while the store confirms the leadership

By reading, not shown by a play: a leader whose transaction was performed, but answered only after the next leader had taken over, sent the starts all the same. Renewal of leases ends 4 s after the last confirmation by the store; starts, which grant leases as well, did not. The next leader takes it that an earlier one grants no lease later than those 4 s, and gives the task to another server when they have run out.

Two more times were taken too favourably. A term began with a confirmation at the answer to its transaction, which can come 1.5 s after the row was stored, and replaced. And the lease of a run that was adopted at the first poll counted as over as long as this leader had not renewed it itself.

Starts, their repetition and placement now ask what renewal asks; the confirmation counts from the sending of the transaction; the first answer of a server sets the end of its leases to the longest that a server grants.

--- a/src/sited.h
+++ b/src/sited.h
@@ -118,6 +118,7 @@
  * @is_contending: this VM contends for leadership or is handing it over
  * @contended_version: version of the row that the contention would replace
  * @contended_term: term in the row that the contention would write
+ * @contended_at: when the transaction that writes it was sent, monotonic ms
  * @stop_at: earliest time at which the process exits, on base_now_ns()'s clock; 0 unless stopping
  * @handover_deadline: latest start of the handover transaction, on base_now_ns()'s clock
  * @open_requests: callers' requests in progress
@@ -151,6 +152,7 @@
 	bool is_contending;
 	int64_t contended_version;
 	int64_t contended_term;
+	int64_t contended_at;
 	int64_t stop_at;
 	int64_t handover_deadline;
 	unsigned int open_requests;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -222,7 +222,7 @@
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
 	if (d->stop_at)
 		return;
-	d->lead = lead_new(d, d->leader.term, r->version);
+	d->lead = lead_new(d, d->leader.term, r->version, d->contended_at);
 	sited_announce_lead(d);
 }
 
@@ -232,6 +232,7 @@
 	char *value;
 
 	d->contended_term = d->leader.term + 1;
+	d->contended_at = sited_now_ms();
 	value = encode_row(tx, d, d->contended_term, false);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->leader.version);
 	store_tx_put(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, str_from(value));
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -99,6 +99,11 @@
 	return l->confirmed_at >= l->resumed_at;
 }
 
+bool lead_may_grant_leases(struct lead *l)
+{
+	return lead_may_act(l) && sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
+}
+
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct lead *l = data;
@@ -169,7 +174,7 @@
 
 /* ---- creation and queries ---- */
 
-struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version)
+struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version, int64_t sent_at)
 {
 	struct lead *l = talloc_zero(d, struct lead);
 
@@ -178,7 +183,8 @@
 	l->term = term;
 	l->started_at = base_now_ns();
 	l->row_version = row_version;
-	l->confirmed_at = sited_now_ms();
+	/* the row may have been replaced since it was stored */
+	l->confirmed_at = sent_at;
 	l->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	l->active = g_ptr_array_new();
 	l->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -522,7 +528,7 @@
 	if (!lead_may_act(l))
 		return;
 	start_due_occurrences(l, at.wall);
-	if (!l->is_handing_over) {
+	if (!l->is_handing_over && lead_may_grant_leases(l)) {
 		assign_all_after_preemption(l, &at);
 		ready = collect_ready(l, &at);
 		plan_start_round(l->scratch, l->fleet, at.now);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -7,8 +7,8 @@
 #include "sited.h"
 
 /*
- * A leader that the store has not confirmed for this long stops renewing leases,
- * so that the next leader knows when leases on unreachable servers have expired.
+ * A leader that the store has not confirmed for this long starts nothing and renews no
+ * leases, so that the next leader knows when leases on unreachable servers have expired.
  */
 #define LEAD_UNCONFIRMED_MAX_MS 4000
 
@@ -80,7 +80,8 @@
  * struct server_io - polls, orders and leases of one backend server
  * @clock_ms: the server's clock in its last answer, ms
  * @clock_at: local time of that answer, monotonic ms; 0 before
- * @lease_until: latest lease end requested so far, ms on the server's clock
+ * @lease_until: latest lease end that this leader has requested, or that an earlier one can
+ *               have requested, ms on the server's clock
  * @lease_limit: latest lease end that an agent may request without the leader, ms on the
  *               server's clock; or 0
  * @renewer: hash of that agent's name
@@ -135,8 +136,11 @@
 
 #define LEAD_FEED_TIMEOUT_MS 1000 /* a dead feed connection is detected after this */
 
-/** lead_new() - start a term after this VM's leader row was stored */
-struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
+/**
+ * lead_new() - start a term after this VM's leader row was stored
+ * @sent_at: when the transaction that stored the row was sent, monotonic ms
+ */
+struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version, int64_t sent_at);
 /** lead_row_term() - term in the row of a leader or of a claim, 0 when it can't be read */
 int64_t lead_row_term(const struct store_row *row);
 /**
@@ -145,6 +149,13 @@
  * A confirmation from before a pause does not allow placement or lease renewal.
  */
 bool lead_may_act(struct lead *l);
+/**
+ * lead_may_grant_leases() - tasks may start, and leases may be renewed
+ *
+ * Another VM may have become leader unnoticed, so this ends LEAD_UNCONFIRMED_MAX_MS after
+ * the last confirmation.
+ */
+bool lead_may_grant_leases(struct lead *l);
 /** lead_request_round() - schedule a round, unless one is scheduled already */
 void lead_request_round(struct lead *l);
 /** lead_append_gauges() - append the leader's metrics to @text, in Prometheus text format */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -155,6 +155,8 @@
 	} else if (r->born && r->born > sv->born) {
 		lead_server_replaced(l, sv, fleet_find_or_add(l->fleet, sv, r->born));
 	} else if (r->clock_ms) {
+		if (!io->clock_at)
+			io->lease_until = r->clock_ms + l->d->site->lease_max_ms;
 		io->clock_ms = r->clock_ms;
 		io->clock_at = sited_now_ms();
 	}
@@ -207,12 +209,6 @@
 	advance_acknowledged(io);
 }
 
-/* another VM may have become leader unnoticed, so renewal without confirmation is limited */
-static bool may_renew(struct lead *l)
-{
-	return lead_may_act(l) && sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
-}
-
 /* ---- polling ---- */
 
 static bool is_busy(const struct fleet_server *sv)
@@ -318,7 +314,7 @@
 		lead_task_listed(l, sv, &r->runs[i], number);
 	if (r->ended_count < 500)
 		release_unlisted(l, sv, call, number);
-	io->next_poll_at = may_renew(l) ? 0 : sited_now_ms() + POLL_RETRY_MS;
+	io->next_poll_at = lead_may_grant_leases(l) ? 0 : sited_now_ms() + POLL_RETRY_MS;
 	lead_request_round(l);
 }
 
@@ -414,12 +410,13 @@
 {
 	struct server_io *io = lead_server_io(l, sv);
 	struct poll_call *call = talloc_zero(l->d, struct poll_call);
-	struct order_poll order = {
-		.acknowledged = io->acknowledged,
-		/* a lost poll may be carried out late and must not
-		 * extend the leases there */
-		.lease_until = io->missed_polls || !may_renew(l) ? 0 : lead_server_lease(l, sv),
-		.wait_ms = wait_ms};
+	struct order_poll order = {.acknowledged = io->acknowledged,
+				   /* a lost poll may be carried out late and must not
+				    * extend the leases there */
+				   .lease_until = io->missed_polls || !lead_may_grant_leases(l)
+							  ? 0
+							  : lead_server_lease(l, sv),
+				   .wait_ms = wait_ms};
 	struct lead_order_target to = {.sv = sv,
 				       .deadline = base_deadline_in(wait_ms + POLL_MARGIN_MS),
 				       .earlier_sends = io->missed_polls,
@@ -466,7 +463,7 @@
 		io->is_probe = true;
 		l->probes++;
 		send_poll(l, sv, 0);
-	} else if (busy && !may_renew(l)) {
+	} else if (busy && !lead_may_grant_leases(l)) {
 		/* a poll that renews no lease still reports which tasks ended */
 		send_poll(l, sv, 0);
 	} else if (busy && io->acknowledged < io->processed_end) {
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -146,6 +146,11 @@
 				  "its server is unavailable or its job ended before the start");
 		return;
 	}
+	/* the answer to the transaction may have come after the next leader took over */
+	if (!lead_may_grant_leases(l)) {
+		lead_task_release(l, t, "the store has not confirmed the leadership");
+		return;
+	}
 	t->state = TASK_STARTING;
 	t->unanswered_starts = 0;
 	sited_count(&l->d->metrics, COUNT_STARTS);
@@ -210,11 +215,12 @@
 	log_task_event("task_start_failed", o->task, o->sv, order_status_name(r->status));
 	if (o->task->state != TASK_STARTING)
 		goto out;
-	if (r->status == ORDER_UNKNOWN)
+	if (r->status == ORDER_UNKNOWN) {
 		suspect_unanswered(o->sv);
-	if (r->status == ORDER_UNKNOWN && ++o->task->unanswered_starts < START_SENDS_MAX) {
-		send_start(o);
-		return;
+		if (++o->task->unanswered_starts < START_SENDS_MAX && lead_may_grant_leases(l)) {
+			send_start(o);
+			return;
+		}
 	}
 	handle_start_failure(l, o, r->status);
 out:
