Hand over what the leader knows of leases

Callers saw jobs with nothing running for up to 18.7 s after servers were gone for good, as all members of a gang wait until the member there has certainly ended. Each leader waited anew for the leases that an earlier one can have granted, 10.6 s from its reading of the rows, although the leader that stopped or handed over knew when they are over.

The row by which a leader hands over now says for how many ms tasks may go on by themselves: for each server that does not answer it (id, incarnation, up to 256), and for all others. The next leader releases a task of a server that does not answer at the earlier of the two times. Its own counts from the reading of that row, which is later than the writing, so no clocks are compared. The handing leader's figure covers leases that its agents may still request, and what it took over itself. An assignment that it stores late starts nothing, as its term is over.

That wait now counts from the time at which the leader's row was stored, not from the reading of the rows: no earlier leader is confirmed later than that, and starts and renewals end 4 s after the confirmation. The margin for slow clocks covers these 4 s too, since an agent's limit is a time on the server's clock.

The soak asks for the time of the gangs' own jobs, since others wait for room. A fourth of its servers have a clock that is 2 % slow.

--- a/src/sited.h
+++ b/src/sited.h
@@ -119,6 +119,8 @@
  * @contended_version: version of the row that the contention would replace
  * @contended_term: term in the row that the contention would write
  * @contended_at: when the transaction that writes it was sent, monotonic ms
+ * @handover: "leases" of the row that the contention would replace, or NULL
+ * @handover_read_at: when @handover was read, monotonic ms
  * @stop_at: earliest time at which the process exits, on base_now_ns()'s clock; 0 unless stopping
  * @handover_deadline: latest start of the handover transaction, on base_now_ns()'s clock
  * @open_requests: callers' requests in progress
@@ -153,6 +155,8 @@
 	int64_t contended_version;
 	int64_t contended_term;
 	int64_t contended_at;
+	json_t *handover;
+	int64_t handover_read_at;
 	int64_t stop_at;
 	int64_t handover_deadline;
 	unsigned int open_requests;
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -59,8 +59,12 @@
 	json_t *v =
 		json_pack("{ss ss si sI}", "vm", is_vacant ? "" : d->site->vm, "ip",
 			  d->site->peers.ip, "port", d->site->peers.port, "term", (json_int_t)term);
-	char *text = base_json_text(ctx, v);
+	json_t *leases = is_vacant ? lead_servers_encode_leases(d->lead) : NULL;
+	char *text;
 
+	if (leases)
+		json_object_set_new(v, "leases", leases);
+	text = base_json_text(ctx, v);
 	json_decref(v);
 	return text;
 }
@@ -223,6 +227,8 @@
 	if (d->stop_at)
 		return;
 	d->lead = lead_new(d, d->leader.term, r->version, d->contended_at);
+	d->lead->handover = json_incref(d->handover);
+	d->lead->handover_read_at = d->handover_read_at;
 	sited_announce_lead(d);
 }
 
@@ -246,6 +252,25 @@
 	return d->stop_at || d->lead || d->leader.version != d->contended_version;
 }
 
+/*
+ * Keeps what the former leader stored about leases. Its times count from this read, which
+ * is later than the write.
+ */
+static void remember_handover(struct sited *d, const struct store_result *r)
+{
+	json_t *v;
+
+	json_decref(d->handover);
+	d->handover = NULL;
+	if (!r->count || strcmp(r->rows[0].key, SITED_LEAD_KEY) ||
+	    r->rows[0].version != d->contended_version)
+		return;
+	v = json_loadb(r->rows[0].value.ptr, r->rows[0].value.len, 0, NULL);
+	d->handover = json_incref(json_object_get(v, "leases"));
+	d->handover_read_at = sited_now_ms();
+	json_decref(v);
+}
+
 /*
  * A VM that is cut off sees the same silence as one whose leader has failed. Its
  * transaction would arrive after the cut and depose a healthy leader, so the store
@@ -257,10 +282,12 @@
 	struct sited *d = data;
 
 	on_row(r, d);
-	if (r->status != STORE_OK || is_contention_obsolete(d))
+	if (r->status != STORE_OK || is_contention_obsolete(d)) {
 		d->is_contending = false;
-	else
-		send_contention(d);
+		return;
+	}
+	remember_handover(d, r);
+	send_contention(d);
 }
 
 static void on_contend_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -44,6 +44,7 @@
 	g_hash_table_destroy(l->jobs);
 	g_ptr_array_free(l->active, TRUE);
 	g_hash_table_destroy(l->pending);
+	json_decref(l->handover);
 	return 0;
 }
 
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -40,6 +40,9 @@
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @next_probe_index: index in the fleet from which the search for such a server continues
+ * @handover: "leases" of the row by which the former leader handed over, see
+ *            lead_servers_encode_leases(); NULL when it did not hand over
+ * @handover_read_at: when that row was read, monotonic ms
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
  * @next_round_at: earliest start of the next round, on base_now_ns()'s clock
@@ -70,6 +73,8 @@
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int next_probe_index;
+	json_t *handover;
+	int64_t handover_read_at;
 	int64_t list_version;
 	struct mtimer *round;
 	int64_t next_round_at;
@@ -176,8 +181,10 @@
 
 /** lead_update_job() - apply a row of a known job that a transaction has returned */
 void lead_update_job(struct lead *l, struct work_job *job, const struct store_row *row);
-/** lead_unconfirmed_task_deadline() - when an earlier leader's task has certainly stopped,
- * monotonic ms */
+/** lead_leases_wait_ms() - how long tasks may go on after their leader was replaced, in ms */
+int64_t lead_leases_wait_ms(const struct lead *l);
+/** lead_unconfirmed_task_deadline() - when a task that an earlier leader started has certainly
+ * stopped on a server that does not answer, monotonic ms */
 int64_t lead_unconfirmed_task_deadline(const struct lead *l);
 
 /* ---- sited_load.c ---- */
@@ -216,6 +223,17 @@
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
 /** lead_servers_tick() - handle due polls, expired leases and draining servers */
 void lead_servers_tick(struct lead *l);
+/**
+ * lead_servers_encode_leases() - how long tasks may go on by themselves, for the next leader
+ *
+ * The next leader then does not wait for the leases of a server that this one could not
+ * reach either as long as after a leader that failed.
+ *
+ * Return: {"others_ms": MS, "servers": {ID: [BORN, MS]}}; after so many ms from now on, nothing
+ * that was started before runs on the server. "servers" names those that do not answer. NULL
+ * as long as not all rows have been read.
+ */
+json_t *lead_servers_encode_leases(struct lead *l);
 /** lead_servers_acknowledge() - acknowledge ends whose consequences have been stored */
 void lead_servers_acknowledge(struct lead *l);
 
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -77,18 +77,23 @@
 		lead_update_job(l, job, row);
 }
 
-int64_t lead_unconfirmed_task_deadline(const struct lead *l)
+int64_t lead_leases_wait_ms(const struct lead *l)
 {
 	/*
-	 * An earlier leader may have renewed leases for LEAD_UNCONFIRMED_MAX_MS after
-	 * it lost leadership, a server's clock may be slow, and a task whose lease ended
-	 * takes up to stop_timeout_ms to stop.
+	 * A leader may grant leases for LEAD_UNCONFIRMED_MAX_MS after the next one's row
+	 * replaced its own, a server's clock may be slow, and a task whose lease ended takes
+	 * up to stop_timeout_ms to stop.
 	 */
-	return sited_now_ms() + LEAD_UNCONFIRMED_MAX_MS +
-	       l->d->site->lease_max_ms * LEAD_CLOCK_MARGIN_PERCENT / 100 +
+	return (LEAD_UNCONFIRMED_MAX_MS + l->d->site->lease_max_ms) * LEAD_CLOCK_MARGIN_PERCENT /
+		       100 +
 	       l->d->site->stop_timeout_ms;
 }
 
+int64_t lead_unconfirmed_task_deadline(const struct lead *l)
+{
+	return l->started_at / BASE_NS_PER_MS + lead_leases_wait_ms(l);
+}
+
 static void apply_group(struct lead *l, const struct store_row *row)
 {
 	char id[WORK_ID_LEN + 1];
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -27,10 +27,11 @@
 #define LEASE_MARGIN_MS 60
 /* a busy server answers at least this often */
 #define POLL_PERIOD_MAX_MS (ORDERS_POLL_WAIT_MAX_MS + POLL_MARGIN_MS)
-#define LIST_AGE_MAX_MS 1000  /* greatest age of an entry in the list of servers */
-#define DOMAINS_MAX 32	      /* failure domains of a site; the design is for 11 */
-#define SILENT_MS 700	      /* a server that answered within this time counts as reachable */
-#define SILENT_SUSPECT_MS 250 /* extended every 100 ms while the domain is silent */
+#define LIST_AGE_MAX_MS 1000	 /* greatest age of an entry in the list of servers */
+#define DOMAINS_MAX 32		 /* failure domains of a site; the design is for 11 */
+#define SILENT_MS 700		 /* a server that answered within this time counts as reachable */
+#define SILENT_SUSPECT_MS 250	 /* extended every 100 ms while the domain is silent */
+#define HANDOVER_SERVERS_MAX 256 /* named in a handover; a row holds 64 KiB */
 #define LEAVE_SLACK_MS 500 /* a draining server stays at least until the time that it announced */
 
 /* an end already applied in memory; it is acknowledged once @group is stored up to @changes */
@@ -476,6 +477,72 @@
 	}
 }
 
+/* ---- end of the tasks on servers that do not answer ---- */
+
+/* when tasks on the server have certainly ended, as the former leader that handed over knew */
+static int64_t handover_over_at(const struct lead *l, const struct fleet_server *sv)
+{
+	const json_t *entry = json_object_get(json_object_get(l->handover, "servers"), sv->id);
+	const json_t *ms =
+		entry ? json_array_get(entry, 1) : json_object_get(l->handover, "others_ms");
+
+	if (!json_is_integer(ms) || json_integer_value(ms) < 0 ||
+	    (entry && json_integer_value(json_array_get(entry, 0)) != sv->born))
+		return INT64_MAX;
+	return l->handover_read_at + json_integer_value(ms);
+}
+
+static int64_t unconfirmed_over_at(const struct lead *l, const struct work_task *t)
+{
+	return MIN(t->state_deadline, handover_over_at(l, t->server));
+}
+
+/* when all tasks on the server have certainly ended if it is not polled any more */
+static int64_t tasks_over_at(struct lead *l, struct fleet_server *sv)
+{
+	const struct server_io *io = lead_server_io(l, sv);
+	int64_t until = 0;
+
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		/* no start was sent in the other states */
+		if (t->state == TASK_UNCONFIRMED)
+			until = MAX(until, unconfirmed_over_at(l, t));
+		else if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
+			until = MAX(until, io->clock_at ? leases_over_at(io)
+							: sited_now_ms() + lead_leases_wait_ms(l));
+	}
+	return until;
+}
+
+json_t *lead_servers_encode_leases(struct lead *l)
+{
+	int64_t now = sited_now_ms();
+	int64_t others_ms = 0;
+	json_t *servers;
+
+	if (!l->is_loaded)
+		return NULL;
+	servers = json_object();
+	for (guint i = 0; i < l->fleet->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
+		int64_t until = tasks_over_at(l, sv);
+		int64_t ms = MAX(until - now, 0);
+
+		if (!until)
+			continue;
+		if (lead_server_io(l, sv)->missed_polls &&
+		    json_object_size(servers) < HANDOVER_SERVERS_MAX)
+			json_object_set_new(
+				servers, sv->id,
+				json_pack("[II]", (json_int_t)sv->born, (json_int_t)ms));
+		else
+			others_ms = MAX(others_ms, ms);
+	}
+	return json_pack("{sIso}", "others_ms", (json_int_t)others_ms, "servers", servers);
+}
+
 /* ---- periodic checks ---- */
 
 static void release_expired(struct lead *l, struct fleet_server *sv, int64_t now)
@@ -489,7 +556,7 @@
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 		bool over = t->state == TASK_UNCONFIRMED
-				    ? t->state_deadline <= now
+				    ? unconfirmed_over_at(l, t) <= now
 				    : io->missed_polls && leases_over_at(io) <= now;
 
 		if (t->server == sv && work_task_is_placed(t) && over)
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -17,6 +17,7 @@
 STOP_S = 0.05
 GANG_WAIT_S = 3.0
 ZONES = 3
+SLOW_CLOCK = 0.98  # rate of the clock of some servers
 CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpu": 8}
 
 
@@ -38,8 +39,8 @@
 
 
 class BackendServer:
-    def __init__(self, pool, name, rack, zone):
-        self.pool, self.name, self.rack, self.zone = pool, name, rack, zone
+    def __init__(self, pool, name, rack, zone, rate):
+        self.pool, self.name, self.rack, self.zone, self.rate = pool, name, rack, zone, rate
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
         self.late = 0.0         # share of orders carried out seconds later, unanswered
@@ -47,7 +48,6 @@
         self.hang = False       # tasks make no progress
         self.draining = False
         self.listed = None
-        self.is_gone = False    # for good: it neither answers nor runs anything
         self.reborn()
 
     def reborn(self):
@@ -63,17 +63,18 @@
         for run in crashed:
             self.pool.close(run, "crashed")
 
-    async def leave_for_good(self, is_unlisted):
-        """It crashes and does not return; its entry is removed after three beats, or stays."""
-        self.is_gone = self.silent = True
+    async def leave_for_good(self, is_unlisted, runs_on):
+        """It crashes, or runs on as long as its leases last; its entry is removed after three beats, or stays."""
+        self.silent = True
         self.http.reset_connections()
-        self.reborn()
+        if not runs_on:
+            self.reborn()
         if is_unlisted:
             await asyncio.sleep(3 * BEAT_S)
             await self.pool.store.apply([("servers", "", self.name, None)])
 
     def clock(self):
-        return int(time.time() * 1000) - self.born + 1
+        return int((time.time() * 1000 - self.born) * self.rate) + 1
 
     def entry(self):
         return {"service": "pool", "addr": "127.0.0.1:%d" % self.http.port, "zone": self.zone, "version": "v1",
@@ -200,7 +201,8 @@
 
     def __init__(self, rng, store, count, per_rack):
         self.rng, self.store = rng, store
-        self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack), "z%d" % (i % ZONES)) for i in range(count)]
+        self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack), "z%d" % (i % ZONES),
+                                      SLOW_CLOCK if i % 4 == 0 else 1.0) for i in range(count)]
         self.runs = []          # every Run ever begun
         self.open = {}          # (group, attempt) -> runs under way
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -167,6 +167,8 @@
         self.idle_too_long = {}  # id of a job -> (seconds after the end, seconds without a run)
         self.idle_limit_s = None  # from when servers were gone until the jobs there run again
         self.gone_at = None     # when servers were gone for good
+        self.gangs = set()      # ids of the jobs that ran there
+        self.gangs_idle_last = None  # when one of them was last without a run
         self.idle_last = 0.0    # seconds after the end until which some job was so
 
     async def config(self, version):
@@ -288,7 +290,7 @@
         self.stopping, self.quiet_at = True, self.quiet_at or time.monotonic()
 
     def idle_since_gone(self):
-        return self.quiet_at + self.idle_last - self.gone_at
+        return self.gangs_idle_last - self.gone_at if self.gangs_idle_last else 0.0
 
     async def sample(self):
         while True:
@@ -298,6 +300,7 @@
             now = time.monotonic()
             idle = {job.id for job in self.idle_jobs()}
             self.idle = {i: self.idle.get(i, now) for i in idle}
+            self.gangs_idle_last = now if idle & self.gangs else self.gangs_idle_last
             if idle:
                 self.idle_last = now - self.quiet_at
             for i, since in self.idle.items():
@@ -789,9 +792,10 @@
 
 
 async def start_gangs(site):
+    await asyncio.sleep(1.5)
     jobs = [site.add_job() for _ in range(3)]
     for job in jobs:
-        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 3, 1, 4, False, "urgent"
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 3, 1, 2, False, "urgent"
         job.spec = {"ms": 8000, "gang": 3, "fail": 0}
         site.pool.needs[job.id] = job.gpu
         await site.submit(job)
@@ -805,15 +809,15 @@
     return jobs
 
 
-def leave_for_good(site, gangs, is_unlisted):
+def leave_for_good(site, gangs, is_unlisted, runs_on=False):
     """A server of each gang."""
     for server in {runs_of(site, job)[0].server for job in gangs if runs_of(site, job)}:
-        asyncio.ensure_future(server.leave_for_good(is_unlisted))
-    site.gone_at = time.monotonic()
+        asyncio.ensure_future(server.leave_for_good(is_unlisted, runs_on))
+    site.gone_at, site.gangs = time.monotonic(), {job.id for job in gangs}
 
 
-async def gangs_lose_servers(site, is_unlisted):
-    leave_for_good(site, await start_gangs(site), is_unlisted)
+async def gangs_lose_servers(site, is_unlisted, runs_on=False):
+    leave_for_good(site, await start_gangs(site), is_unlisted, runs_on)
 
 
 async def two_leaders_die_after_servers(site, is_unlisted):
@@ -844,6 +848,16 @@
     site.idle_limit_s = WAIT_FOR_LEASES_S
 
 
+async def planned_stops_after_servers_were_cut_off(site):
+    """The servers run on as long as their leases last; nothing of theirs may run elsewhere meanwhile."""
+    await gangs_lose_servers(site, False, True)
+    for _ in range(3):
+        site.faults.append("terminate")
+        site.following.append(asyncio.ensure_future(site.terminate(site.leader())))
+        await asyncio.sleep(1.5)
+    site.idle_limit_s = WAIT_FOR_LEASES_S
+
+
 async def small_leader_hands_over_after_servers_died(site):
     """The same, as a small VM led in between."""
     large = site.vms[0]
@@ -884,6 +898,7 @@
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
 BY_NAME = [unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
+           planned_stops_after_servers_were_cut_off,
            third_leader_falls_silent_after_servers_died]  # too long to be played with the others
 
 
@@ -916,7 +931,7 @@
     bad = any(violations or not times for _, times, violations in rows)
     idle = "%.1f s after the end" % site.idle_last
     if site.gone_at:
-        idle += ", %.1f s after servers were gone" % site.idle_since_gone()
+        idle += ", of gangs %.1f s after their servers were gone" % site.idle_since_gone()
     lines = ["seed %d, %s: %d jobs, %d runs, the last idle %s: %s" % (
         seed, scenario or "%d faults" % len(site.faults), len(site.jobs), len(site.pool.runs), idle,
         "FAIL" if bad else "ok")]
