Don't exclude a pool's servers for jobs that fail by their own fault

Callers saw accepted jobs with nothing running for tens of seconds in an idle pool, without any fault of VMs, store or servers.

A server on which tasks of two different jobs fail in a row is suspect: it gets nothing for 8 s, doubled each time up to 60 s until a task succeeds there. Where several jobs fail by their own fault, and all the more at the end of the traffic, when they are most of what is left, every server fails tasks of several of them. not_placed showed 2 to 4 of 12 servers that accept work, and often none.

When more than a quarter of the listed and reachable servers of a pool are suspect for failures, the jobs are at fault and these periods end at once, as probation is already ignored when it covers a quarter. At least two servers, or all of the pool, so that one faulty server in a small pool stays excluded. Servers that are suspect because work stalls there, or because they refuse orders, stay so.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -163,6 +163,7 @@
 				       ? MIN(sv->suspect_duration * 2, FLEET_SUSPECT_MAX_MS)
 				       : FLEET_SUSPECT_MS;
 	sv->suspect_until = now + sv->suspect_duration;
+	sv->is_suspect_for_failures = false;
 	sv->failures = 0;
 }
 
@@ -176,9 +177,47 @@
 	if (++sv->failures < FLEET_FAILURES_MAX)
 		return false;
 	fleet_suspect(sv, now);
+	sv->is_suspect_for_failures = true;
 	return true;
 }
 
+static bool is_usable(const struct fleet_server *sv, const char *service)
+{
+	return sv->presence == FLEET_LISTED && sv->is_reachable && !strcmp(sv->service, service);
+}
+
+static bool is_suspect_for_failures(const struct fleet_server *sv, int64_t now)
+{
+	return sv->is_suspect_for_failures && sv->suspect_until > now;
+}
+
+unsigned int fleet_forgive_failures(struct fleet *f, const char *service, int64_t now)
+{
+	unsigned int usable = 0;
+	unsigned int suspect = 0;
+
+	for (guint i = 0; i < f->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(f->all, i);
+
+		if (!is_usable(sv, service))
+			continue;
+		usable++;
+		suspect += is_suspect_for_failures(sv, now);
+	}
+	/* in a pool of a few servers, one of them may well be at fault */
+	if (suspect < usable && suspect <= MAX(usable / FLEET_SUSPECT_SHARE, 1))
+		return 0;
+	for (guint i = 0; i < f->all->len; i++) {
+		struct fleet_server *sv = g_ptr_array_index(f->all, i);
+
+		if (!is_usable(sv, service) || !is_suspect_for_failures(sv, now))
+			continue;
+		sv->suspect_until = now;
+		sv->suspect_duration = 0;
+	}
+	return suspect;
+}
+
 void fleet_note_progress(struct fleet_server *sv, int64_t now)
 {
 	sv->progress_at = now;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -84,6 +84,7 @@
  * @is_fenced: the server has seen this leader's term, which voids orders of earlier terms
  * @is_reachable: the server answers calls
  * @suspect_until: accepts no new work before this time, because it is suspect, in ms
+ * @is_suspect_for_failures: it is so because tasks failed there
  * @suspect_duration: length of the latest suspect period, in ms; 0 after a success
  * @probation_until: a task failed there; until this time, in ms, the server gets only work
  *	with attempts to spare; 0 after a success
@@ -116,6 +117,7 @@
 	bool is_fenced;
 	bool is_reachable;
 	int64_t suspect_until;
+	bool is_suspect_for_failures;
 	int64_t suspect_duration;
 	int64_t probation_until;
 	int64_t progress_at;
@@ -202,6 +204,19 @@
  * Return: true if the server became suspect.
  */
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now);
+/* when more than 1 in 4 servers is suspect for failures, the jobs are at fault, not the servers */
+#define FLEET_SUSPECT_SHARE 4
+
+/**
+ * fleet_forgive_failures() - end the suspect periods of servers if too many failed tasks
+ * @service: pool of backend servers to which this applies
+ *
+ * Load pattern: jobs that fail by their own fault are most of what is left in the queue. Each
+ * server fails tasks of several of them, so that no server accepts work while the pool is idle.
+ *
+ * Return: number of servers that accept work again.
+ */
+unsigned int fleet_forgive_failures(struct fleet *f, const char *service, int64_t now);
 /** fleet_note_progress() - record that a task on @sv made progress */
 void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - record that a task completed on @sv; ends probation */
--- a/src/cli_log.c
+++ b/src/cli_log.c
@@ -22,6 +22,7 @@
 	"started",	     "stopping",	 "stopped",
 	"feed_history_gone", "lead_paused",	 "lead_confirmed",
 	"agent_silent",	     "agents_changed",	 "lease_renewed_alone",
+	"failures_forgiven",
 };
 
 /* fields that are in every line or are printed in columns of their own */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -469,15 +469,27 @@
 	lead_job_check_completion(l, g->job);
 }
 
+static void suspect_failing(struct lead *l, struct fleet_server *sv)
+{
+	unsigned int forgiven;
+
+	log_event("server_suspected", "{ss ss sI}", "server", sv->id, "why",
+		  "tasks of different jobs failed there", "for_ms",
+		  (json_int_t)sv->suspect_duration);
+	forgiven = fleet_forgive_failures(l->fleet, sv->service, sited_now_ms());
+	if (forgiven)
+		log_event("failures_forgiven", "{ss si ss}", "service", sv->service, "servers",
+			  (int)forgiven, "why",
+			  "tasks failed on many servers: the jobs are at fault");
+}
+
 static void handle_failure(struct lead *l, struct work_task *t, struct fleet_server *sv)
 {
 	struct work_job *job = t->group->job;
 	bool is_final = work_task_record_failure(t);
 
 	if (fleet_note_failure(sv, job->id, sited_now_ms()))
-		log_event("server_suspected", "{ss ss sI}", "server", sv->id, "why",
-			  "tasks of different jobs failed there", "for_ms",
-			  (json_int_t)sv->suspect_duration);
+		suspect_failing(l, sv);
 	if (!is_final || work_job_has_ended(job))
 		return;
 	log_event("job_failed", "{ss si si sI sI}", "id", job->id, "step",
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -77,6 +77,70 @@
 }
 END_TEST
 
+static unsigned int fail_twice(struct fleet *f, unsigned int first, unsigned int end, int64_t now)
+{
+	unsigned int forgiven = 0;
+
+	for (unsigned int i = first; i < end; i++) {
+		fleet_note_failure(sample_server(f, i), "one", now);
+		if (fleet_note_failure(sample_server(f, i), "another", now))
+			forgiven += fleet_forgive_failures(f, sample_server(f, i)->service, now);
+	}
+	return forgiven;
+}
+
+static unsigned int accepting(const struct fleet *f, int64_t now)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; i < f->all->len; i++)
+		n += fleet_accepts_work(sample_server(f, i), now);
+	return n;
+}
+
+START_TEST(failures_on_many_servers_exclude_none)
+{
+	struct fleet *f = sample_fleet(NULL, 12, 4);
+
+	ck_assert_uint_eq(fail_twice(f, 0, 3, 100), 0);
+	ck_assert_uint_eq(accepting(f, 100), 9);
+	ck_assert_uint_eq(fail_twice(f, 3, 4, 100), 4);
+	ck_assert_uint_eq(accepting(f, 100), 12);
+	/* the next period is not longer for the failures that were forgiven */
+	fail_twice(f, 0, 1, 200);
+	ck_assert_int_eq(sample_server(f, 0)->suspect_until, 200 + FLEET_SUSPECT_MS);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(servers_that_stall_are_not_forgiven)
+{
+	struct fleet *f = sample_fleet(NULL, 12, 4);
+
+	for (unsigned int i = 0; i < 6; i++)
+		fleet_suspect(sample_server(f, i), 100);
+	ck_assert_uint_eq(fail_twice(f, 6, 9, 100), 0);
+	ck_assert_uint_eq(accepting(f, 100), 3);
+	ck_assert_uint_eq(fail_twice(f, 9, 10, 100), 4);
+	ck_assert_uint_eq(accepting(f, 100), 6);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(failures_in_another_pool_do_not_count)
+{
+	struct fleet *f = sample_fleet(NULL, 12, 4);
+
+	for (unsigned int i = 0; i < 2; i++)
+		sample_server(f, i)->service = talloc_strdup(f, "other");
+	fail_twice(f, 2, 4, 100);
+	ck_assert_uint_eq(accepting(f, 100), 10);
+	ck_assert_uint_eq(fail_twice(f, 0, 2, 100), 2);
+	ck_assert_uint_eq(accepting(f, 100), 10);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(suspect_periods_double_until_a_success)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -116,6 +180,9 @@
 	tcase_add_test(t, a_pruned_incarnation_is_added_again);
 	tcase_add_test(t, orphaned_runs_use_capacity);
 	tcase_add_test(t, failures_of_one_job_make_no_server_suspect);
+	tcase_add_test(t, failures_on_many_servers_exclude_none);
+	tcase_add_test(t, servers_that_stall_are_not_forgiven);
+	tcase_add_test(t, failures_in_another_pool_do_not_count);
 	tcase_add_test(t, suspect_periods_double_until_a_success);
 	tcase_add_test(t, only_unlisted_servers_without_tasks_are_pruned);
 }
