--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -7,8 +7,8 @@
 #include "sited.h"
 
 /*
- * A leader that the store has not confirmed for this long stops renewing leases,
- * so that the next leader knows when leases on unreachable servers have expired.
+ * A leader that the store has not confirmed for this long starts nothing and renews no
+ * leases, so that the next leader knows when leases on unreachable servers have expired.
  */
 #define LEAD_UNCONFIRMED_MAX_MS 4000
 
@@ -40,6 +40,9 @@
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @next_probe_index: index in the fleet from which the search for such a server continues
+ * @handover: "leases" of the row by which the former leader handed over, see
+ *            lead_servers_encode_leases(); NULL when it did not hand over
+ * @handover_read_at: when that row was read, monotonic ms
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
  * @next_round_at: earliest start of the next round, on base_now_ns()'s clock
@@ -73,6 +76,8 @@
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int next_probe_index;
+	json_t *handover;
+	int64_t handover_read_at;
 	int64_t list_version;
 	struct mtimer *round;
 	int64_t next_round_at;
@@ -86,7 +91,8 @@
  * struct server_io - polls, orders and leases of one backend server
  * @clock_ms: the server's clock in its last answer, ms
  * @clock_at: local time of that answer, monotonic ms; 0 before
- * @lease_until: latest lease end requested so far, ms on the server's clock
+ * @lease_until: latest lease end that this leader has requested, or that an earlier one can
+ *               have requested, ms on the server's clock
  * @lease_limit: latest lease end that an agent may request without the leader, ms on the
  *               server's clock; or 0
  * @renewer: hash of that agent's name
@@ -141,8 +147,11 @@
 
 #define LEAD_FEED_TIMEOUT_MS 1000 /* a dead feed connection is detected after this */
 
-/** lead_new() - start a term after this VM's leader row was stored */
-struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version);
+/**
+ * lead_new() - start a term after this VM's leader row was stored
+ * @sent_at: when the transaction that stored the row was sent, monotonic ms
+ */
+struct lead *lead_new(struct sited *d, int64_t term, int64_t row_version, int64_t sent_at);
 /** lead_row_term() - term in the row of a leader or of a claim, 0 when it can't be read */
 int64_t lead_row_term(const struct store_row *row);
 /**
@@ -151,6 +160,13 @@
  * A confirmation from before a pause does not allow placement or lease renewal.
  */
 bool lead_may_act(struct lead *l);
+/**
+ * lead_may_grant_leases() - tasks may start, and leases may be renewed
+ *
+ * Another VM may have become leader unnoticed, so this ends LEAD_UNCONFIRMED_MAX_MS after
+ * the last confirmation.
+ */
+bool lead_may_grant_leases(struct lead *l);
 /** lead_request_round() - schedule a round, unless one is scheduled already */
 void lead_request_round(struct lead *l);
 /** lead_append_gauges() - append the leader's metrics to @text, in Prometheus text format */
@@ -171,8 +187,10 @@
 
 /** lead_update_job() - apply a row of a known job that a transaction has returned */
 void lead_update_job(struct lead *l, struct work_job *job, const struct store_row *row);
-/** lead_unconfirmed_task_deadline() - when an earlier leader's task has certainly stopped,
- * monotonic ms */
+/** lead_leases_wait_ms() - how long tasks may go on after their leader was replaced, in ms */
+int64_t lead_leases_wait_ms(const struct lead *l);
+/** lead_unconfirmed_task_deadline() - when a task that an earlier leader started has certainly
+ * stopped on a server that does not answer, monotonic ms */
 int64_t lead_unconfirmed_task_deadline(const struct lead *l);
 
 /* ---- sited_load.c ---- */
@@ -211,6 +229,17 @@
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
 /** lead_servers_tick() - handle due polls, expired leases and draining servers */
 void lead_servers_tick(struct lead *l);
+/**
+ * lead_servers_encode_leases() - how long tasks may go on by themselves, for the next leader
+ *
+ * The next leader then does not wait for the leases of a server that this one could not
+ * reach either as long as after a leader that failed.
+ *
+ * Return: {"others_ms": MS, "servers": {ID: [BORN, MS]}}; after so many ms from now on, nothing
+ * that was started before runs on the server. "servers" names those that do not answer. NULL
+ * as long as not all rows have been read.
+ */
+json_t *lead_servers_encode_leases(struct lead *l);
 /** lead_servers_acknowledge() - acknowledge ends whose consequences have been stored */
 void lead_servers_acknowledge(struct lead *l);
 
