Soak: the store's limits, and two plays that exceed them

Callers saw accepted jobs that never ran, and with them every later job of the same partition of the store.

The stand-in of the store took calls of any size. It now enforces what the protocol page says: 65,536 bytes a value, 1 MB and 100 entries a transaction, one part, names of 200 bytes, pages of 500 rows or 1 MB; beyond that it answers 400 with a reason.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -1,8 +1,8 @@
 """Stand-in of the backend servers: fences, leases, ends, gangs, and a ledger of all runs.
 
 What a task does stands in the job's text, a JSON object: "ms" (run time of a task),
-"gang" (number of members that only work together, 0 for none) and "fail" (attempts
-that fail). The ledger is what the checks of the soak go by.
+"gang" (number of members that only work together, 0 for none), "fail" (attempts
+that fail) and "snapshot" (length of what it checkpoints, none when missing). The ledger is what the checks of the soak go by.
 """
 
 import asyncio
@@ -32,6 +32,11 @@
         self.how = None
         self.stopping_at = None
 
+    @property
+    def snapshot(self):
+        """Differs between tasks; it ends in the task's name."""
+        return self.task.rjust(self.spec.get("snapshot", 0), "0") if "snapshot" in self.spec else ""
+
     @property
     def group(self):
         return self.task.rsplit(".", 1)[0], self.attempt
@@ -141,7 +146,7 @@
         self.barred[run.task] = max(self.barred.get(run.task, 0), run.attempt)
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
-        self.ends.append([self.next_end, run.task, run.attempt, how, ""])
+        self.ends.append([self.next_end, run.task, run.attempt, how, run.snapshot])
         self.next_end += 1
         self.pool.close(run, how)
         self.event.set()
@@ -164,7 +169,7 @@
                 pass
         if self.silent or born != self.born:
             raise Drop
-        running = [[r.task, r.attempt, "", r.percent()] for r in self.runs.values()]
+        running = [[r.task, r.attempt, r.snapshot, r.percent()] for r in self.runs.values()]
         return self.reply(200, running=running, ended=self.ends[:500])
 
     def step(self, passed):
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -8,6 +8,29 @@
 from site_http import Drop, Server
 
 PART_S = 0.002  # a transaction holds its part for so long
+# Limits of the published protocol.
+ROW_BYTES = 65536          # of a value
+CALL_BYTES = 1000000       # of the body of a call, and of a page
+TX_ENTRIES = 100
+PAGE_ROWS = 500
+NAME_BYTES = 200
+
+
+def fault_of(document, body_bytes):
+    """Why a transaction is invalid; None for a valid one."""
+    entries = document["expect-rev"] + document["put"] + document["remove"]
+    if body_bytes > CALL_BYTES:
+        return "a call of %d bytes" % body_bytes
+    if len(entries) > TX_ENTRIES:
+        return "%d entries" % len(entries)
+    if len({e["part"] for e in entries}) != 1:
+        return "no part, or several"
+    if any(len(e[name].encode()) > NAME_BYTES for e in entries for name in ("table", "part", "key")):
+        return "a name is too long"
+    sizes = [(len(base64.b64decode(p["value"])), p["key"]) for p in document["put"]]
+    if max(sizes, default=(0, ""))[0] > ROW_BYTES:
+        return "a value of %d bytes in row %s" % max(sizes)
+    return None
 
 
 class Store:
@@ -70,7 +93,7 @@
         for door in self.doors.values():
             door.reset_connections()
 
-    async def handle(self, name, method, path, query, _headers, document):
+    async def handle(self, name, method, path, query, headers, document):
         self.calls += 1
         for mode in (self.mode, self.doors[name].mode):
             if mode == "busy":
@@ -82,7 +105,8 @@
                 raise Drop
         await asyncio.sleep(0.001 * self.slow)
         if path == "/-/rows-tx":
-            return await self.transaction(document)
+            fault = fault_of(document, int(headers["content-length"]))
+            return (400, {"error": fault}) if fault else await self.transaction(document)
         if path == "/-/rows-get":
             return self.read(query)
         if path == "/-/rows-feed":
@@ -117,11 +141,17 @@
             return 200, {"ver": version}
 
     def read(self, query):
-        limit = int(query.get("limit", 500))
+        limit = min(int(query.get("limit", PAGE_ROWS)), PAGE_ROWS)
         keys = sorted(k for t, p, k in self.rows if t == query["table"] and p == query.get("part", "")
                       and k >= query.get("from", ""))
-        rows = [self.row(query["table"], query.get("part", ""), k) for k in keys[:limit]]
-        return 200, {"rows": rows, "has-more": len(keys) > limit, "ver": self.version}
+        rows, size = [], 0
+        for key in keys[:limit]:
+            row = self.row(query["table"], query.get("part", ""), key)
+            size += len(json.dumps(row)) + 2
+            if rows and size > CALL_BYTES:
+                break
+            rows.append(row)
+        return 200, {"rows": rows, "has-more": len(keys) > len(rows), "ver": self.version}
 
     async def feed(self, query):
         after = int(query["after"])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -56,13 +56,14 @@
         self.gpu = rng.choice([1, 1, 2, 4, 8]) if not gang else rng.choice([1, 2, 4])
         self.spec = {"ms": rng.choice([300, 600, 1500, 3000]), "gang": self.count if gang else 0,
                      "fail": rng.choice([0, 0, 0, 1, ATTEMPTS] if not gang else [0, 0, 1])}
+        self.cpu = 1000
         self.route = rng.choice(["urgent", "batch"])
         self.accepted = self.cancelled = self.refused_only = None
         self.asked_to_cancel = False  # a cancellation without an answer may have been performed
         self.seen = {}
 
     def document(self):
-        step = {"count": self.count, "cpu": 1000, "mem-mb": 100, "gpu": self.gpu, "estimate-ms": self.spec["ms"]}
+        step = {"count": self.count, "cpu": self.cpu, "mem-mb": 100, "gpu": self.gpu, "estimate-ms": self.spec["ms"]}
         if self.spec["gang"]:
             step["gang"] = True
         return {"spec": json.dumps(self.spec), "steps": [step] + [dict(step, after=[0])] * (self.steps - 1)}
@@ -712,11 +713,74 @@
     site.expected.append(("a large VM wins, %s did" % small, not small))
 
 
+async def submit_checkpointing(site, steps, count, snapshot):
+    """A job whose tasks checkpoint so many bytes each and fail once, so that its rows must hold these."""
+    job = site.add_job()
+    job.steps, job.count, job.gpu, job.cpu, job.route, job.is_cancelled = steps, count, 0, 300, "batch", False
+    job.spec = {"ms": 4000, "gang": 0, "fail": 1, "snapshot": snapshot}
+    site.pool.needs[job.id] = 0
+    await site.submit(job)
+    site.following.append(asyncio.ensure_future(site.watch(job)))
+    return job
+
+
+async def small_jobs_beside(site, wide, limit=200):
+    """Small jobs until three have fallen into the wide one's partition; all must end within 15 s."""
+    part = next(p for t, p, k in site.store.rows if t == "jobs" and k == wide.id)
+    jobs, beside = [], []
+    while len(jobs) < limit and len(beside) < 3:
+        job = site.add_job()
+        job.count, job.steps, job.gpu, job.is_cancelled, job.spec = 1, 1, 0, False, {"ms": 100, "gang": 0, "fail": 0}
+        site.pool.needs[job.id] = 0
+        jobs.append(job)
+        await site.submit(job)
+        site.following.append(asyncio.ensure_future(site.watch(job)))
+        beside += [job] if ("jobs", part, job.id) in site.store.rows else []
+    for _ in range(15):
+        await asyncio.sleep(1)
+        stuck = [j.id for j in jobs if "complete" not in j.seen]
+        if not stuck:
+            break
+    site.expected.append(("the small jobs end, %d of %d of its partition, did not: %s" % (len(beside), len(jobs), stuck),
+                          beside and not stuck))
+    invalid = [e["message"] for e in site.events("store_invalid")]
+    site.expected.append(("the store takes all calls, %d were invalid: %s" % (len(invalid), invalid[:1]), not invalid))
+
+
+async def a_step_is_wider_than_a_row(site):
+    """The row of a step with 1024 tasks exceeded the store's limit; its partition was never written again."""
+    job = await submit_checkpointing(site, 1, 1024, 80)
+    await asyncio.sleep(8)
+    await small_jobs_beside(site, job)
+
+
+async def wide_steps_change_in_one_outage(site):
+    """The rows that changed in an outage, each within the limits, made a transaction of more than 1 MB."""
+    job = await submit_checkpointing(site, 21, 60, 1000)
+    running = []
+    for _ in range(200):
+        await asyncio.sleep(0.1)
+        running = [r for s in site.pool.servers for r in s.runs.values() if r.task.startswith(job.id)]
+        if len(running) > 1100:
+            break
+        for run in running:
+            run.worked = 4.0 if run.task.split(".")[2] == "0" else 0.0
+    site.expected.append(("%d tasks run at the beginning of the outage, more than 1100" % len(running), len(running) > 1100))
+    site.faults.append("busy store")
+    outage = asyncio.ensure_future(site.store_mode("busy", 4))
+    await asyncio.sleep(0.5)
+    for run in running:
+        run.worked = 4.0
+    await outage
+    await small_jobs_beside(site, job)
+
+
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
-             leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
+             leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
+             a_step_is_wider_than_a_row, wide_steps_change_in_one_outage]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
