sited: bound a transaction by its bytes

Callers saw that no job of a partition of the store started any more after the store had been away while many wide steps changed.

A transaction held up to 90 entries, whatever their size, though the store takes at most 1 MB. Twenty rows of 61 KB made a call of 1,630,479 bytes; the store called it invalid, and the leader built the same transaction again every second, with the partition's other jobs in it.

A transaction now knows an upper bound of its length, base64 and conditions included, and takes no row beyond STORE_TX_BYTES_MAX. What is left goes into the next one, which is sent as soon as this one is answered. A row is longer than what is left at most once in a round: the transaction then counts as full and no further row is encoded for it. The former constant of that name was not used; it left the conditions to a margin.

--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -53,6 +53,7 @@
  * @count: number of entries
  * @conditions: number of expected versions
  * @started_at: when it was first sent, in ns on base_now_ns()'s clock; 0 while it is being filled
+ * @is_full: no further job may be added
  * @is_unsure: an earlier attempt to send it got no answer and may have been performed
  */
 struct commit {
@@ -64,6 +65,7 @@
 	unsigned int count;
 	unsigned int conditions;
 	int64_t started_at;
+	bool is_full;
 	bool is_unsure;
 };
 
@@ -74,20 +76,36 @@
 	return e->group ? &e->group->row : &e->job->row;
 }
 
-static void put(struct commit *c, struct work_job *job, struct work_group *g)
+static void expect_job(struct commit *c, const struct work_job *job)
 {
-	struct commit_entry *e = &c->entry[c->count++];
+	store_tx_expect(c->tx, SITED_JOBS_TABLE, job->id, job->row.version);
+	c->conditions++;
+}
+
+/* returns false, with nothing added, when the row would make the transaction too long */
+static bool put(struct commit *c, struct work_job *job, struct work_group *g, bool expects_job)
+{
+	struct commit_entry *e = &c->entry[c->count];
 	struct work_row *row = g ? &g->row : &job->row;
 	const char *table = g ? SITED_GROUPS_TABLE : SITED_JOBS_TABLE;
 	char *key = g ? work_group_key(c, g) : job->id;
+	char *value = g ? work_group_encode(c, g) : work_job_encode(c, job);
+	size_t bytes = store_row_bytes(c->tx, table, key, str_from(value)) +
+		       store_row_bytes(c->tx, SITED_JOBS_TABLE, job->id, str_from(""));
 
-	e->job = job;
-	e->group = g;
-	e->changes = row->changes;
-	e->value = g ? work_group_encode(c, g) : work_job_encode(c, job);
-	store_tx_put(c->tx, table, key, str_from(e->value));
+	if (c->count && store_tx_bytes(c->tx) + bytes > STORE_TX_BYTES_MAX) {
+		talloc_free(value);
+		c->is_full = true;
+		return false;
+	}
+	if (expects_job)
+		expect_job(c, job);
+	*e = (struct commit_entry){job, g, row->changes, value};
+	store_tx_put(c->tx, table, key, str_from(value));
 	store_tx_expect(c->tx, table, key, row->version);
+	c->count++;
 	c->conditions++;
+	return true;
 }
 
 static bool has_space_for(const struct commit *c, unsigned int rows)
@@ -98,26 +116,20 @@
 /* the job's own row is always a condition, so that a cancellation is noticed */
 static void put_job(struct commit *c, struct work_job *job)
 {
-	bool has_put = false;
+	bool has_put = job->row.changes > job->row.stored && has_space_for(c, 1) &&
+		       put(c, job, NULL, false);
 
-	if (job->row.changes > job->row.stored && has_space_for(c, 1)) {
-		put(c, job, NULL);
-		has_put = true;
-	}
 	if (work_job_has_ended(job))
 		return;
-	for (guint i = 0; i < job->groups->len && has_space_for(c, 2); i++) {
+	for (guint i = 0; i < job->groups->len && has_space_for(c, 2) && !c->is_full; i++) {
 		struct work_group *g = g_ptr_array_index(job->groups, i);
 
 		if (g->row.changes <= g->row.stored)
 			continue;
-		if (!has_put) {
-			store_tx_expect(c->tx, SITED_JOBS_TABLE, job->id, job->row.version);
-			c->conditions++;
-			has_put = true;
-		}
+		if (!put(c, job, g, !has_put))
+			return;
+		has_put = true;
 		g->row.store_by = 0;
-		put(c, job, g);
 	}
 }
 
@@ -407,8 +419,8 @@
 			store_tx_expect(c->tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, l->claims[part]);
 			c->conditions++;
 			l->commits[part] = c;
-		} else if (c->started_at) {
-			continue; /* in flight */
+		} else if (c->started_at || c->is_full) {
+			continue; /* in flight, or sent below */
 		}
 		put_job(c, job);
 	}
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -12,6 +12,7 @@
 #include "scripted.h"
 
 #define PORT 17931
+#define ROW_BYTES 1000 /* not a multiple of three */
 
 /* The store client under test and the result of its last call. */
 struct fixture {
@@ -75,6 +76,37 @@
 }
 END_TEST
 
+START_TEST(the_length_of_a_transaction_is_known_before_it_is_sent)
+{
+	struct fixture *f = fixture_new(200, "{\"ver\":412,\"now-ms\":1}");
+	struct store_tx *tx = store_tx_new(f, "p31");
+	char *value = talloc_array(f, char, ROW_BYTES);
+	struct str row = {value, ROW_BYTES};
+	size_t before;
+	size_t sent;
+
+	memset(value, 'x', ROW_BYTES);
+	store_tx_expect(tx, "claims", "scheduler", INT64_MAX);
+	store_tx_remove(tx, "groups", "00000000000000ab.0.1");
+	before = store_tx_bytes(tx);
+	for (int i = 0; i < 2; i++) {
+		store_tx_expect(tx, "groups", "00000000000000ab.0.0", INT64_MAX);
+		store_tx_put(tx, "groups", "00000000000000ab.0.0", row);
+	}
+	ck_assert_uint_eq(store_tx_bytes(tx),
+			  before + 2 * store_row_bytes(tx, "groups", "00000000000000ab.0.0", row));
+	store_commit(f->store, tx, base_deadline_in(1000), on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+	ck_assert_int_eq(f->result, STORE_OK);
+	sent = strlen(strstr(f->http->asked, "{\"expect-rev\""));
+	ck_assert_uint_gt(sent, ROW_BYTES * 8 / 3);
+	ck_assert_uint_le(sent, store_tx_bytes(tx));
+	ck_assert_uint_le(store_tx_bytes(tx), sent + 100);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_conflict_returns_the_conflicting_rows)
 {
 	struct fixture *f =
@@ -142,6 +174,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_transaction_sends_conditions_and_rows);
+	tcase_add_test(t, the_length_of_a_transaction_is_known_before_it_is_sent);
 	tcase_add_test(t, a_conflict_returns_the_conflicting_rows);
 	tcase_add_test(t, only_a_definite_rejection_means_not_performed);
 	tcase_add_test(t, a_feed_reports_lost_history);
