sited: jobs don't wait for one whose rows the store refuses

Callers saw accepted jobs with nothing running on an idle pool, for as long as another job of their partition of the store had a row that the store does not take.

The leader gathers the changes of all jobs of a partition in one transaction. When the store called it invalid, the leader waited a second and built it again from the same rows.

After such an answer each job of the transaction is stored by one of its own, until that succeeds. Jobs alone and the others take turns, so that a partition with many refused jobs still stores the others. The line rows_rejected names the job, the partition, rows and bytes.

--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -191,6 +191,9 @@
  * @ended_ms: wall clock when it reached a final state
  * @groups: struct work_group of all started occurrences, in order of occurrence and step
  * @occurrences: number of started occurrences
+ * @is_stored_alone: the store has rejected a transaction with rows of this job and others, so
+ *	its rows are stored by a transaction of their own
+ * @store_not_before: earliest time of the next transaction with rows of this job, monotonic ms
  */
 struct work_job {
 	char id[WORK_ID_LEN + 1];
@@ -212,6 +215,8 @@
 	int64_t ended_ms;
 	GPtrArray *groups;
 	unsigned int occurrences;
+	bool is_stored_alone;
+	int64_t store_not_before;
 	struct work_row row;
 };
 
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -34,6 +34,7 @@
  * @pending_until: @pending is recounted after this, monotonic ms
  * @claims: version of the row that claims each partition for this leader, 0 before the claim
  * @commits: transaction in flight of each partition, or NULL
+ * @was_alone: the partition's latest transaction was of a job that is stored alone
  * @commit_not_before: earliest time of the partition's next transaction, monotonic ms
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
@@ -65,6 +66,7 @@
 	struct plan_demand demand;
 	int64_t claims[SITED_PARTITIONS];
 	struct commit *commits[SITED_PARTITIONS];
+	bool was_alone[SITED_PARTITIONS];
 	int64_t commit_not_before[SITED_PARTITIONS];
 	int64_t reread_version;
 	struct agents *agents;
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -15,7 +15,7 @@
 
 #define TX_ENTRIES_MAX 90     /* conditions and puts of one transaction; the store accepts 100 */
 #define UNKNOWN_RETRY_MS 80   /* delay before an unanswered transaction is sent again */
-#define INVALID_RETRY_MS 1000 /* delay after the store rejects a call as invalid */
+#define INVALID_RETRY_MS 1000 /* delay after the store rejects the rows of a job as invalid */
 /*
  * Load pattern: the tasks of a wide step end one after the other, and each end
  * would write the whole row again. Ends that nothing waits for are stored
@@ -151,6 +151,7 @@
 
 		row->version = MAX(row->version, versions[i]);
 		row->stored = MAX(row->stored, e->changes);
+		e->job->is_stored_alone = false;
 		if (!e->group && work_job_has_ended(e->job))
 			log_event("job_ended", "{ss ss sI sI}", "id", e->job->id, "state",
 				  work_state_name(e->job->state), "took_ms",
@@ -254,6 +255,30 @@
 	return true;
 }
 
+/*
+ * The rows that the store refuses may be those of one job. Each job of the transaction is
+ * stored alone next, so that this one does not hold back the others of its partition.
+ */
+static void isolate_jobs(struct lead *l, const struct commit *c)
+{
+	int64_t now = sited_now_ms();
+	const struct work_job *first = c->entry[0].job;
+	bool is_alone = true;
+
+	for (unsigned int i = 0; i < c->count; i++) {
+		is_alone = is_alone && c->entry[i].job == first;
+		c->entry[i].job->is_stored_alone = true;
+	}
+	for (unsigned int i = 0; is_alone && i < c->count; i++)
+		c->entry[i].job->store_not_before = now + INVALID_RETRY_MS;
+	l->commit_not_before[c->part] = now + SITED_STORE_RETRY_MS;
+	log_warn("rows_rejected",
+		 "the store rejected %u rows of job %s%s in partition %s, %zu bytes; %s", c->count,
+		 first->id, is_alone ? "" : " and others", sited_partition_name(c->part),
+		 store_tx_bytes(c->tx),
+		 is_alone ? "they are not stored" : "each job is stored alone next");
+}
+
 static void on_commit_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	send_commit(data);
@@ -298,7 +323,7 @@
 	case STORE_HISTORY_GONE:
 	case STORE_INVALID:
 		l->commits[c->part] = NULL;
-		l->commit_not_before[c->part] = sited_now_ms() + INVALID_RETRY_MS;
+		isolate_jobs(l, c);
 		break;
 	}
 	lead_request_round(l);
@@ -398,32 +423,56 @@
 	return due;
 }
 
-void lead_rows_flush(struct lead *l)
+static struct commit *commit_new(struct lead *l, unsigned int part)
 {
-	int64_t now = sited_now_ms();
+	struct commit *c = talloc_zero(l->d, struct commit);
 
-	drop_ended_jobs(l);
+	c->d = l->d;
+	c->serial = l->serial;
+	c->part = part;
+	c->tx = store_tx_new(c, sited_partition_name(part));
+	store_tx_expect(c->tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, l->claims[part]);
+	c->conditions++;
+	return c;
+}
+
+/* adds the job's changes to its partition's next transaction */
+static void add_job(struct lead *l, struct work_job *job, unsigned int part, int64_t now)
+{
+	struct commit *c = l->commits[part];
+	/* an unsent transaction has space unless it is full or @job must be alone */
+	bool is_closed = c && (c->started_at || c->is_full || job->is_stored_alone);
+
+	if (now < l->commit_not_before[part] || now < job->store_not_before ||
+	    !is_due(l, job, now) || is_closed)
+		return;
+	if (!c)
+		c = l->commits[part] = commit_new(l, part);
+	put_job(c, job);
+	c->is_full = c->is_full || job->is_stored_alone;
+	l->was_alone[part] = job->is_stored_alone;
+}
+
+/* Jobs that are stored alone and all others take turns, so that neither wait for ever. */
+static void add_jobs(struct lead *l, bool is_next_turn, int64_t now)
+{
 	for (guint i = 0; i < l->active->len; i++) {
 		struct work_job *job = g_ptr_array_index(l->active, i);
 		unsigned int part = part_index(job->id);
-		struct commit *c = l->commits[part];
+		bool has_turn = job->is_stored_alone != l->was_alone[part];
 
-		if (now < l->commit_not_before[part] || !is_due(l, job, now))
-			continue;
-		if (!c) {
-			c = talloc_zero(l->d, struct commit);
-			c->d = l->d;
-			c->serial = l->serial;
-			c->part = part;
-			c->tx = store_tx_new(c, sited_partition_name(part));
-			store_tx_expect(c->tx, SITED_CLAIM_TABLE, SITED_LEAD_KEY, l->claims[part]);
-			c->conditions++;
-			l->commits[part] = c;
-		} else if (c->started_at || c->is_full) {
-			continue; /* in flight, or sent below */
-		}
-		put_job(c, job);
+		if (has_turn == is_next_turn)
+			add_job(l, job, part, now);
 	}
+}
+
+void lead_rows_flush(struct lead *l)
+{
+	int64_t now = sited_now_ms();
+
+	drop_ended_jobs(l);
+	add_jobs(l, true, now);
+	add_jobs(l, false, now);
 	for (unsigned int part = 0; part < SITED_PARTITIONS; part++) {
 		struct commit *c = l->commits[part];
 
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -46,6 +46,7 @@
         self.slow = 1
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
+        self.rejected = None     # start of the keys of rows that are called invalid
         self.answers_late = 0.0  # seconds between a write and its answer
         self.leads = {}   # version of a row that says who leads -> its document
         self.calls = 0
@@ -106,6 +107,8 @@
         await asyncio.sleep(0.001 * self.slow)
         if path == "/-/rows-tx":
             fault = fault_of(document, int(headers["content-length"]))
+            if self.rejected and any(p["table"] == "groups" and p["key"].startswith(self.rejected) for p in document["put"]):
+                fault = "a row of " + self.rejected
             return (400, {"error": fault}) if fault else await self.transaction(document)
         if path == "/-/rows-get":
             return self.read(query)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -724,7 +724,7 @@
     return job
 
 
-async def small_jobs_beside(site, wide, limit=200):
+async def small_jobs_beside(site, wide, limit=400):
     """Small jobs until three have fallen into the wide one's partition; all must end within 15 s."""
     part = next(p for t, p, k in site.store.rows if t == "jobs" and k == wide.id)
     jobs, beside = [], []
@@ -743,6 +743,9 @@
             break
     site.expected.append(("the small jobs end, %d of %d of its partition, did not: %s" % (len(beside), len(jobs), stuck),
                           beside and not stuck))
+
+
+def expect_no_invalid_call(site):
     invalid = [e["message"] for e in site.events("store_invalid")]
     site.expected.append(("the store takes all calls, %d were invalid: %s" % (len(invalid), invalid[:1]), not invalid))
 
@@ -752,6 +755,7 @@
     job = await submit_checkpointing(site, 1, 1024, 80)
     await asyncio.sleep(8)
     await small_jobs_beside(site, job)
+    expect_no_invalid_call(site)
 
 
 async def wide_steps_change_in_one_outage(site):
@@ -773,6 +777,18 @@
         run.worked = 4.0
     await outage
     await small_jobs_beside(site, job)
+    expect_no_invalid_call(site)
+
+
+async def the_store_refuses_the_rows_of_one_job(site):
+    """All jobs of its partition waited with it, because its rows were in each of their transactions."""
+    job = site.add_job()
+    job.is_cancelled, site.store.rejected = False, job.id
+    await site.submit(job)
+    site.following.append(asyncio.ensure_future(site.watch(job)))
+    await small_jobs_beside(site, job)
+    site.expected.append(("no start of the refused rows' job", not any(r.task.startswith(job.id) for r in site.pool.runs)))
+    site.store.rejected = None
 
 
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
@@ -780,7 +796,8 @@
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
-             a_step_is_wider_than_a_row, wide_steps_change_in_one_outage]
+             a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
+             the_store_refuses_the_rows_of_one_job]
 
 
 async def play(seed, seconds, scenario, directory, per_second):
