Servers of a silent domain get work once they answer

Callers saw jobs wait beside an idle pool after entry VMs had been lost: the servers of a domain whose VMs are all gone got no work for 60 s, although they answered. The leader suspects servers of a domain whose VMs are silent unless they answered within 0.7 s, and it polls only busy ones, so that an idle server had no way to show that it answers.

A server is now doubted only while its last answer is older than the silence of its domain.

--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -38,7 +38,8 @@
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @agents: entry VMs that carry out orders
- * @probes: polls in flight of servers that are unconfirmed or missed their last poll
+ * @probes: polls in flight of servers that are unconfirmed, missed their last poll or may be
+ *          cut off
  * @next_probe_index: index in the fleet from which the search for such a server continues
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
@@ -98,6 +99,7 @@
  * @ends: struct end_note, processed and not yet acknowledged
  * @poll_in_flight: a poll has been sent and not answered
  * @is_probe: that poll counts in @probes of struct lead
+ * @is_doubted: the VMs of its failure domain have become silent since its last answer
  * @orders_in_flight: starts and stops in flight
  * @answered_polls: polls answered up to now; numbers them for @last_poll of struct work_task
  * @missed_polls: consecutive failed polls
@@ -122,6 +124,7 @@
 	GQueue ends;
 	bool poll_in_flight;
 	bool is_probe;
+	bool is_doubted;
 	unsigned int orders_in_flight;
 	uint64_t answered_polls;
 	unsigned int missed_polls;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -2,10 +2,10 @@
  * Polling of backend servers, leases, and acknowledgement of ends.
  *
  * A poll renews the leases of all tasks that run on a server and waits for the
- * next end of one. Only servers that run something, or whose ends are not yet
- * acknowledged, are polled. After a takeover each server is polled once: from
- * then on it rejects orders of earlier leaders, and the runs that it lists are
- * all that run there.
+ * next end of one. Only servers that run something, whose ends are not yet
+ * acknowledged, or that may be cut off, are polled. After a takeover each server is polled once:
+ * from then on it rejects orders of earlier leaders, and the runs that it lists are all that run
+ * there.
  */
 #include "sited_lead.h"
 
@@ -29,7 +29,6 @@
 #define POLL_PERIOD_MAX_MS (ORDERS_POLL_WAIT_MAX_MS + POLL_MARGIN_MS)
 #define LIST_AGE_MAX_MS 1000  /* greatest age of an entry in the list of servers */
 #define DOMAINS_MAX 32	      /* failure domains of a site; the design is for 11 */
-#define SILENT_MS 700	      /* a server that answered within this time counts as reachable */
 #define SILENT_SUSPECT_MS 250 /* extended every 100 ms while the domain is silent */
 #define LEAVE_SLACK_MS 500 /* a draining server stays at least until the time that it announced */
 
@@ -157,6 +156,7 @@
 	} else if (r->clock_ms) {
 		io->clock_ms = r->clock_ms;
 		io->clock_at = sited_now_ms();
+		io->is_doubted = false;
 	}
 	return true;
 }
@@ -310,6 +310,7 @@
 	sv->is_fenced = true;
 	sv->is_reachable = true;
 	io->missed_polls = 0;
+	io->is_doubted = false;
 	exclude_silence(io, sited_now_ms());
 	io->dropped_end = MAX(io->dropped_end, call->acknowledged);
 	apply_ends(l, sv, r);
@@ -338,7 +339,9 @@
 
 static bool needs_probe(struct lead *l, struct fleet_server *sv)
 {
-	return !sv->is_fenced || lead_server_io(l, sv)->missed_polls;
+	const struct server_io *io = lead_server_io(l, sv);
+
+	return !sv->is_fenced || io->missed_polls || io->is_doubted;
 }
 
 static unsigned int probes_max(const struct lead *l)
@@ -346,6 +349,12 @@
 	return PROBES_MAX * (1 + lead_agents_count(l));
 }
 
+/* The leader itself polls a doubted server: no VM of the server's domain answers. */
+static bool may_probe(struct lead *l, struct fleet_server *sv)
+{
+	return l->probes < (lead_server_io(l, sv)->is_doubted ? PROBES_MAX : probes_max(l));
+}
+
 /* after a probe has ended: probes the next servers that wait for one, in turn */
 static void probe_next(struct lead *l)
 {
@@ -461,7 +470,7 @@
 		return;
 	}
 	if (needs_probe(l, sv)) {
-		if (l->probes >= probes_max(l))
+		if (!may_probe(l, sv))
 			return; /* probe_next() polls it later */
 		io->is_probe = true;
 		l->probes++;
@@ -524,41 +533,46 @@
 	g_ptr_array_free(tasks, TRUE);
 }
 
-/* caches within one tick which failure domains are silent; a site has few domains */
+/* caches within one tick since when failure domains are silent; a site has few domains */
 struct domain_silence {
 	const char *domain[DOMAINS_MAX];
-	bool is_silent[DOMAINS_MAX];
+	int64_t since[DOMAINS_MAX];
 	unsigned int count;
 };
 
-static bool is_domain_silent(struct domain_silence *known, const struct sited *d,
-			     const char *domain)
+static int64_t domain_silent_since(struct domain_silence *known, const struct sited *d,
+				   const char *domain)
 {
 	unsigned int i = 0;
 
 	while (i < known->count && strcmp(known->domain[i], domain))
 		i++;
 	if (i == DOMAINS_MAX)
-		return false;
+		return 0;
 	if (i == known->count) {
 		known->domain[i] = domain;
-		known->is_silent[i] = sited_domain_silent_since(d, domain) != 0;
+		known->since[i] = sited_domain_silent_since(d, domain);
 		known->count++;
 	}
-	return known->is_silent[i];
+	return known->since[i];
 }
 
 /*
  * Load pattern: a failure domain is cut off while work arrives. A poll waits for
  * 2 s, so the silence of the domain's VMs shows sooner that its servers are
  * unreachable, and new work goes elsewhere.
+ *
+ * Load pattern: the VMs of a domain are lost, and its servers work. A server that has
+ * answered since the silence began is reachable. Idle servers are polled to find out.
  */
 static void suspect_silent(struct lead *l, struct fleet_server *sv, struct domain_silence *known,
 			   int64_t now)
 {
-	const struct server_io *io = lead_server_io(l, sv);
+	struct server_io *io = lead_server_io(l, sv);
+	int64_t since = domain_silent_since(known, l->d, sv->failure_domain);
 
-	if (now - io->clock_at > SILENT_MS && is_domain_silent(known, l->d, sv->failure_domain))
+	io->is_doubted = since && io->clock_at <= since;
+	if (io->is_doubted)
 		sv->suspect_until = MAX(sv->suspect_until, now + SILENT_SUSPECT_MS);
 }
 
@@ -587,7 +601,8 @@
 		release_expired(l, sv, now);
 		evacuate(l, sv, now);
 		suspect_silent(l, sv, &silence, now);
-		if (sv->presence != FLEET_REPLACED && !lead_server_io(l, sv)->timer)
+		if (sv->presence != FLEET_REPLACED &&
+		    (!lead_server_io(l, sv)->timer || lead_server_io(l, sv)->is_doubted))
 			lead_server_poll(l, sv);
 	}
 	fleet_prune(l->fleet, may_free);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -712,21 +712,12 @@
     site.expected.append(("a large VM wins, %s did" % small, not small))
 
 
-async def domains_lose_their_vms(site):
-    """Idle servers of domains whose entry VMs were gone got no work for a minute, though they answered."""
-    site.stopping = True  # no submissions, so that servers are idle
-    await asyncio.sleep(4)
-    kept = int(site.leader().name[-1]) % ZONES
-    gone = [vm for vm in site.vms if int(vm.name[-1]) % ZONES != kept]
-    for vm in gone:
-        site.faults.append("kill")
-        vm.send(signal.SIGKILL)
-        vm.process.wait()
-    await asyncio.sleep(16)  # servers that are suspect because jobs failed there are used again
+async def need_all_servers(site, count):
+    """Urgent jobs with a task for each server, one after another; all tasks begin within 1 s. The last fail once."""
     watched = []  # apart from site.following, which is cancelled once submissions have stopped
-    for _ in range(3):
+    for i in range(count):
         job = site.add_job()
-        job.count, job.gpu, job.steps, job.spec = SERVERS, 8, 1, {"ms": 1000, "gang": 0, "fail": 0}
+        job.count, job.gpu, job.steps, job.spec = SERVERS, 8, 1, {"ms": 1000, "gang": 0, "fail": i == count - 1}
         job.route, job.is_cancelled, site.pool.needs[job.id], began = "urgent", False, 8, time.monotonic()
         answer = await site.ask("POST", job, vm=site.leader())
         job.accepted = time.monotonic() if answer and answer[0] == 200 else None
@@ -738,7 +729,55 @@
     await asyncio.wait(watched, timeout=SETTLE_S)
 
 
-BY_AGENTS = [domains_lose_their_vms, agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
+async def domains_lose_their_vms(site):
+    """Idle servers of domains whose entry VMs were gone got no work for a minute, though they answered."""
+    await asyncio.sleep(1.5)
+    site.stopping = True  # no submissions, so that servers are idle
+    await asyncio.sleep(4)
+    kept = int(site.leader().name[-1]) % ZONES
+    gone = [vm for vm in site.vms if int(vm.name[-1]) % ZONES != kept]
+    for vm in gone:
+        site.faults.append("kill")
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+    await asyncio.sleep(16)  # servers that are suspect because jobs failed there are used again
+    await need_all_servers(site, 3)
+
+
+async def domain_is_cut_off(site):
+    """Its servers get nothing meanwhile, and are used again soon after."""
+    await asyncio.sleep(1.5)
+    site.stopping = True
+    await asyncio.sleep(14)
+    zone = (int(site.leader().name[-1]) + 1) % ZONES
+    vms = [vm for vm in site.vms if int(vm.name[-1]) % ZONES == zone]
+    servers = [s for s in site.pool.servers if s.zone == "z%d" % zone]
+    for vm in vms:
+        vm.send(signal.SIGSTOP)
+    for server in servers:
+        server.silent = True
+        server.http.reset_connections()
+    await asyncio.sleep(1.2)
+    began = time.time() * 1e6
+    job = site.add_job()
+    job.count, job.gpu, job.steps, job.spec = 2 * SERVERS, 8, 1, {"ms": 1000, "gang": 0, "fail": 0}
+    job.is_cancelled, site.pool.needs[job.id] = False, 8
+    await site.submit(job)
+    watch = asyncio.ensure_future(site.watch(job))
+    await asyncio.sleep(4)
+    for vm in vms:
+        vm.send(signal.SIGCONT)
+    for server in servers:
+        server.silent = False
+    names = [server.name for server in servers]
+    sent = [e for e in site.events("task_start") if e["time_us"] > began and e["server"] in names]
+    site.expected.append(("no start is sent into the domain, %d were" % len(sent), not sent))
+    await asyncio.sleep(1.5)
+    await need_all_servers(site, 2)
+    await watch
+
+
+BY_AGENTS = [domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
