Test how often the tasks of a server that hangs once make it suspect

The suspect period doubles with each task that stalls or fails, also when the server is suspect already: eight tasks that stall within a second make 60 s of 8 s.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -92,6 +92,30 @@
 }
 END_TEST
 
+/*
+ * Issue 27: a server hung for some seconds, and each of its eight tasks was taken for a new
+ * fault, so that it got no work for 60 s.
+ */
+START_TEST(a_fault_that_several_tasks_show_counts_once)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 2);
+	struct fleet_server *stalls = sample_server(f, 0);
+	struct fleet_server *fails = sample_server(f, 1);
+	char job[8];
+
+	for (int i = 0; i < 8; i++) {
+		g_snprintf(job, sizeof(job), "job%d", i);
+		fleet_suspect(stalls, 100 * i);
+		fleet_note_failure(fails, job, 100);
+	}
+	ck_assert_int_eq(stalls->suspect_until, FLEET_SUSPECT_MS);
+	ck_assert_int_eq(fails->suspect_until, 100 + FLEET_SUSPECT_MS);
+	fleet_suspect(stalls, FLEET_SUSPECT_MS);
+	ck_assert_int_eq(stalls->suspect_until, FLEET_SUSPECT_MS + 2 * FLEET_SUSPECT_MS);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(only_unlisted_servers_without_tasks_are_pruned)
 {
 	struct fleet *f = sample_fleet(NULL, 4, 4);
@@ -117,6 +141,7 @@
 	tcase_add_test(t, orphaned_runs_use_capacity);
 	tcase_add_test(t, failures_of_one_job_make_no_server_suspect);
 	tcase_add_test(t, suspect_periods_double_until_a_success);
+	tcase_add_test(t, a_fault_that_several_tasks_show_counts_once);
 	tcase_add_test(t, only_unlisted_servers_without_tasks_are_pruned);
 }
 
