A fault that several tasks of a server show makes it suspect once

Callers saw tasks wait beside idle servers long after trouble was over: a server on which tasks had stalled or failed for seconds got no work for up to 60 s. Each stalled single task and each second failure called fleet_suspect(), which doubled the period although the server was suspect already. Eight tasks that hang once made 60 s of 8 s, and so did refusals of several starts in flight.

While a period of fleet_suspect() lasts, further evidence neither extends nor doubles it: it comes from tasks that started before.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -180,16 +180,21 @@
 
 void fleet_suspect(struct fleet_server *sv, int64_t now)
 {
+	if (sv->fault_until > now)
+		return;
 	sv->suspect_duration = sv->suspect_duration
 				       ? MIN(sv->suspect_duration * 2, FLEET_SUSPECT_MAX_MS)
 				       : FLEET_SUSPECT_MS;
-	sv->suspect_until = now + sv->suspect_duration;
+	sv->fault_until = now + sv->suspect_duration;
+	sv->suspect_until = MAX(sv->suspect_until, sv->fault_until);
 	sv->failures = 0;
 }
 
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now)
 {
 	sv->probation_until = now + FLEET_PROBATION_MS;
+	if (sv->fault_until > now)
+		return false;
 	if (sv->last_failed_job && !strcmp(sv->last_failed_job, job))
 		return false;
 	TALLOC_FREE(sv->last_failed_job);
@@ -212,5 +217,6 @@
 	sv->probation_until = 0;
 	fleet_note_progress(sv, now);
 	sv->suspect_duration = 0;
+	sv->fault_until = 0;
 	TALLOC_FREE(sv->last_failed_job);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -101,6 +101,7 @@
  * @is_fenced: the server has seen this leader's term, which voids orders of earlier terms
  * @is_reachable: the server answers calls
  * @suspect_until: accepts no new work before this time, because it is suspect, in ms
+ * @fault_until: end of the latest suspect period of fleet_suspect(), in ms; 0 after a success
  * @suspect_duration: length of the latest suspect period, in ms; 0 after a success
  * @probation_until: a task failed there; until this time, in ms, the server gets only work
  *	with attempts to spare; 0 after a success
@@ -133,6 +134,7 @@
 	bool is_fenced;
 	bool is_reachable;
 	int64_t suspect_until;
+	int64_t fault_until;
 	int64_t suspect_duration;
 	int64_t probation_until;
 	int64_t progress_at;
@@ -225,7 +227,13 @@
 void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - record that a task completed on @sv; ends probation */
 void fleet_note_success(struct fleet_server *sv, int64_t now);
-/** fleet_suspect() - make @sv suspect for any reason: no new work for a period */
+/**
+ * fleet_suspect() - make @sv suspect because of a fault: no new work for a period
+ *
+ * Load pattern: a server hangs or fails for seconds, and all tasks there show it one after
+ * another. They have started before the period, so they tell nothing of a further fault, and
+ * the period is neither extended nor doubled while it lasts.
+ */
 void fleet_suspect(struct fleet_server *sv, int64_t now);
 
 #endif
