--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -180,10 +180,13 @@
 
 void fleet_suspect(struct fleet_server *sv, int64_t now)
 {
+	if (sv->fault_until > now)
+		return;
 	sv->suspect_duration = sv->suspect_duration
 				       ? MIN(sv->suspect_duration * 2, FLEET_SUSPECT_MAX_MS)
 				       : FLEET_SUSPECT_MS;
-	sv->suspect_until = now + sv->suspect_duration;
+	sv->fault_until = now + sv->suspect_duration;
+	sv->suspect_until = MAX(sv->suspect_until, sv->fault_until);
 	sv->is_suspect_for_failures = false;
 	sv->failures = 0;
 }
@@ -191,6 +194,8 @@
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now)
 {
 	sv->probation_until = now + FLEET_PROBATION_MS;
+	if (sv->fault_until > now)
+		return false;
 	if (sv->last_failed_job && !strcmp(sv->last_failed_job, job))
 		return false;
 	TALLOC_FREE(sv->last_failed_job);
@@ -209,7 +214,7 @@
 
 static bool is_suspect_for_failures(const struct fleet_server *sv, int64_t now)
 {
-	return sv->is_suspect_for_failures && sv->suspect_until > now;
+	return sv->is_suspect_for_failures && sv->fault_until > now;
 }
 
 unsigned int fleet_forgive_failures(struct fleet *f, const char *service, int64_t now)
@@ -233,7 +238,10 @@
 
 		if (!is_usable(sv, service) || !is_suspect_for_failures(sv, now))
 			continue;
-		sv->suspect_until = now;
+		/* a later end has another reason */
+		if (sv->suspect_until == sv->fault_until)
+			sv->suspect_until = now;
+		sv->fault_until = 0;
 		sv->suspect_duration = 0;
 	}
 	return suspect;
@@ -251,5 +259,6 @@
 	sv->probation_until = 0;
 	fleet_note_progress(sv, now);
 	sv->suspect_duration = 0;
+	sv->fault_until = 0;
 	TALLOC_FREE(sv->last_failed_job);
 }
