--- a/tools/soak.py
+++ b/tools/soak.py
@@ -37,6 +37,8 @@
 IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
 IDLE_MAX_S = 3.0        # for so long
 SAMPLE_S = 0.1
+VMS_DOWN_S = 9.0        # longer than any lease granted before
+RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
 WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
 PORTS_FIRST = 20000     # plays side by side must not take each other's
 PORT_BLOCKS = 100
@@ -878,6 +880,21 @@
     site.idle_limit_s = WAIT_FOR_LEASES_S
 
 
+async def all_vms_are_down_for_longer_than_a_lease(site):
+    """The leader that followed waited as if the former one had granted leases until then."""
+    gangs = await start_gangs(site)
+    leave_for_good(site, gangs, False)
+    site.end_of_faults()
+    site.faults.append("kill all")
+    for vm in site.vms:
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+    await asyncio.sleep(VMS_DOWN_S)
+    for vm in site.vms:
+        vm.start()
+    site.idle_limit_s = VMS_DOWN_S + RETURN_S
+
+
 async def third_leader_falls_silent_after_servers_died(site):
     """Machines of two leaders and of the next fall silent; the silence of a new leader is tolerated for longer."""
     gangs, loop = await start_gangs(site), asyncio.get_running_loop()
@@ -985,19 +1002,6 @@
     site.store.rejected = None
 
 
-BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
-             leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
-             leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
-             a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
-             the_store_refuses_the_rows_of_one_job]
-
-BY_NAME = [unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
-           planned_stops_after_servers_were_cut_off,
-           third_leader_falls_silent_after_servers_died]  # too long to be played with the others
-
-
 async def need_all_servers(site, count):
     """Urgent jobs with a task for each server, one after another; all tasks begin within 1 s. The last fail once."""
     watched = []  # apart from site.following, which is cancelled once submissions have stopped
@@ -1084,11 +1088,21 @@
     await need_all_servers(site, 2)
 
 
-BY_AGENTS = [domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
-             leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, servers_hang_for_a_while, one_vm_is_turned_away,
-             leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
+BY_AGENTS = [domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
+             agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
+             agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
+SCENARIOS = BY_AGENTS + [
+    all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
+    small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
+    history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
+    refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
+    servers_hang_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time, servers_are_silent_for_a_while,
+    server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
+    the_store_refuses_the_rows_of_one_job]
+
+BY_NAME = [unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
+           planned_stops_after_servers_were_cut_off,
+           third_leader_falls_silent_after_servers_died]  # too long to be played with the others
 
 
 async def play(seed, seconds, scenario, directory, per_second):
