Store until when a leader grants leases, so that the next one need not assume the worst

Callers saw jobs with nothing running for 11 s after a takeover: tasks that the former leader had started on servers that do not answer now wait until their leases have certainly ended, and the new leader assumed that its predecessor had granted leases until 4 s after it was replaced. When all VMs had been down for 9 s, no lease was left, but nobody knew.

The leader now stores, once a second, the time on the store's clock up to which it starts tasks and renews leases, 4 s ahead, in a transaction that expects its row as leader. The next leader reads the row after it has won, when it can change no more, and waits only for leases granted up to then. Before, the 4 s counted from the last read that confirmed the leadership, which left no trace in the store. A missing row, or one of a term before the former leader's, means the full wait, so that versions with and without it may lead in turn. Where the store is away the bound runs out as the confirmation did.

--- a/src/sited.h
+++ b/src/sited.h
@@ -13,6 +13,7 @@
  *   sited_config.c   the operator's configuration
  *   sited_elect.c    leader election
  *   sited_lead.c     the leader's scheduling rounds: due work, placement, preemption
+ *   sited_grant.c    stores the time up to which a leader grants leases
  *   sited_load.c     claims and reads the stored state for a new leader
  *   sited_rows.c     writes the leader's changes to the store
  *   sited_list.c     follows the list of backend servers
@@ -45,6 +46,7 @@
 #define SITED_GROUPS_TABLE "groups"
 #define SITED_LEAD_TABLE "lead"
 #define SITED_CLAIM_TABLE "claims"
+#define SITED_GRANT_TABLE "grants"
 #define SITED_LEAD_KEY "scheduler"
 /*
  * A partition performs its transactions in sequence. Each takes 0.5 s when the store is
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -102,7 +102,7 @@
 
 bool lead_may_grant_leases(struct lead *l)
 {
-	return lead_may_act(l) && sited_now_ms() - l->confirmed_at < LEAD_UNCONFIRMED_MAX_MS;
+	return lead_may_act(l) && sited_now_ms() < l->grant.until;
 }
 
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
@@ -129,7 +129,7 @@
 		lead_rows_sweep(l);
 }
 
-/* ---- confirmation by the store, which limits how long leases are renewed ---- */
+/* ---- confirmation by the store ---- */
 
 static void read_leader_row(void *data);
 
@@ -197,6 +197,7 @@
 	sited_count(&d->metrics, COUNT_TERMS);
 	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
 		  (json_int_t)row_version);
+	lead_grant_start(l);
 	lead_list_load(l);
 	follow_leader_row(row_version, l);
 	mtimer_add(l, d->ev, base_deadline_in(ROUND_INTERVAL_MS), on_tick, l);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -7,8 +7,9 @@
 #include "sited.h"
 
 /*
- * A leader that the store has not confirmed for this long starts nothing and renews no
- * leases, so that the next leader knows when leases on unreachable servers have expired.
+ * A leader starts nothing and renews no leases later than this after it last stored the time
+ * up to which it does, so that the next leader knows when leases on unreachable servers have
+ * expired; see sited_grant.c.
  */
 #define LEAD_UNCONFIRMED_MAX_MS 4000
 
@@ -18,12 +19,34 @@
 struct agents;
 struct commit;
 
+/**
+ * struct lead_grant - time up to which this leader starts tasks and renews leases
+ * @until: that time, monotonic ms; 0 before it was first stored
+ * @row_version: version of the row that holds it, 0 when there is none
+ * @leader_version: version of the leader's row, a condition of each write
+ * @floor_ms: the bound of an earlier leader, ms on the store's clock; the row never holds less
+ * @clock_ms: the store's clock in its last answer, ms
+ * @clock_at: when the call that it answered was sent, monotonic ms
+ * @former_over_at: when everything that the former leader started has ended on servers that it
+ *	renewed last, monotonic ms; INT64_MAX when not known
+ */
+struct lead_grant {
+	int64_t until;
+	int64_t row_version;
+	int64_t leader_version;
+	int64_t floor_ms;
+	int64_t clock_ms;
+	int64_t clock_at;
+	int64_t former_over_at;
+};
+
 /**
  * struct lead - one term of this VM as leader
  * @serial: value of lead_serial in struct sited when the term started; rejects late answers
  * @started_at: when this VM became the leader, on base_now_ns()'s clock
  * @row_version: version of the stored row that names this VM as the leader
  * @confirmed_at: when the store last confirmed the leadership, monotonic ms
+ * @grant: bound of the leases that this leader grants, and of the former leader's
  * @ticked_at: when the term's timer fired last, on base_boottime_ns()'s clock
  * @resumed_at: when a pause of this VM was last detected, monotonic ms; 0 when never
  * @is_loaded: all rows have been read; until then nothing is placed
@@ -60,6 +83,7 @@
 	int64_t started_at;
 	int64_t row_version;
 	int64_t confirmed_at;
+	struct lead_grant grant;
 	int64_t ticked_at;
 	int64_t resumed_at;
 	bool is_loaded;
@@ -168,8 +192,7 @@
 /**
  * lead_may_grant_leases() - tasks may start, and leases may be renewed
  *
- * Another VM may have become leader unnoticed, so this ends LEAD_UNCONFIRMED_MAX_MS after
- * the last confirmation.
+ * Another VM may have become leader unnoticed, so this ends with the stored bound.
  */
 bool lead_may_grant_leases(struct lead *l);
 /** lead_request_round() - schedule a round, unless one is scheduled already */
@@ -181,6 +204,11 @@
 /** lead_job_state() - state of a job that a caller may see, WORK_STATE_COUNT when unknown */
 enum work_state lead_job_state(const struct lead *l, const char *id, const char **workspace);
 
+/* ---- sited_grant.c ---- */
+
+/** lead_grant_start() - read the former leader's bound, then store this leader's again and again */
+void lead_grant_start(struct lead *l);
+
 /* ---- sited_rows.c ---- */
 
 /** lead_rows_flush() - store changed rows, with one transaction in flight for each partition */
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -81,8 +81,8 @@
 {
 	/*
 	 * A leader may grant leases for LEAD_UNCONFIRMED_MAX_MS after the next one's row
-	 * replaced its own, a server's clock may be slow, and a task whose lease ended takes
-	 * up to stop_timeout_ms to stop.
+	 * replaced its own, if its bound is not known; a server's clock may be slow, and a
+	 * task whose lease ended takes up to stop_timeout_ms to stop.
 	 */
 	return (LEAD_UNCONFIRMED_MAX_MS + l->d->site->lease_max_ms) * LEAD_CLOCK_MARGIN_PERCENT /
 		       100 +
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -88,9 +88,8 @@
 {
 	if (!io->clock_at)
 		return 0;
-	/* the agent may renew as long as this leader would without confirmation by the store */
-	return server_clock(io) + l->confirmed_at + LEAD_UNCONFIRMED_MAX_MS - sited_now_ms() +
-	       l->d->site->lease_max_ms;
+	/* the agent may renew as long as this leader would */
+	return server_clock(io) + l->grant.until - sited_now_ms() + l->d->site->lease_max_ms;
 }
 
 /* when every lease on the server has certainly ended, in ms on this VM's clock */
@@ -503,7 +502,9 @@
 
 static int64_t unconfirmed_over_at(const struct lead *l, const struct work_task *t)
 {
-	return MIN(t->state_deadline, handover_over_at(l, t->server));
+	int64_t over_at = MIN(t->state_deadline, l->grant.former_over_at);
+
+	return MIN(over_at, handover_over_at(l, t->server));
 }
 
 /* when all tasks on the server have certainly ended if it is not polled any more */
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import random
+import time
 
 from site_http import Drop, Server
 
@@ -109,12 +110,14 @@
             fault = fault_of(document, int(headers["content-length"]))
             if self.rejected and any(p["table"] == "groups" and p["key"].startswith(self.rejected) for p in document["put"]):
                 fault = "a row of " + self.rejected
-            return (400, {"error": fault}) if fault else await self.transaction(document)
-        if path == "/-/rows-get":
-            return self.read(query)
-        if path == "/-/rows-feed":
-            return await self.feed(query)
-        return 404, {}
+            status, answer = (400, {"error": fault}) if fault else await self.transaction(document)
+        elif path == "/-/rows-get":
+            status, answer = self.read(query)
+        elif path == "/-/rows-feed":
+            status, answer = await self.feed(query)
+        else:
+            status, answer = 404, {}
+        return status, dict(answer, **{"now-ms": int(time.monotonic() * 1000)})
 
     async def transaction(self, document):
         part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
