Idle test: capacity set aside for preemption is room, too

Callers see: an urgent gang for one rack has nothing running for as long as a task in some rack does not stop, although 21 of 24 servers are free (20.4 s in the new fixed world).

Cause: plan_preempt() counts the capacity of stopping tasks as free, so the rack costs least each time, and the gang awaits it again after each time limit.

The test had not shown it because it subtracted what the group itself awaits from its room. It now counts what no task uses, as seen from outside, which is stricter; what is set aside for others has a cause of its own.

--- a/tests/test_plan_idle.c
+++ b/tests/test_plan_idle.c
@@ -33,6 +33,7 @@
 	CAUSE_PROBATION,
 	CAUSE_HEADROOM,
 	CAUSE_RESERVATION,
+	CAUSE_PREEMPTION,
 	CAUSE_ONE_RACK,
 	CAUSE_DATA_RACK,
 	CAUSES
@@ -41,8 +42,9 @@
 /* by its memory, one member of a gang takes a server */
 static const struct fleet_resources whole_server = {26000, 140000, 8};
 
-static const char *const cause_names[CAUSES] = {"unexplained", "probation", "headroom",
-						"reservation", "one-rack",  "data-rack"};
+static const char *const cause_names[CAUSES] = {"unexplained", "probation",  "headroom",
+						"reservation", "preemption", "one-rack",
+						"data-rack"};
 
 /**
  * struct play - a job in a world
@@ -577,9 +579,10 @@
 }
 
 static int64_t slots_for(const struct world *w, const struct work_group *g,
-			 const struct fleet_server *sv)
+			 const struct fleet_server *sv, enum cause cause)
 {
-	struct fleet_resources free_capacity = fleet_free_capacity(sv);
+	struct fleet_resources unused =
+		cause == CAUSE_PREEMPTION ? fleet_free_capacity(sv) : fleet_unused_capacity(sv);
 	int64_t limit = g->step->per_server_max ? g->step->per_server_max : WORK_TASKS_MAX;
 
 	for (guint i = 0; g->step->per_server_max && i < sv->tasks->len; i++)
@@ -587,7 +590,7 @@
 	if (!fleet_accepts_work(sv, w->at.now) ||
 	    (g->step->label && !fleet_has_label(sv, g->step->label)))
 		return 0;
-	return slots_on(&free_capacity, &g->step->need, MAX(limit, 0));
+	return slots_on(&unused, &g->step->need, MAX(limit, 0));
 }
 
 /* tasks of the group that fit in @rack, without the servers that @cause keeps it from */
@@ -601,7 +604,7 @@
 
 		if ((rack == PLAN_ANY_RACK || sv->rack == rack) &&
 		    !is_kept_out(sv, cause, w->at.now))
-			sum += slots_for(w, g, sv);
+			sum += slots_for(w, g, sv, cause);
 	}
 	return sum;
 }
@@ -636,7 +639,7 @@
 {
 	bool is_near = fits_near(w, g, CAUSE_OTHER);
 
-	for (enum cause cause = CAUSE_PROBATION; cause <= CAUSE_RESERVATION; cause++)
+	for (enum cause cause = CAUSE_PROBATION; cause <= CAUSE_PREEMPTION; cause++)
 		if (count_slots(w, g, PLAN_ANY_RACK, cause) < starts_with(g) ||
 		    (is_near && !fits_near(w, g, cause)))
 			return cause;
@@ -978,6 +981,27 @@
 }
 END_TEST
 
+/* a rack where a stopping task would be free again costs least each time */
+START_TEST(urgent_work_does_not_wait_again_and_again_for_a_task_that_does_not_stop)
+{
+	struct world *w = world_new(24, 8);
+	struct work_job *job;
+	struct work_task *t;
+
+	for (unsigned int i = 0; i < 24; i += 8)
+		occupy(w, i, 20000, 20000);
+	t = g_ptr_array_index(sample_server(w->fleet, 0)->tasks, 0);
+	t->state = TASK_STOPPING;
+	t->stopped_at = INT64_MAX;
+	job = fixed_gang(w, 8, 4000);
+	job->priority = 0;
+	job->step[0].same_rack = true;
+	add_play(w, job, w->at.now);
+	ck_assert_msg(!play_ms(w, 8000),
+		      "VIOLATED idle job: an urgent gang waits for a task that does not stop");
+}
+END_TEST
+
 /* one task a server is allowed, and two servers of the rack have left */
 START_TEST(an_endless_task_does_not_wait_for_the_full_rack_of_its_siblings)
 {
@@ -1050,6 +1074,7 @@
 	tcase_add_test(t, a_step_does_not_wait_long_for_a_full_data_rack);
 	tcase_add_loop_test(t, a_reservation_does_not_keep_most_of_the_pool_idle, 0, 2);
 	tcase_add_test(t, a_step_does_not_wait_for_the_rack_of_an_unconfirmed_task);
+	tcase_add_test(t, urgent_work_does_not_wait_again_and_again_for_a_task_that_does_not_stop);
 	tcase_add_test(t, an_endless_task_does_not_wait_for_the_full_rack_of_its_siblings);
 	tcase_add_test(t, an_endless_task_does_not_wait_beside_reserved_servers);
 	tcase_add_test(t, an_unmet_need_excludes_no_step_that_may_use_more_servers);
