Idle test: headroom as the only room, and probation after servers have left

Callers see, in two fixed worlds beside a pool less than half in use: a gang of one task waits 7.5 s, a gang of 5 waits 9 s.

--- a/tests/test_plan_idle.c
+++ b/tests/test_plan_idle.c
@@ -939,7 +939,18 @@
 }
 END_TEST
 
-/* urgent work goes on at a rate that keeps headroom, in the one rack that is free */
+/* an urgent task arrives every @every_ms and runs for @run_ms, for all of the play */
+static void add_urgent(struct world *w, int64_t accelerators, int64_t every_ms, int64_t run_ms)
+{
+	for (int64_t at = 0; at < 8000; at += every_ms) {
+		struct work_job *job = fixed_step(w, 1, run_ms);
+
+		job->priority = 0;
+		job->step[0].need.accelerators = accelerators;
+		add_play(w, job, w->at.now + at);
+	}
+}
+
 START_TEST(headroom_does_not_take_a_server_from_each_free_rack)
 {
 	struct world *w = world_new(24, 8);
@@ -950,17 +961,27 @@
 	job = fixed_gang(w, 8, 4000);
 	job->step[0].same_rack = true;
 	add_play(w, job, w->at.now + 1500);
-	for (int64_t at = 0; at < 8000; at += 500) {
-		job = fixed_step(w, 1, 2500);
-		job->priority = 0;
-		job->step[0].need.accelerators = 2;
-		add_play(w, job, w->at.now + at);
-	}
+	add_urgent(w, 2, 500, 2500);
 	ck_assert_msg(!play_ms(w, 8000),
 		      "VIOLATED idle job: a gang waits for a rack of which a server is headroom");
 }
 END_TEST
 
+/* the two servers without a task come first in the rack that is most free */
+START_TEST(headroom_does_not_take_each_server_that_is_free_as_a_whole)
+{
+	struct world *w = world_new(24, 8);
+
+	for (unsigned int i = 0; i < 24; i++)
+		if (i != 16 && i != 17)
+			occupy(w, i, 20000, 20000);
+	add_play(w, fixed_gang(w, 1, 4000), w->at.now + 3000);
+	add_urgent(w, 4, 125, 1500);
+	ck_assert_msg(!play_ms(w, 8000),
+		      "VIOLATED idle job: a task waits while each free server is headroom");
+}
+END_TEST
+
 /* a task said to run on a server that does not answer is no sibling to join */
 START_TEST(a_step_does_not_wait_for_the_rack_of_an_unconfirmed_task)
 {
@@ -1060,6 +1081,23 @@
 }
 END_TEST
 
+/* failures go on at half of the servers that are left, so the jobs must be at fault */
+START_TEST(servers_that_have_left_do_not_count_for_probation)
+{
+	struct world *w = world_new(24, 8);
+
+	for (unsigned int i = 0; i < 12; i++)
+		set_condition(w, i, UNLISTED);
+	for (unsigned int i = 12; i < 18; i++)
+		sample_server(w->fleet, i)->probation_until = w->at.now + 3 * FLEET_PROBATION_MS;
+	occupy(w, 18, 20000, 20000);
+	occupy(w, 19, 20000, 20000);
+	add_play(w, fixed_gang(w, 5, 4000), w->at.now);
+	ck_assert_msg(!play_ms(w, 8000),
+		      "VIOLATED idle job: a gang waits while half of the servers are on probation");
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_unchecked_fixture(t, play_seeds, NULL);
@@ -1078,7 +1116,9 @@
 	tcase_add_test(t, an_endless_task_does_not_wait_for_the_full_rack_of_its_siblings);
 	tcase_add_test(t, an_endless_task_does_not_wait_beside_reserved_servers);
 	tcase_add_test(t, an_unmet_need_excludes_no_step_that_may_use_more_servers);
+	tcase_add_test(t, servers_that_have_left_do_not_count_for_probation);
 	tcase_add_test(t, headroom_does_not_take_a_server_from_each_free_rack);
+	tcase_add_test(t, headroom_does_not_take_each_server_that_is_free_as_a_whole);
 }
 
 int main(void)
