Servers that have left do not count in the share on probation

A gang waited for as long as half of the servers were on probation, because the share was taken of all servers known, those that have left included. The share now counts servers that are in the list.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -41,6 +41,7 @@
 void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
 {
 	unsigned int on_probation = 0;
+	unsigned int present = 0;
 
 	s->unmet_need_count = 0;
 	s->has_reservation = false;
@@ -48,9 +49,12 @@
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		sv->reserved_until = 0;
+		if (sv->presence != FLEET_LISTED && sv->presence != FLEET_DRAINING)
+			continue;
+		present++;
 		on_probation += sv->probation_until > now;
 	}
-	s->ignores_probation = on_probation * PROBATION_SHARE > fleet->all->len;
+	s->ignores_probation = on_probation * PROBATION_SHARE > present;
 }
 
 static unsigned int siblings_on(const struct fleet_server *sv, const struct work_group *group)
