Follow the jobs when the history is lost while a leader loads

Callers saw an accepted job with nothing running for as long as the leader led, although a leader answered and the pool was idle.

A new leader reads all rows and follows the changes of jobs meanwhile. If the store loses its history between the win and the end of this load, the feed ends and all jobs are read again; the feed started again only when these reads ended after the first load. They end together with it, so it never did. From then on the leader knew only the jobs of which the VM that stored them told it, which is lost when that VM dies, or does not know the leader yet.

The leader now remembers that the feed has ended, and starts it again when the last read of jobs has ended, first load or not.

--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -35,6 +35,7 @@
  * @claims: version of the row that claims each partition for this leader, 0 before the claim
  * @commits: transaction in flight of each partition, or NULL
  * @commit_not_before: earliest time of the partition's next transaction, monotonic ms
+ * @must_follow: the feed of jobs has ended and starts again once they have been read
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @agents: entry VMs that carry out orders
@@ -69,6 +70,7 @@
 	int64_t claims[SITED_PARTITIONS];
 	struct commit *commits[SITED_PARTITIONS];
 	int64_t commit_not_before[SITED_PARTITIONS];
+	bool must_follow;
 	int64_t reread_version;
 	struct agents *agents;
 	unsigned int probes;
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -146,9 +146,12 @@
 	bool is_first = !l->is_loaded;
 
 	l->is_loaded = true;
-	if (!is_first) {
+	if (l->must_follow) {
 		/* all jobs were read again; the feed resumes at the oldest version read */
+		l->must_follow = false;
 		follow_jobs(l, l->reread_version);
+	}
+	if (!is_first) {
 		lead_request_round(l);
 		return;
 	}
@@ -326,7 +329,11 @@
 
 static void on_history_gone(void *data)
 {
-	load_parts(data, read_jobs);
+	struct lead *l = data;
+
+	/* the first load may still be under way; the feed starts again after both */
+	l->must_follow = true;
+	load_parts(l, read_jobs);
 }
 
 static void follow_jobs(struct lead *l, int64_t after)
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -24,6 +24,7 @@
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
         self.answers_late = 0.0  # seconds between a write and its answer
+        self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
         self.calls = 0
         self.doors = {}   # name of a VM -> Server, so that one VM can be turned away
@@ -50,6 +51,9 @@
                 self.rows[table, part, key] = (value, version)
             if table == "lead":
                 self.leads[version] = json.loads(base64.b64decode(value))
+                if self.leads[version]["vm"] and self.forgets_after_lead:
+                    asyncio.get_running_loop().call_later(self.forgets_after_lead, self.forget_history)
+                    self.forgets_after_lead = None
             self.log.append((version, table, part, key))
         async with self.changed:
             self.changed.notify_all()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -891,6 +891,25 @@
             await asyncio.sleep(0.1)
 
 
+async def history_is_lost_while_a_leader_loads(site):
+    """It followed no jobs any more, and knew only those of which the VM that stored them told it."""
+    site.store.forgets_after_lead = 0.02
+    await site.kill(site.leader())
+    await asyncio.sleep(3)
+    site.expected.append(("the history was lost", site.store.forgets_after_lead is None and site.store.oldest > 0))
+    vm = next(v for v in site.vms if v is not site.leader())
+    job = site.add_job()
+    job.is_cancelled = False
+    site.store.answers_late = 0.6
+    asyncio.ensure_future(site.ask("POST", job, vm=vm))
+    await asyncio.sleep(0.4)
+    await site.kill(vm)
+    site.store.answers_late = 0.0
+    site.expected.append(("the job is stored", any(k[0] == "jobs" and k[2] == job.id for k in site.store.rows)))
+    job.accepted = time.monotonic()
+    site.following.append(asyncio.ensure_future(site.watch(job)))
+
+
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
     for i in range(60):
@@ -904,7 +923,7 @@
 
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+SCENARIOS = BY_AGENTS + [history_is_lost_while_a_leader_loads, jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
