Stop the rest of a gang that lost a member in a takeover

Callers saw a gang begin late after a change of leader: its members had waited alone for others that never started, and ended so.

When a leader dies between the starts of a gang, some members run and some don't. The next leader releases a member that its server does not list, and stops the others; but the stop of a member whose server has not answered yet is not sent, and was forgotten: when the server listed it, the member was adopted and went on. Only members of ended jobs were stopped at that point.

A member that is adopted while another one of its gang waits is now stopped at once.

--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -297,7 +297,7 @@
 	log_task_event("task_stop", t, t->server, why);
 	sited_count(&l->d->metrics, COUNT_STOPS);
 	if (t->state == TASK_UNCONFIRMED) {
-		/* The first poll of the server resolves the state and stops a running task. */
+		/* lead_task_listed() stops it if the server's first answer lists it */
 		return;
 	}
 	t->state = TASK_STOPPING;
@@ -417,6 +417,12 @@
 		lead_task_stop(l, t, "the task makes too little progress");
 }
 
+/* A member that was found not to run waits until all others have stopped. */
+static bool has_lost_member(const struct work_group *g)
+{
+	return g->step->is_gang && work_group_waiting_count(g);
+}
+
 void lead_task_listed(struct lead *l, struct fleet_server *sv, const struct order_run *run,
 		      uint64_t poll_number)
 {
@@ -437,6 +443,8 @@
 		log_task_event("task_adopted", t, sv, "an earlier leader started it");
 		if (work_job_has_ended(t->group->job))
 			lead_task_stop(l, t, "its job is over");
+		else if (has_lost_member(t->group))
+			lead_task_stop(l, t, "its gang lost a member");
 	} else if (t->state == TASK_STARTING) {
 		confirm_start(l, t);
 	}
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -45,6 +45,7 @@
         self.silent = False     # answers nothing, works on
         self.late = 0.0         # share of orders carried out seconds later, unanswered
         self.lose = 0.0         # share of orders carried out and not answered
+        self.loses_starts = False  # they are neither carried out nor answered
         self.hang = False       # tasks make no progress
         self.draining = False
         self.listed = None
@@ -98,6 +99,9 @@
         order = {"/-/run-start": self.start, "/-/run-stop": self.stop}.get(path)
         if not order:
             return 404, {}
+        if self.loses_starts and order == self.start:
+            await asyncio.sleep(2)
+            raise Drop
         if self.pool.rng.random() < self.late:
             born = self.born
             asyncio.get_running_loop().call_later(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -910,6 +910,34 @@
     site.following.append(asyncio.ensure_future(site.watch(job)))
 
 
+async def half_started_gang_is_taken_over(site):
+    """The next leader stopped no member that it had not yet found at work, so they waited alone for the others."""
+    halves = site.pool.servers[::2], site.pool.servers[1::2]
+    half_started = []
+    for i in range(4):
+        for server in halves[i % 2]:
+            server.loses_starts = True
+        job = site.add_job()
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 8, 1, 2, False, "urgent"
+        job.spec = {"ms": 1000, "gang": job.count, "fail": 0}
+        site.pool.needs[job.id] = job.gpu
+        site.following.append(asyncio.ensure_future(site.submit_and_watch(job)))
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            if runs_of(site, job):
+                break
+        await asyncio.sleep(0.05)
+        half_started += [job.id] if 0 < len(runs_of(site, job)) < job.count else []
+        leader = site.leader()
+        await site.kill(leader)
+        for server in site.pool.servers:
+            server.loses_starts = False
+        await asyncio.sleep(3)
+    alone = [r.task for r in site.pool.runs if r.how == "alone" and r.task[:16] in half_started]
+    site.expected.append(("gangs were half started, %d" % len(half_started), bool(half_started)))
+    site.expected.append(("no member waits alone, %s did" % alone[:3], not alone))
+
+
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
     for i in range(60):
@@ -923,7 +951,7 @@
 
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [history_is_lost_while_a_leader_loads, jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+SCENARIOS = BY_AGENTS + [history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over, jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
