--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -59,6 +59,7 @@
  * @commits: transaction in flight of each partition, or NULL
  * @was_alone: the partition's latest transaction was of a job that is stored alone
  * @commit_not_before: earliest time of the partition's next transaction, monotonic ms
+ * @must_follow: the feed of jobs has ended and starts again once they have been read
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @agents: entry VMs that carry out orders
@@ -99,6 +100,7 @@
 	struct commit *commits[SITED_PARTITIONS];
 	bool was_alone[SITED_PARTITIONS];
 	int64_t commit_not_before[SITED_PARTITIONS];
+	bool must_follow;
 	int64_t reread_version;
 	struct agents *agents;
 	unsigned int probes;
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -49,6 +49,7 @@
         self.late = 0.0   # share of writes that are done seconds later
         self.rejected = None     # start of the keys of rows that are called invalid
         self.answers_late = 0.0  # seconds between a write and its answer
+        self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
         self.calls = 0
         self.doors = {}   # name of a VM -> Server, so that one VM can be turned away
@@ -75,6 +76,9 @@
                 self.rows[table, part, key] = (value, version)
             if table == "lead":
                 self.leads[version] = json.loads(base64.b64decode(value))
+                if self.leads[version]["vm"] and self.forgets_after_lead:
+                    asyncio.get_running_loop().call_later(self.forgets_after_lead, self.forget_history)
+                    self.forgets_after_lead = None
             self.log.append((version, table, part, key))
         async with self.changed:
             self.changed.notify_all()
