--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1135,6 +1135,25 @@
     await need_all_servers(site, 2)
 
 
+async def vms_start_as_the_store_returns(site):
+    """Their own calls succeeded while the leader's still failed, so they replaced a healthy leader."""
+    for _ in range(3):
+        leader, terms = site.leader(), len(site.store.leads)
+        others = [vm for vm in site.vms if vm is not leader]
+        site.faults += ["silent store", "kill"]
+        site.store.mode = "silent"
+        await asyncio.sleep(2.5)
+        for vm in others:
+            vm.send(signal.SIGKILL)
+            vm.process.wait()
+        site.store.mode = "up"
+        for vm in others:
+            vm.start()
+        await asyncio.sleep(3)
+        site.expected.append(("the leader stays, %d terms began" % (len(site.store.leads) - terms),
+                              len(site.store.leads) == terms))
+
+
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1146,7 +1165,8 @@
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time, servers_are_silent_for_a_while,
     server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
-    the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over]
+    the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
+    vms_start_as_the_store_returns]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
