Replace a leader that is cut off from the store only when this VM surely is not

Callers saw jobs start again and wait 11 s twice after the store had been away for all: a VM that had just started, or whose calls succeeded first, took the leader for cut off, because the leader's answer still reported failing calls, and replaced it before it had stored the ends noted in the outage. A fresh VM knows no peers and contends early, often on a small machine, and hands over some seconds later: two takeovers without a fault.

A VM now replaces a leader that reports failing calls only when its own have been answered for 2 s: by then the calls that the leader sent in an outage for all have timed out. A leader that alone is cut off is replaced as before by VMs whose calls were answered all along.

--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -46,7 +46,13 @@
 #define HANDOVER_TIMEOUT_MS 400	 /* longest wait for answers to transactions in flight */
 #define HANDOVER_POLL_MS 10
 #define LEADER_STORE_FAILING_MAX_MS 500 /* for the leader alone; then it is replaced */
-#define PROBE_TIMEOUT_MS 500		/* a store 60 times slower than usual answers in time */
+/*
+ * Load pattern: the store was away for all. A VM that sees it again, or has just started,
+ * can't tell whether the leader alone is cut off until the calls that the leader sent in the
+ * outage have timed out.
+ */
+#define SERVING_MIN_MS (SITED_STORE_TIMEOUT_MS + LEADER_STORE_FAILING_MAX_MS)
+#define PROBE_TIMEOUT_MS 500 /* a store 60 times slower than usual answers in time */
 
 static void read_row(struct sited *d);
 static void contend(struct sited *d, const char *why);
@@ -474,7 +480,8 @@
 		return;
 	}
 	replace_pending_counts(d, answer);
-	if (answer->store_failing_ms > LEADER_STORE_FAILING_MAX_MS && !store_failing_ms(d->store))
+	if (answer->store_failing_ms > LEADER_STORE_FAILING_MAX_MS &&
+	    store_serving_ms(d->store) > SERVING_MIN_MS)
 		contend(d, "the leader is cut off from the store");
 }
 
