Reservations hold while work arrives, and ample room is rated once a round

A gang with a reservation was never placed as long as single tasks arrived, though it was after 2.4 to 4.0 s before work in ample room ignored reservations: tasks that hold all accelerators of a server but few of its cores left the pool mostly free by the weighted sum, and each that had waited 1.5 s took a server reserved for the gang.

While work arrives at intervals of less than 1 s, reservations now hold, and the pool counts as mostly free only if less than half of each resource is in use. Work that waits because nothing else comes is what the rule is for.

test_plan_idle: arrivals_do_not_starve_a_gang_with_a_reservation failed with gangs of 10 to 16 of 20 servers, and passes.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -10,10 +10,6 @@
  * free. A gang takes the rack with the least free capacity that it fits in, so that
  * other racks stay free for large gangs. A task with a data rack first waits for a
  * server there, because it runs several times as long elsewhere.
- *
- * Load pattern: a backlog drains from a pool of which most is free, but in fragments: no rack
- * is free as a whole, a data rack is full or has left, or servers are reserved for a wide gang.
- * Neither a preferred rack nor a reservation of others then holds work back for long.
  */
 #include "plan_scratch.h"
 
@@ -26,9 +22,6 @@
  * times as long, so a rack that is usable only after this time is not worth the wait.
  */
 #define RACK_WAIT_PERCENT 200
-/* wait for a preferred rack, or behind a reservation, while the pool has ample room */
-#define AMPLE_ROOM_WAIT_MS 1500
-#define AMPLE_ROOM_FACTOR 2	 /* the pool is used to less than 1/2, and the work fits 2 times */
 #define PROBATION_ATTEMPTS_MIN 3 /* attempts of a job that may use a server on probation */
 /* when more than 1 in 4 servers is on probation, the jobs are at fault, not the servers */
 #define PROBATION_SHARE 4
@@ -43,7 +36,9 @@
 	unsigned int on_probation = 0;
 	unsigned int present = 0;
 
-	s->unmet_need_count = 0;
+	s->unmet.count = 0;
+	s->ample_unmet.count = 0;
+	s->pool_count = 0;
 	s->has_reservation = false;
 	for (guint i = 0; i < fleet->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
@@ -320,8 +315,7 @@
 	return sum;
 }
 
-/* the rack with the fewest free accelerators where all waiting tasks fit */
-static unsigned int tightest_rack(struct plan_scratch *s, const struct work_group *group)
+unsigned int plan_tightest_rack(struct plan_scratch *s, const struct work_group *group)
 {
 	unsigned int waiting = work_group_waiting_count(group);
 	unsigned int best = PLAN_ANY_RACK;
@@ -367,7 +361,7 @@
 	unsigned int placed;
 
 	if (rack == PLAN_ANY_RACK)
-		rack = tightest_rack(s, group);
+		rack = plan_tightest_rack(s, group);
 	if (rack == PLAN_ANY_RACK && plan_rack_could_fit(s, fleet, group, now)) {
 		memset(out, 0, group->count * sizeof(*out));
 		s->refusal = PLAN_AWAITS_RACK;
@@ -415,10 +409,10 @@
 	       (!plan_is_urgent(group) && group->step->estimate_ms >= r->min_estimate_ms);
 }
 
-static bool is_known_unmet(const struct plan_scratch *s, const struct work_group *group)
+bool plan_is_known_unmet(const struct plan_unmet_needs *needs, const struct work_group *group)
 {
-	for (unsigned int i = 0; i < s->unmet_need_count; i++) {
-		const struct plan_unmet_need *r = &s->unmet_needs[i];
+	for (unsigned int i = 0; i < needs->count; i++) {
+		const struct plan_unmet_need *r = &needs->need[i];
 
 		if (r->avoids_probation && can_afford_failure(group))
 			continue;
@@ -430,20 +424,20 @@
 	return false;
 }
 
-static void record_unmet_need(struct plan_scratch *s, const struct work_group *group)
+void plan_record_unmet(struct plan_unmet_needs *needs, const struct work_group *group,
+		       int64_t min_estimate_ms)
 {
 	struct plan_unmet_need *r;
 
 	/* the limit of tasks per server may be the reason, and it doesn't apply to other groups */
-	if (s->unmet_need_count == PLAN_UNMET_NEEDS_MAX || group->step->per_server_max)
+	if (needs->count == PLAN_UNMET_NEEDS_MAX || group->step->per_server_max)
 		return;
-	r = &s->unmet_needs[s->unmet_need_count++];
+	r = &needs->need[needs->count++];
 	r->avoids_probation = !can_afford_failure(group);
 	r->service = group->job->service;
 	r->label = group->step->label;
 	r->need = group->step->need;
-	r->min_estimate_ms =
-		s->has_reservation && !plan_is_urgent(group) ? MAX(group->step->estimate_ms, 1) : 0;
+	r->min_estimate_ms = min_estimate_ms;
 }
 
 static unsigned int place_as_preferred(struct plan_scratch *s, const struct fleet *fleet,
@@ -453,14 +447,17 @@
 	unsigned int slots;
 
 	s->refusal = PLAN_PLACED;
-	if (is_known_unmet(s, group)) {
+	if (plan_is_known_unmet(&s->unmet, group)) {
 		s->refusal = PLAN_UNMET_BEFORE;
 		return 0;
 	}
 	plan_collect_candidates(s, fleet, group, at->now, false);
 	slots = plan_count_slots(s, group);
 	if (!slots) {
-		record_unmet_need(s, group);
+		plan_record_unmet(&s->unmet, group,
+				  s->has_reservation && !plan_is_urgent(group)
+					  ? MAX(group->step->estimate_ms, 1)
+					  : 0);
 		s->refusal = PLAN_NO_SLOT;
 		return 0;
 	}
@@ -475,64 +472,6 @@
 	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
 }
 
-/* ---- ample room ---- */
-
-static bool is_at_work(const struct work_group *group)
-{
-	for (unsigned int i = 0; i < group->count; i++) {
-		enum work_task_state state = group->task[i].state;
-
-		if (state == TASK_ASSIGNED || state == TASK_STARTING || state == TASK_RUNNING)
-			return true;
-	}
-	return false;
-}
-
-static bool pool_is_mostly_free(const struct fleet *fleet, const char *service)
-{
-	int64_t capacity = 0;
-	int64_t used = 0;
-
-	for (guint i = 0; i < fleet->all->len; i++) {
-		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
-
-		if (sv->presence != FLEET_LISTED || strcmp(sv->service, service))
-			continue;
-		capacity += fleet_millicore_equivalent(&sv->capacity);
-		used += fleet_millicore_equivalent(&sv->used);
-	}
-	return used * AMPLE_ROOM_FACTOR < capacity;
-}
-
-/* the preferred rack first, then any server; those set aside for other work too */
-static unsigned int place_in_ample_room(struct plan_scratch *s, const struct fleet *fleet,
-					const struct work_group *group, const struct plan_clock *at,
-					struct fleet_server **out)
-{
-	unsigned int needed = group->step->is_gang ? group->count : 1;
-	unsigned int rack = PLAN_ANY_RACK;
-	unsigned int placed;
-
-	s->uses_set_aside = true;
-	plan_collect_candidates(s, fleet, group, at->now, false);
-	s->uses_set_aside = false;
-	if (plan_count_slots(s, group) < AMPLE_ROOM_FACTOR * needed)
-		return 0;
-	if (group->step->data_rack)
-		rack = fleet_find_rack(fleet, group->step->data_rack);
-	else if (group->step->same_rack)
-		rack = tightest_rack(s, group);
-	plan_save_candidates(s);
-	placed = plan_assign_waiting(s, group, rack, out);
-	if (!placed && rack != PLAN_ANY_RACK) {
-		plan_restore_candidates(s);
-		placed = plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
-	}
-	if (placed)
-		s->refusal = PLAN_PLACED;
-	return placed;
-}
-
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
 			const struct work_group *group, const struct plan_clock *at,
 			struct fleet_server **out)
@@ -541,13 +480,7 @@
 
 	memset(out, 0, group->count * sizeof(*out));
 	placed = place_as_preferred(s, fleet, group, at, out);
-	if (placed || !group->waiting_since || at->now < group->waiting_since + AMPLE_ROOM_WAIT_MS)
-		return placed;
-	/* each task of an endless step counts, however full the pool is */
-	if (!group->step->is_endless &&
-	    (is_at_work(group) || !pool_is_mostly_free(fleet, group->job->service)))
-		return placed;
-	return place_in_ample_room(s, fleet, group, at, out);
+	return placed ? placed : plan_place_in_ample_room(s, fleet, group, at, out);
 }
 
 void plan_explain(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -170,7 +170,7 @@
 
 	if (plan_is_urgent(group))
 		return true;
-	if (s->uses_set_aside)
-		return true;
-	return !sv->is_headroom && (!sv->reserved_until || ends <= sv->reserved_until);
+	if (sv->is_headroom && !s->uses_headroom)
+		return false;
+	return !sv->reserved_until || s->uses_reserved || ends <= sv->reserved_until;
 }
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -44,6 +44,20 @@
 
 #define PLAN_UNMET_NEEDS_MAX 16
 
+/* needs that were not met in a round; needs beyond the maximum are tried each time */
+struct plan_unmet_needs {
+	struct plan_unmet_need need[PLAN_UNMET_NEEDS_MAX];
+	unsigned int count;
+};
+
+#define PLAN_POOLS_MAX 16
+
+/* whether less than half of a pool of backend servers is in use */
+struct plan_pool {
+	const char *service;
+	bool is_mostly_free;
+};
+
 /**
  * struct plan_scratch - working memory
  * @candidates: candidates of the current group, sorted by rack
@@ -56,10 +70,15 @@
  * @ignores_probation: probation is not applied in this round, because so many servers
  *                     are on probation that the jobs must be at fault
  * @has_reservation: servers are reserved for a gang in this round
- * @uses_set_aside: headroom and reserved servers are candidates of the current group
+ * @uses_headroom: headroom is a candidate of the current group
+ * @uses_reserved: reserved servers are candidates of the current group
+ * @newest_arrival: when the newest first step of a job that was placed or tried became ready,
+ *                  monotonic ms
+ * @pool: pools whose use has been summed up in this round
+ * @pool_count: entries of @pool in use
  * @refusal: outcome of the latest plan_place()
- * @unmet_needs: needs that no server could meet in this round
- * @unmet_need_count: entries of @unmet_needs in use
+ * @unmet: needs that no server could meet in this round
+ * @ample_unmet: needs for which there is no ample room in this round
  */
 struct plan_scratch {
 	struct plan_candidate *candidates;
@@ -71,10 +90,14 @@
 	unsigned int racks;
 	bool ignores_probation;
 	bool has_reservation;
-	bool uses_set_aside;
+	bool uses_headroom;
+	bool uses_reserved;
+	int64_t newest_arrival;
+	struct plan_pool pool[PLAN_POOLS_MAX];
+	unsigned int pool_count;
 	enum plan_refusal refusal;
-	struct plan_unmet_need unmet_needs[PLAN_UNMET_NEEDS_MAX];
-	unsigned int unmet_need_count;
+	struct plan_unmet_needs unmet;
+	struct plan_unmet_needs ample_unmet;
 };
 
 static inline bool plan_is_urgent(const struct work_group *group)
@@ -123,6 +146,26 @@
 				 unsigned int rack, struct fleet_server **out);
 /** plan_count_slots() - fill @rack_slots; returns the total number of tasks that fit */
 unsigned int plan_count_slots(struct plan_scratch *s, const struct work_group *group);
+/** plan_tightest_rack() - the rack with the fewest free accelerators where all waiting tasks fit */
+unsigned int plan_tightest_rack(struct plan_scratch *s, const struct work_group *group);
+/** plan_is_known_unmet() - an equal or smaller need is in @needs */
+bool plan_is_known_unmet(const struct plan_unmet_needs *needs, const struct work_group *group);
+/**
+ * plan_record_unmet() - record that one task of the group found no server
+ * @min_estimate_ms: see struct plan_unmet_need
+ */
+void plan_record_unmet(struct plan_unmet_needs *needs, const struct work_group *group,
+		       int64_t min_estimate_ms);
+/**
+ * plan_place_in_ample_room() - select servers regardless of racks and of what is set aside
+ *
+ * Applies to a group that has waited for some time while less than half of its pool is in
+ * use and it fits twice.
+ * Return: number of tasks placed.
+ */
+unsigned int plan_place_in_ample_room(struct plan_scratch *s, const struct fleet *fleet,
+				      const struct work_group *group, const struct plan_clock *at,
+				      struct fleet_server **out);
 void plan_save_candidates(struct plan_scratch *s);
 void plan_restore_candidates(struct plan_scratch *s);
 
--- a/tests/test_plan_idle.c
+++ b/tests/test_plan_idle.c
@@ -1064,6 +1064,27 @@
 }
 END_TEST
 
+/* tasks that hold all accelerators of a server, but few cores, arrive all the time */
+START_TEST(arrivals_do_not_starve_a_gang_with_a_reservation)
+{
+	struct world *w = world_new(20, 20);
+	struct work_job *gang = sample_job(w->fleet, 1, 1, 8 + 2 * (unsigned int)_i, 8);
+	int64_t end = w->at.now + 30000;
+	const struct work_group *g;
+
+	gang->step[0].is_gang = true;
+	add_play(w, gang, w->at.now + 5000);
+	g = work_job_group(gang, 0, 0);
+	for (int64_t at = w->at.now; at < end; at += 200)
+		add_play(w, sample_job(w->fleet, w->plays->len + 1, 1, 1, 8), at);
+	for (; w->at.now < end && !g->done; step_time(w))
+		play_round(w);
+	ck_assert_msg(g->done, "VIOLATED idle job: a gang of %u waits while single tasks arrive",
+		      g->count);
+	talloc_free(w);
+}
+END_TEST
+
 /* the first step has too few attempts for the one free server, which is on probation */
 START_TEST(an_unmet_need_excludes_no_step_that_may_use_more_servers)
 {
@@ -1121,6 +1142,7 @@
 	tcase_add_test(t, an_endless_task_does_not_wait_beside_reserved_servers);
 	tcase_add_test(t, an_unmet_need_excludes_no_step_that_may_use_more_servers);
 	tcase_add_test(t, servers_that_have_left_do_not_count_for_probation);
+	tcase_add_loop_test(t, arrivals_do_not_starve_a_gang_with_a_reservation, 0, 5);
 	tcase_add_test(t, headroom_does_not_take_a_server_from_each_free_rack);
 	tcase_add_test(t, headroom_does_not_take_each_server_that_is_free_as_a_whole);
 }
