Grant leases while reads confirm the leader and some writes fail

Found in review, by reading: leases were granted only for 4 s after the last write of the leader's bound, so that a store that takes no writes for some seconds, while its feeds confirm the leader, cost all that runs; a write that was performed and not answered did not count; and a VM that was suspended counted its bound on a clock that stops meanwhile, and could grant beyond what the next leader read.

Leases are granted for 4 s after the last confirmation, as before there was a bound, and up to the bound, which is stored 6 s ahead. A read that finds the latest write performed extends it. The local times of the bound count suspensions, as the store's clock does.

--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -15,26 +15,33 @@
 #include "mtimer/mtimer.h"
 
 #define GRANT_INTERVAL_MS 1000 /* between the writes of the row */
+/* beyond LEAD_UNCONFIRMED_MAX_MS, so that the row outlasts some writes that fail while reads work
+ */
+#define GRANT_AHEAD_MS 6000
 #define GRANT_INVALID_RETRY_MS 1000
 
 /* a call in flight; it outlives the term */
 struct grant_call {
 	struct sited *d;
 	uint64_t serial;
-	int64_t sent_at;
-	int64_t until_ms; /* bound that a write stores, on the store's clock */
+	int64_t sent_at; /* ms on base_boottime_ns()'s clock */
 };
 
 static void read_row(struct lead *l);
 static void write_row(struct lead *l);
 
+static int64_t boottime_ms(void)
+{
+	return base_boottime_ns() / BASE_NS_PER_MS;
+}
+
 static struct grant_call *call_new(struct lead *l)
 {
 	struct grant_call *call = talloc_zero(l->d, struct grant_call);
 
 	call->d = l->d;
 	call->serial = l->serial;
-	call->sent_at = sited_now_ms();
+	call->sent_at = boottime_ms();
 	return call;
 }
 
@@ -58,14 +65,21 @@
 	read_row(data);
 }
 
+/* the bound sent at @sent_at is stored */
 static void extend(struct lead *l, int64_t sent_at)
 {
-	bool was_over = sited_now_ms() >= l->grant.until;
+	bool was_over = lead_grants_end_ms(l) <= 0;
 
-	l->grant.until = MAX(l->grant.until, sent_at + LEAD_UNCONFIRMED_MAX_MS);
+	l->grant.until = MAX(l->grant.until, sent_at + GRANT_AHEAD_MS);
 	if (was_over)
 		lead_request_round(l);
-	mtimer_add(l, l->d->ev, (sent_at + GRANT_INTERVAL_MS) * BASE_NS_PER_MS, on_write_timer, l);
+}
+
+static void write_later(struct lead *l, int64_t sent_at)
+{
+	int64_t delay_ms = MAX(sent_at + GRANT_INTERVAL_MS - boottime_ms(), 0);
+
+	mtimer_add(l, l->d->ev, base_deadline_in(delay_ms), on_write_timer, l);
 }
 
 /*
@@ -94,6 +108,9 @@
 	l->grant.row_version = found ? r->rows[0].version : 0;
 	if (term && term < l->term)
 		apply_former(l, term, base_json_int(v, "until_ms", 0), r->now_ms);
+	/* a write that got no answer was performed */
+	if (term == l->term && base_json_int(v, "until_ms", 0) == l->grant.sent_ms)
+		extend(l, l->grant.sent_at);
 	json_decref(v);
 }
 
@@ -144,6 +161,7 @@
 		record_clock(l, call, r);
 		l->grant.row_version = r->version;
 		extend(l, call->sent_at);
+		write_later(l, call->sent_at);
 		break;
 	case STORE_CONFLICT:
 		leader = find_leader_row(r);
@@ -163,12 +181,12 @@
 		read_row(l);
 		break;
 	case STORE_REFUSED:
-		mtimer_add(l, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_write_timer, l);
+		/* a read also brings the store's clock up to date */
+		mtimer_add(l, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_read_timer, l);
 		break;
 	case STORE_HISTORY_GONE:
 	case STORE_INVALID:
-		mtimer_add(l, l->d->ev, base_deadline_in(GRANT_INVALID_RETRY_MS), on_write_timer,
-			   l);
+		mtimer_add(l, l->d->ev, base_deadline_in(GRANT_INVALID_RETRY_MS), on_read_timer, l);
 		break;
 	}
 out:
@@ -189,9 +207,10 @@
 	char *value;
 
 	/* an earlier leader's bound may be later, when its calls took long */
-	call->until_ms = MAX(store_ms + LEAD_UNCONFIRMED_MAX_MS * LEAD_CLOCK_MARGIN_PERCENT / 100,
-			     l->grant.floor_ms);
-	value = encode_row(tx, l, call->until_ms);
+	l->grant.sent_ms =
+		MAX(store_ms + GRANT_AHEAD_MS * LEAD_CLOCK_MARGIN_PERCENT / 100, l->grant.floor_ms);
+	l->grant.sent_at = call->sent_at;
+	value = encode_row(tx, l, l->grant.sent_ms);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, l->grant.leader_version);
 	store_tx_expect(tx, SITED_GRANT_TABLE, SITED_LEAD_KEY, l->grant.row_version);
 	store_tx_put(tx, SITED_GRANT_TABLE, SITED_LEAD_KEY, str_from(value));
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -102,7 +102,13 @@
 
 bool lead_may_grant_leases(struct lead *l)
 {
-	return lead_may_act(l) && sited_now_ms() < l->grant.until;
+	return lead_may_act(l) && lead_grants_end_ms(l) > 0;
+}
+
+int64_t lead_grants_end_ms(const struct lead *l)
+{
+	return MIN(l->grant.until - base_boottime_ns() / BASE_NS_PER_MS,
+		   l->confirmed_at + LEAD_UNCONFIRMED_MAX_MS - sited_now_ms());
 }
 
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
@@ -129,7 +135,7 @@
 		lead_rows_sweep(l);
 }
 
-/* ---- confirmation by the store ---- */
+/* ---- confirmation by the store, which limits how long leases are granted ---- */
 
 static void read_leader_row(void *data);
 
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -7,9 +7,8 @@
 #include "sited.h"
 
 /*
- * A leader starts nothing and renews no leases later than this after it last stored the time
- * up to which it does, so that the next leader knows when leases on unreachable servers have
- * expired; see sited_grant.c.
+ * A leader that the store has not confirmed for this long starts nothing and renews no
+ * leases, so that the next leader knows when leases on unreachable servers have expired.
  */
 #define LEAD_UNCONFIRMED_MAX_MS 4000
 
@@ -20,13 +19,17 @@
 struct commit;
 
 /**
- * struct lead_grant - time up to which this leader starts tasks and renews leases
- * @until: that time, monotonic ms; 0 before it was first stored
+ * struct lead_grant - stored time up to which this leader starts tasks and renews leases
+ *
+ * Local times include the time for which this VM was suspended, as the store's clock does.
+ * @until: that time, ms on base_boottime_ns()'s clock; 0 before it was first stored
  * @row_version: version of the row that holds it, 0 when there is none
  * @leader_version: version of the leader's row, a condition of each write
+ * @sent_ms: bound in the latest write, ms on the store's clock
+ * @sent_at: when that write was sent, ms on base_boottime_ns()'s clock
  * @floor_ms: the bound of an earlier leader, ms on the store's clock; the row never holds less
  * @clock_ms: the store's clock in its last answer, ms
- * @clock_at: when the call that it answered was sent, monotonic ms
+ * @clock_at: when the call that it answered was sent, ms on base_boottime_ns()'s clock
  * @former_over_at: when everything that the former leader started has ended on servers that it
  *	renewed last, monotonic ms; INT64_MAX when not known
  */
@@ -34,6 +37,8 @@
 	int64_t until;
 	int64_t row_version;
 	int64_t leader_version;
+	int64_t sent_ms;
+	int64_t sent_at;
 	int64_t floor_ms;
 	int64_t clock_ms;
 	int64_t clock_at;
@@ -194,9 +199,12 @@
 /**
  * lead_may_grant_leases() - tasks may start, and leases may be renewed
  *
- * Another VM may have become leader unnoticed, so this ends with the stored bound.
+ * Another VM may have become leader unnoticed, so this ends LEAD_UNCONFIRMED_MAX_MS after
+ * the last confirmation, and with the stored bound.
  */
 bool lead_may_grant_leases(struct lead *l);
+/** lead_grants_end_ms() - time in ms for which leases may be granted without the store */
+int64_t lead_grants_end_ms(const struct lead *l);
 /** lead_request_round() - schedule a round, unless one is scheduled already */
 void lead_request_round(struct lead *l);
 /** lead_append_gauges() - append the leader's metrics to @text, in Prometheus text format */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -89,7 +89,7 @@
 	if (!io->clock_at)
 		return 0;
 	/* the agent may renew as long as this leader would */
-	return server_clock(io) + l->grant.until - sited_now_ms() + l->d->site->lease_max_ms;
+	return server_clock(io) + lead_grants_end_ms(l) + l->d->site->lease_max_ms;
 }
 
 /* when every lease on the server has certainly ended, in ms on this VM's clock */
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -43,7 +43,7 @@
         self.oldest = 0  # feeds can't go on from before
         self.changed = asyncio.Condition()
         self.locks = {}
-        self.mode = "up"  # up, busy, silent, reset
+        self.mode = "up"  # up, busy, silent, reset, read-only
         self.slow = 1
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
@@ -110,7 +110,9 @@
                 await asyncio.sleep(30)
                 raise Drop
         await asyncio.sleep(0.001 * self.slow)
-        if path == "/-/rows-tx":
+        if path == "/-/rows-tx" and self.mode == "read-only":
+            status, answer = 429, {}
+        elif path == "/-/rows-tx":
             fault = fault_of(document, int(headers["content-length"]))
             if self.rejected and any(p["table"] == "groups" and p["key"].startswith(self.rejected) for p in document["put"]):
                 fault = "a row of " + self.rejected
