Soak: the store takes no writes for a while; each play locks its block of ports

A play took ports by its process id modulo 100. Beside other soaks it met a job of another play in its ledger (KeyError in the check). A block now belongs to the play that has locked its file.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,6 +11,7 @@
 import base64
 import concurrent.futures
 import ctypes
+import fcntl
 import json
 import math
 import os
@@ -44,6 +45,7 @@
 PORT_BLOCKS = 100
 PORTS_A_BLOCK = 120
 given_ports = set()     # of this play
+block_lock = []         # the locked file and the number of this process's block
 PR_SET_PDEATHSIG = 1    # of <sys/prctl.h>
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
@@ -86,9 +88,26 @@
         return ["%s.0.%d.%d" % (self.id, s, i) for s in range(self.steps) for i in range(self.count)]
 
 
+def own_block():
+    """A block of ports that no other play has; it is ours until this process ends."""
+    while not block_lock:
+        for i in range(PORT_BLOCKS):
+            block = (os.getpid() + i) % PORT_BLOCKS
+            lock = open(os.path.join(tempfile.gettempdir(), "currantlane-soak-%d.lock" % block), "w")
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                block_lock.append((lock, block))
+                break
+            except OSError:
+                lock.close()
+        else:
+            time.sleep(1)
+    return block_lock[0][1]
+
+
 def free_ports(count):
     """Ports of this process's own block that nothing listens on; below those that connections get."""
-    first = PORTS_FIRST + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK
+    first = PORTS_FIRST + own_block() * PORTS_A_BLOCK
     free = []
     for port in range(first, first + PORTS_A_BLOCK):
         if port in given_ports or len(free) == count:
@@ -1135,6 +1154,17 @@
     await need_all_servers(site, 2)
 
 
+async def store_takes_no_writes_for_a_while(site):
+    """Reads go on, so that nobody else can lead; what runs must keep its leases."""
+    await start_gangs(site)
+    began = time.monotonic()
+    site.faults.append("store takes no writes")
+    await site.store_mode("read-only", 6)
+    await asyncio.sleep(7)
+    lapsed = [r.task for r in site.pool.runs if r.how == "lapsed" and r.ended > began]
+    site.expected.append(("no lease lapses, %d did" % len(lapsed), not lapsed))
+
+
 async def vms_start_as_the_store_returns(site):
     """Their own calls succeeded while the leader's still failed, so they replaced a healthy leader."""
     for _ in range(3):
@@ -1166,7 +1196,7 @@
     servers_hang_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time, servers_are_silent_for_a_while,
     server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
     the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
-    vms_start_as_the_store_returns]
+    vms_start_as_the_store_returns, store_takes_no_writes_for_a_while]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
