Doubted servers are polled although many others do not answer

The first poll of a server in a silent domain had to fit into the same 64 polls as those of servers that do not answer. Where hundreds are silent, these polls take all the places again and again, and doubted servers that work were never polled, so got no work.

First polls of doubted servers are counted apart. One that is missed makes the server count as unresponsive, and its further polls go by the limit for these, so that no server holds a place of the others for longer than one poll.

--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -38,8 +38,8 @@
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @agents: entry VMs that carry out orders
- * @probes: polls in flight of servers that are unconfirmed, missed their last poll or may be
- *          cut off
+ * @probes: polls in flight of servers that are unconfirmed or missed their last poll
+ * @doubt_probes: first polls in flight of servers that may be cut off
  * @next_probe_index: index in the fleet from which the search for such a server continues
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
@@ -73,6 +73,7 @@
 	int64_t reread_version;
 	struct agents *agents;
 	unsigned int probes;
+	unsigned int doubt_probes;
 	unsigned int next_probe_index;
 	int64_t list_version;
 	struct mtimer *round;
@@ -98,7 +99,7 @@
  *               lists ends up to this number no more
  * @ends: struct end_note, processed and not yet acknowledged
  * @poll_in_flight: a poll has been sent and not answered
- * @is_probe: that poll counts in @probes of struct lead
+ * @probe_counter: counter of struct lead that the poll in flight counts in, or NULL
  * @is_doubted: the VMs of its failure domain have become silent since its last answer
  * @orders_in_flight: starts and stops in flight
  * @answered_polls: polls answered up to now; numbers them for @last_poll of struct work_task
@@ -123,7 +124,7 @@
 	int64_t dropped_end;
 	GQueue ends;
 	bool poll_in_flight;
-	bool is_probe;
+	unsigned int *probe_counter;
 	bool is_doubted;
 	unsigned int orders_in_flight;
 	uint64_t answered_polls;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -349,10 +349,33 @@
 	return PROBES_MAX * (1 + lead_agents_count(l));
 }
 
-/* The leader itself polls a doubted server: no VM of the server's domain answers. */
-static bool may_probe(struct lead *l, struct fleet_server *sv)
+/*
+ * The leader itself sends the first poll of a doubted server, as no VM of its domain answers.
+ * Such polls are counted apart, because hundreds of servers elsewhere may not answer.
+ */
+static unsigned int *probe_counter(struct lead *l, struct fleet_server *sv, unsigned int *max)
 {
-	return l->probes < (lead_server_io(l, sv)->is_doubted ? PROBES_MAX : probes_max(l));
+	const struct server_io *io = lead_server_io(l, sv);
+
+	if (io->is_doubted && sv->is_fenced && !io->missed_polls) {
+		*max = PROBES_MAX;
+		return &l->doubt_probes;
+	}
+	*max = probes_max(l);
+	return &l->probes;
+}
+
+/* Returns whether a poll of @sv may be sent as a probe, which it then counts as. */
+static bool begin_probe(struct lead *l, struct fleet_server *sv)
+{
+	unsigned int max;
+	unsigned int *counter = probe_counter(l, sv, &max);
+
+	if (*counter >= max)
+		return false;
+	lead_server_io(l, sv)->probe_counter = counter;
+	(*counter)++;
+	return true;
 }
 
 /* after a probe has ended: probes the next servers that wait for one, in turn */
@@ -368,13 +391,16 @@
 	}
 }
 
-static void on_poll_over(struct lead *l, struct server_io *io)
+/* Returns whether the poll was a probe. */
+static bool on_poll_over(struct server_io *io)
 {
+	unsigned int *counter = io->probe_counter;
+
 	io->poll_in_flight = false;
-	if (!io->is_probe)
-		return;
-	io->is_probe = false;
-	l->probes--;
+	io->probe_counter = NULL;
+	if (counter)
+		(*counter)--;
+	return counter != NULL;
 }
 
 static void on_polled(const struct order_result *r, void *data)
@@ -386,8 +412,7 @@
 
 	if (!l)
 		goto out;
-	was_probe = lead_server_io(l, sv)->is_probe;
-	on_poll_over(l, lead_server_io(l, sv));
+	was_probe = on_poll_over(lead_server_io(l, sv));
 	if (!lead_server_handle_answer(l, sv, r))
 		goto out;
 	if (sv->presence != FLEET_REPLACED) {
@@ -470,10 +495,8 @@
 		return;
 	}
 	if (needs_probe(l, sv)) {
-		if (!may_probe(l, sv))
+		if (!begin_probe(l, sv))
 			return; /* probe_next() polls it later */
-		io->is_probe = true;
-		l->probes++;
 		send_poll(l, sv, 0);
 	} else if (busy && !may_renew(l)) {
 		/* a poll that renews no lease still reports which tasks ended */
