--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -45,6 +45,7 @@
         self.late = 0.0         # share of orders carried out seconds later, unanswered
         self.lose = 0.0         # share of orders carried out and not answered
         self.hang = False       # tasks make no progress
+        self.refuse = False     # turns starts away, as an unhealthy server does
         self.draining = False
         self.listed = None
         self.reborn()
@@ -87,6 +88,8 @@
         order = {"/-/run-start": self.start, "/-/run-stop": self.stop}.get(path)
         if not order:
             return 404, {}
+        if self.refuse and order == self.start:
+            return 503, {}
         if self.pool.rng.random() < self.late:
             born = self.born
             asyncio.get_running_loop().call_later(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -777,6 +777,28 @@
     await watch
 
 
+async def servers_refuse_for_a_while(site):
+    """Each refusal doubled the time for which a server was not asked again, up to a minute."""
+    await asyncio.sleep(1.5)
+    site.stopping = True
+    await asyncio.sleep(10)
+    refusing, watched = site.pool.servers[::ZONES], []
+    for server in refusing:
+        server.refuse = True
+    for _ in range(10):
+        job = site.add_job()
+        job.count, job.gpu, job.steps, job.spec = SERVERS, 8, 1, {"ms": 300, "gang": 0, "fail": 0}
+        job.is_cancelled, site.pool.needs[job.id] = False, 8
+        await site.submit(job)
+        watched.append(asyncio.ensure_future(site.watch(job)))
+        await asyncio.sleep(1)
+    for server in refusing:
+        server.refuse = False
+    await asyncio.sleep(9)
+    await asyncio.wait(watched, timeout=SETTLE_S)
+    await need_all_servers(site, 2)
+
+
 async def servers_hang_for_a_while(site):
     """Each of the tasks there counted as a fault of its own, so that the servers got no work for a minute."""
     await asyncio.sleep(1.5)
@@ -801,7 +823,7 @@
 BY_AGENTS = [domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
 SCENARIOS = BY_AGENTS + [large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
-             handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, servers_hang_for_a_while, one_vm_is_turned_away,
+             handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
 
