A server that refuses starts is asked again after the same time

Callers saw tasks wait beside idle servers after these had refused starts for some seconds: each refusal doubled the suspect period of the server, to 16, 32 and 60 s. A refusal costs one call, and the server alone knows when it is healthy again, so a long period gains nothing.

A refused start now makes a server suspect for 8 s each time, the first period as before, and does not count among its faults. The doubling for stalled and failed tasks, whose work is lost each time, is unchanged, as is that for orders that the server calls invalid.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -190,6 +190,11 @@
 	sv->failures = 0;
 }
 
+void fleet_note_refusal(struct fleet_server *sv, int64_t now)
+{
+	sv->suspect_until = MAX(sv->suspect_until, now + FLEET_SUSPECT_MS);
+}
+
 bool fleet_note_failure(struct fleet_server *sv, const char *job, int64_t now)
 {
 	sv->probation_until = now + FLEET_PROBATION_MS;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -227,6 +227,13 @@
 void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - record that a task completed on @sv; ends probation */
 void fleet_note_success(struct fleet_server *sv, int64_t now);
+/**
+ * fleet_note_refusal() - record that @sv refused a start: no new work for FLEET_SUSPECT_MS
+ *
+ * Load pattern: servers are unhealthy for seconds and refuse starts meanwhile. To ask again costs
+ * one call, so the period is the same each time.
+ */
+void fleet_note_refusal(struct fleet_server *sv, int64_t now);
 /**
  * fleet_suspect() - make @sv suspect because of a fault: no new work for a period
  *
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -176,7 +176,9 @@
 	struct work_task *t = o->task;
 	bool is_certain = t->unanswered_starts == 0;
 
-	if (status == ORDER_REFUSED || status == ORDER_INVALID)
+	if (status == ORDER_REFUSED)
+		fleet_note_refusal(o->sv, sited_now_ms());
+	if (status == ORDER_INVALID)
 		fleet_suspect(o->sv, sited_now_ms());
 	if (status == ORDER_NO_CAPACITY)
 		o->sv->suspect_until = sited_now_ms() + CAPACITY_SUSPECT_MS;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -123,6 +123,24 @@
 }
 END_TEST
 
+START_TEST(a_server_that_refuses_starts_is_asked_again_after_the_same_time)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+
+	for (int64_t now = 0; now < FLEET_SUSPECT_MAX_MS; now = sv->suspect_until) {
+		fleet_note_refusal(sv, now);
+		ck_assert_int_eq(sv->suspect_until, now + FLEET_SUSPECT_MS);
+	}
+	/* a longer period because of faults is not cut short */
+	fleet_suspect(sv, sv->suspect_until);
+	fleet_suspect(sv, sv->suspect_until);
+	fleet_note_refusal(sv, sv->fault_until - 2 * FLEET_SUSPECT_MS);
+	ck_assert_int_eq(sv->suspect_until, sv->fault_until);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(only_unlisted_servers_without_tasks_are_pruned)
 {
 	struct fleet *f = sample_fleet(NULL, 4, 4);
@@ -149,6 +167,7 @@
 	tcase_add_test(t, failures_of_one_job_make_no_server_suspect);
 	tcase_add_test(t, suspect_periods_double_until_a_success);
 	tcase_add_test(t, a_fault_that_several_tasks_show_counts_once);
+	tcase_add_test(t, a_server_that_refuses_starts_is_asked_again_after_the_same_time);
 	tcase_add_test(t, only_unlisted_servers_without_tasks_are_pruned);
 }
 
