Soak: plays side by side do not take each other's ports

Blocks of ports went by the process id modulo 100, so that two of the plays on a machine could get the same block.

A process now holds its block by listening on its first port until it ends, and takes the next block when that is taken. Shown by two processes made to start from block 94: they took 95 and 99, as others held 94 and 96 to 98.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,7 @@
 PORT_BLOCKS = 100
 PORTS_A_BLOCK = 120
 given_ports = set()     # of this play
+held_block = []         # socket on the first port of the block, once one is taken
 PR_SET_PDEATHSIG = 1    # of <sys/prctl.h>
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
@@ -86,11 +87,22 @@
         return ["%s.0.%d.%d" % (self.id, s, i) for s in range(self.steps) for i in range(self.count)]
 
 
+def first_port():
+    """The first port of a block, which this process holds until its end so that no other play takes the block."""
+    for i in range(os.getpid(), os.getpid() + PORT_BLOCKS) if not held_block else ():
+        try:
+            held_block.append(socket.create_server(("127.0.0.1", PORTS_FIRST + i % PORT_BLOCKS * PORTS_A_BLOCK)))
+            break
+        except OSError:
+            pass
+    return held_block[0].getsockname()[1]
+
+
 def free_ports(count):
     """Ports of this process's own block that nothing listens on; below those that connections get."""
-    first = PORTS_FIRST + os.getpid() % PORT_BLOCKS * PORTS_A_BLOCK
+    first = first_port()
     free = []
-    for port in range(first, first + PORTS_A_BLOCK):
+    for port in range(first + 1, first + PORTS_A_BLOCK):
         if port in given_ports or len(free) == count:
             continue
         try:
