--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -68,8 +68,8 @@
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @agents: entry VMs that carry out orders
- * @probes: polls in flight of servers that are unconfirmed, missed their last poll or may be
- *          cut off
+ * @probes: polls in flight of servers that are unconfirmed or missed their last poll
+ * @doubt_probes: first polls in flight of servers that may be cut off
  * @next_probe_index: index in the fleet from which the search for such a server continues
  * @handover: "leases" of the row by which the former leader handed over, see
  *            lead_servers_encode_leases(); NULL when it did not hand over
@@ -109,6 +109,7 @@
 	int64_t reread_version;
 	struct agents *agents;
 	unsigned int probes;
+	unsigned int doubt_probes;
 	unsigned int next_probe_index;
 	json_t *handover;
 	int64_t handover_read_at;
@@ -137,7 +138,7 @@
  *               lists ends up to this number no more
  * @ends: struct end_note, processed and not yet acknowledged
  * @poll_in_flight: a poll has been sent and not answered
- * @is_probe: that poll counts in @probes of struct lead
+ * @probe_counter: counter of struct lead that the poll in flight counts in, or NULL
  * @is_doubted: the VMs of its failure domain have become silent since its last answer
  * @orders_in_flight: starts and stops in flight
  * @answered_polls: polls answered up to now; numbers them for @last_poll of struct work_task
@@ -162,7 +163,7 @@
 	int64_t dropped_end;
 	GQueue ends;
 	bool poll_in_flight;
-	bool is_probe;
+	unsigned int *probe_counter;
 	bool is_doubted;
 	unsigned int orders_in_flight;
 	uint64_t answered_polls;
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -52,6 +52,7 @@
         self.lose = 0.0         # share of orders carried out and not answered
         self.loses_starts = False  # they are neither carried out nor answered
         self.hang = False       # tasks make no progress
+        self.refuse = False     # turns starts away, as an unhealthy server does
         self.draining = False
         self.listed = None
         self.reborn()
@@ -104,6 +105,8 @@
         order = {"/-/run-start": self.start, "/-/run-stop": self.stop}.get(path)
         if not order:
             return 404, {}
+        if self.refuse and order == self.start:
+            return 503, {}
         if self.loses_starts and order == self.start:
             await asyncio.sleep(2)
             raise Drop
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,7 +11,6 @@
 import base64
 import concurrent.futures
 import ctypes
-import fcntl
 import json
 import math
 import os
@@ -45,7 +44,7 @@
 PORT_BLOCKS = 100
 PORTS_A_BLOCK = 120
 given_ports = set()     # of this play
-block_lock = []         # the locked file and the number of this process's block
+held_block = []         # socket on the first port of the block, once one is taken
 PR_SET_PDEATHSIG = 1    # of <sys/prctl.h>
 REGRESSIONS = {         # seed -> what it showed
     1: "a leader conflicted for ever, because an answer named a newer version than its transaction's",
@@ -88,28 +87,22 @@
         return ["%s.0.%d.%d" % (self.id, s, i) for s in range(self.steps) for i in range(self.count)]
 
 
-def own_block():
-    """A block of ports that no other play has; it is ours until this process ends."""
-    while not block_lock:
-        for i in range(PORT_BLOCKS):
-            block = (os.getpid() + i) % PORT_BLOCKS
-            lock = open(os.path.join(tempfile.gettempdir(), "currantlane-soak-%d.lock" % block), "w")
-            try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                block_lock.append((lock, block))
-                break
-            except OSError:
-                lock.close()
-        else:
-            time.sleep(1)
-    return block_lock[0][1]
+def first_port():
+    """The first port of a block, which this process holds until its end so that no other play takes the block."""
+    for i in range(os.getpid(), os.getpid() + PORT_BLOCKS) if not held_block else ():
+        try:
+            held_block.append(socket.create_server(("127.0.0.1", PORTS_FIRST + i % PORT_BLOCKS * PORTS_A_BLOCK)))
+            break
+        except OSError:
+            pass
+    return held_block[0].getsockname()[1]
 
 
 def free_ports(count):
     """Ports of this process's own block that nothing listens on; below those that connections get."""
-    first = PORTS_FIRST + own_block() * PORTS_A_BLOCK
+    first = first_port()
     free = []
-    for port in range(first, first + PORTS_A_BLOCK):
+    for port in range(first + 1, first + PORTS_A_BLOCK):
         if port in given_ports or len(free) == count:
             continue
         try:
@@ -1133,6 +1126,28 @@
     await watch
 
 
+async def servers_refuse_for_a_while(site):
+    """Each refusal doubled the time for which a server was not asked again, up to a minute."""
+    await asyncio.sleep(1.5)
+    site.stopping = True
+    await asyncio.sleep(10)
+    refusing, watched = site.pool.servers[::ZONES], []
+    for server in refusing:
+        server.refuse = True
+    for _ in range(10):
+        job = site.add_job()
+        job.count, job.gpu, job.steps, job.spec = SERVERS, 8, 1, {"ms": 300, "gang": 0, "fail": 0}
+        job.is_cancelled, site.pool.needs[job.id] = False, 8
+        await site.submit(job)
+        watched.append(asyncio.ensure_future(site.watch(job)))
+        await asyncio.sleep(1)
+    for server in refusing:
+        server.refuse = False
+    await asyncio.sleep(9)
+    await asyncio.wait(watched, timeout=SETTLE_S)
+    await need_all_servers(site, 2)
+
+
 async def servers_hang_for_a_while(site):
     """Each of the tasks there counted as a fault of its own, so that the servers got no work for a minute."""
     await asyncio.sleep(1.5)
@@ -1193,8 +1208,8 @@
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
-    servers_hang_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time, servers_are_silent_for_a_while,
-    server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
+    servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time,
+    servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
     the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while]
 # too long to be played with the others
