A reservation does not wait for an endless task to end

An endless task that had run for longer than declared counted as ending within 0.2 s, in each round anew. A gang for one rack could thus have its servers reserved beside such a task for ever, while they stayed idle and other racks were free in between.

--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -78,22 +78,25 @@
 	struct fleet_resources free_capacity = candidate->free_capacity;
 	struct slot slot = {candidate->server, now};
 	unsigned int siblings = candidate->siblings;
+	guint count = 0;
 
 	for (guint i = 0; i < tasks->len; i++) {
 		const struct work_task *task = g_ptr_array_index(tasks, i);
 
-		releases[i].at = now + plan_remaining_ms(task, now);
-		releases[i].amount = &task->group->step->need;
+		if (task->group->step->is_endless)
+			continue; /* nothing tells when its job will be cancelled */
+		releases[count].at = now + plan_remaining_ms(task, now);
+		releases[count++].amount = &task->group->step->need;
 	}
-	qsort(releases, tasks->len, sizeof(*releases), compare_release);
-	for (guint i = 0; i <= tasks->len; i++) {
+	qsort(releases, count, sizeof(*releases), compare_release);
+	for (guint i = 0; i <= count; i++) {
 		while (fleet_resources_fit(need, &free_capacity) &&
 		       (!group->step->per_server_max || siblings < group->step->per_server_max)) {
 			g_array_append_val(slots, slot);
 			fleet_resources_add(&free_capacity, need, -1);
 			siblings++;
 		}
-		if (i < tasks->len) {
+		if (i < count) {
 			fleet_resources_add(&free_capacity, releases[i].amount, 1);
 			slot.free_at = releases[i].at;
 		}
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -439,6 +439,32 @@
 }
 END_TEST
 
+/* An endless task that has run for longer than declared was expected to end within 0.2 s. */
+START_TEST(a_reservation_does_not_wait_for_an_endless_task)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 2);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_job *endless = sample_job(f, 1, 1, 1, 8);
+	struct work_group *others = sample_start(sample_job(f, 2, 1, 3, 8));
+	struct work_job *gang = sample_job(f, 3, 1, 2, 8);
+
+	endless->step[0].is_endless = true;
+	gang->step[0].is_gang = true;
+	gang->step[0].same_rack = true;
+	sample_run(&sample_start(endless)->task[0], sample_server(f, 0),
+		   start.now - 2 * SAMPLE_ESTIMATE_MS);
+	for (unsigned int i = 0; i < 3; i++)
+		sample_run(&others->task[i], sample_server(f, i + 1), start.now - 1000);
+	sample_start(gang)->ready_since = start.now - 5000;
+	plan_start_round(s, f, start.now);
+	ck_assert(plan_reserve(s, f, work_job_group(gang, 0, 0), &start));
+	ck_assert_int_eq(sample_server(f, 1)->reserved_until, 0);
+	ck_assert_int_ne(sample_server(f, 2)->reserved_until, 0);
+	ck_assert_int_ne(sample_server(f, 3)->reserved_until, 0);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_gang_that_has_just_arrived_gets_no_reservation)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -887,6 +913,7 @@
 	tcase_add_test(t, an_unmet_need_is_not_tried_again_in_the_round);
 	tcase_add_test(t, single_tasks_do_not_starve_a_gang);
 	tcase_add_test(t, tasks_that_end_in_time_are_backfilled);
+	tcase_add_test(t, a_reservation_does_not_wait_for_an_endless_task);
 	tcase_add_test(t, a_gang_that_has_just_arrived_gets_no_reservation);
 	tcase_add_test(t, urgent_work_is_placed_in_headroom);
 	tcase_add_test(t, headroom_is_empty_without_urgent_demand);
