A gang does not wait for a rack that endless tasks keep from it

A gang for one rack waits as long as some rack could hold it. That was asked of the servers' whole capacity, also of what endless tasks use. With one such task in each rack the gang waited for ever in a pool that is more than half full.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -341,6 +341,20 @@
 	return best;
 }
 
+/* what is free on @sv once all tasks have ended that end by themselves */
+static struct fleet_resources capacity_for_others(const struct fleet_server *sv)
+{
+	struct fleet_resources capacity = sv->capacity;
+
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		if (t->group->step->is_endless)
+			fleet_resources_add(&capacity, &t->group->step->need, -1);
+	}
+	return capacity;
+}
+
 bool plan_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
 			 const struct work_group *group, int64_t now)
 {
@@ -349,10 +363,12 @@
 	clear_rack_slots(s);
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+		struct fleet_resources capacity;
 
 		if (!fleet_accepts_work(sv, latest) || !suits(sv, group))
 			continue;
-		s->rack_slots[sv->rack] += slots_in(&sv->capacity, group, 0);
+		capacity = capacity_for_others(sv);
+		s->rack_slots[sv->rack] += slots_in(&capacity, group, 0);
 		if (s->rack_slots[sv->rack] >= group->count)
 			return true;
 	}
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -110,7 +110,11 @@
  */
 bool plan_may_use(const struct plan_scratch *s, const struct fleet_server *sv,
 		  const struct work_group *group, int64_t now);
-/** plan_rack_could_fit() - whether a rack that is usable in time could hold the group when empty */
+/**
+ * plan_rack_could_fit() - whether a rack that is usable in time could hold the group
+ *
+ * That is, once all tasks there have ended but endless ones.
+ */
 bool plan_rack_could_fit(struct plan_scratch *s, const struct fleet *fleet,
 			 const struct work_group *group, int64_t now);
 /** plan_best_candidate() - best candidate that one more task fits on, or NULL */
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -465,6 +465,28 @@
 }
 END_TEST
 
+/* With an endless task in each rack, no rack ever has room for the whole gang. */
+START_TEST(a_gang_does_not_wait_for_a_rack_with_an_endless_task)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 2);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_job *endless = sample_job(f, 1, 1, 2, 8);
+	struct work_job *gang = sample_job(f, 2, 1, 2, 8);
+	struct work_group *g;
+	struct fleet_server *out[2];
+
+	endless->step[0].is_endless = true;
+	gang->step[0].is_gang = true;
+	gang->step[0].same_rack = true;
+	g = sample_start(endless);
+	sample_run(&g->task[0], sample_server(f, 0), start.now - SAMPLE_ESTIMATE_MS);
+	sample_run(&g->task[1], sample_server(f, 2), start.now - SAMPLE_ESTIMATE_MS);
+	plan_start_round(s, f, start.now);
+	ck_assert_uint_eq(plan_place(s, f, sample_start(gang), &start, out), 2);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_gang_that_has_just_arrived_gets_no_reservation)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -914,6 +936,7 @@
 	tcase_add_test(t, single_tasks_do_not_starve_a_gang);
 	tcase_add_test(t, tasks_that_end_in_time_are_backfilled);
 	tcase_add_test(t, a_reservation_does_not_wait_for_an_endless_task);
+	tcase_add_test(t, a_gang_does_not_wait_for_a_rack_with_an_endless_task);
 	tcase_add_test(t, a_gang_that_has_just_arrived_gets_no_reservation);
 	tcase_add_test(t, urgent_work_is_placed_in_headroom);
 	tcase_add_test(t, headroom_is_empty_without_urgent_demand);
