Log when leases are granted; agents' limits allow for slow clocks of idle servers

While a leader may grant no leases it placed nothing and no line said so. And the limit up to which an agent may renew was a time on an extrapolated clock: a server that was idle for an hour and whose clock is 2 % slow is 72 s behind it, so that its agent could have renewed for longer than the next leader waits, until the first answer corrected it.

--- a/src/sited_idle.c
+++ b/src/sited_idle.c
@@ -37,7 +37,8 @@
 	}
 }
 
-static void report(const struct work_job *job, const struct job_tasks *tasks, int64_t now)
+static void report(const struct lead *l, const struct work_job *job, const struct job_tasks *tasks,
+		   int64_t now)
 {
 	const struct work_task *held = tasks->held;
 	const struct fleet_server *sv = held ? held->server : NULL;
@@ -49,8 +50,9 @@
 		  "stopping", (int)tasks->count[TASK_STOPPING], "unconfirmed",
 		  (int)tasks->count[TASK_UNCONFIRMED], "server", sv ? sv->id : "", "admission",
 		  sv ? fleet_admission_name(fleet_admission(sv, now)) : "", "unconfirmed_for_ms",
-		  (json_int_t)(held && held->state == TASK_UNCONFIRMED ? held->state_deadline - now
-								       : 0));
+		  (json_int_t)(held && held->state == TASK_UNCONFIRMED
+				       ? lead_unconfirmed_over_at(l, held) - now
+				       : 0));
 }
 
 static void check_job(struct lead *l, struct work_job *job, int64_t now)
@@ -72,7 +74,7 @@
 	if (now < job->idle_report_at)
 		return;
 	job->idle_report_at = now + IDLE_REPORT_INTERVAL_MS;
-	report(job, &tasks, now);
+	report(l, job, &tasks, now);
 }
 
 void lead_idle_tick(struct lead *l)
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -111,11 +111,20 @@
 		   l->confirmed_at + LEAD_UNCONFIRMED_MAX_MS - sited_now_ms());
 }
 
+static void log_granting(struct lead *l, bool is_granting)
+{
+	if (is_granting == l->is_granting)
+		return;
+	l->is_granting = is_granting;
+	log_event("lease_grants", "{sI sb sI}", "term", (json_int_t)l->term, "granted", is_granting,
+		  "store_failing_ms", (json_int_t)store_failing_ms(l->d->store));
+}
+
 static void on_tick(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct lead *l = data;
 
-	lead_may_act(l);
+	log_granting(l, lead_may_grant_leases(l));
 	l->ticked_at = base_boottime_ns();
 	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_INTERVAL_MS), on_tick, l);
 	lead_agents_tick(l);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -77,6 +77,7 @@
  * @list_version: version up to which the list of backend servers has been applied
  * @round: timer of the requested scheduling round, or NULL
  * @next_round_at: earliest start of the next round, on base_now_ns()'s clock
+ * @is_granting: leases may be granted, at the latest tick
  * @next_idle_check_at: earliest time of the next search for idle jobs, monotonic ms
  * @idle_jobs: jobs of which nothing has run for some time although a task's turn has come
  * @longest_idle_ms: longest such time of a job, in ms
@@ -116,6 +117,7 @@
 	int64_t list_version;
 	struct mtimer *round;
 	int64_t next_round_at;
+	bool is_granting;
 	int64_t next_idle_check_at;
 	unsigned int idle_jobs;
 	int64_t longest_idle_ms;
@@ -273,6 +275,8 @@
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
 /** lead_servers_tick() - handle due polls, expired leases and draining servers */
 void lead_servers_tick(struct lead *l);
+/** lead_unconfirmed_over_at() - when an unconfirmed task has certainly ended, monotonic ms */
+int64_t lead_unconfirmed_over_at(const struct lead *l, const struct work_task *t);
 /**
  * lead_servers_encode_leases() - how long tasks may go on by themselves, for the next leader
  *
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -88,8 +88,12 @@
 {
 	if (!io->clock_at)
 		return 0;
-	/* the agent may renew as long as this leader would */
-	return server_clock(io) + lead_grants_end_ms(l) + l->d->site->lease_max_ms;
+	/*
+	 * The agent may renew as long as this leader would. The clock of a server that was idle
+	 * for long may be behind the extrapolated one.
+	 */
+	return io->clock_ms + (sited_now_ms() - io->clock_at) * 100 / LEAD_CLOCK_MARGIN_PERCENT +
+	       lead_grants_end_ms(l) + l->d->site->lease_max_ms;
 }
 
 /* when every lease on the server has certainly ended, in ms on this VM's clock */
@@ -523,7 +527,7 @@
 	return l->handover_read_at + json_integer_value(ms);
 }
 
-static int64_t unconfirmed_over_at(const struct lead *l, const struct work_task *t)
+int64_t lead_unconfirmed_over_at(const struct lead *l, const struct work_task *t)
 {
 	int64_t over_at = MIN(t->state_deadline, l->grant.former_over_at);
 
@@ -541,7 +545,7 @@
 
 		/* no start was sent in the other states */
 		if (t->state == TASK_UNCONFIRMED)
-			until = MAX(until, unconfirmed_over_at(l, t));
+			until = MAX(until, lead_unconfirmed_over_at(l, t));
 		else if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
 			until = MAX(until, io->clock_at ? leases_over_at(io)
 							: sited_now_ms() + lead_leases_wait_ms(l));
@@ -589,7 +593,7 @@
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 		bool over = t->state == TASK_UNCONFIRMED
-				    ? unconfirmed_over_at(l, t) <= now
+				    ? lead_unconfirmed_over_at(l, t) <= now
 				    : io->missed_polls && leases_over_at(io) <= now;
 
 		if (t->server == sv && work_task_is_placed(t) && over)
