In ample room, servers that are suspect for a stall are the last resort

A server on which work stalled for a second time within a minute got none for 16 s, then 32 and 60 s, although it answered, the pool was idle and jobs waited.

Work that has waited 1.5 s in a pool that is mostly free, and does not fit twice on the servers that accept work, is now also placed on servers that only a stall keeps out. In a fuller pool, and for servers that fail tasks or do not answer, nothing changes.

test_plan: in_ample_room_servers_suspect_of_a_stall_are_the_last_resort failed before.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -153,6 +153,12 @@
 	return fleet_admission(sv, now) == FLEET_ACCEPTING;
 }
 
+bool fleet_is_suspect_for_a_stall(const struct fleet_server *sv, int64_t now)
+{
+	return fleet_admission(sv, now) == FLEET_SUSPECT && sv->suspect_until == sv->fault_until &&
+	       !sv->is_suspect_for_failures;
+}
+
 struct fleet_resources fleet_unused_capacity(const struct fleet_server *sv)
 {
 	struct fleet_resources unused = sv->capacity;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -197,6 +197,8 @@
 enum fleet_admission fleet_admission(const struct fleet_server *sv, int64_t now);
 /** fleet_accepts_work() - true if new tasks may be placed on @sv at @now */
 bool fleet_accepts_work(const struct fleet_server *sv, int64_t now);
+/** fleet_is_suspect_for_a_stall() - @sv answers, and only work that stalled there keeps it out */
+bool fleet_is_suspect_for_a_stall(const struct fleet_server *sv, int64_t now);
 /**
  * fleet_unused_capacity() - capacity that no running task or orphaned run holds
  *
--- a/lib/plan/plan_ample.c
+++ b/lib/plan/plan_ample.c
@@ -90,13 +90,25 @@
 	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
 }
 
+static unsigned int try_place(struct plan_scratch *s, const struct fleet *fleet,
+			      const struct work_group *group, int64_t now,
+			      struct fleet_server **out)
+{
+	unsigned int needed = group->step->is_gang ? group->count : 1;
+	unsigned int slots;
+
+	plan_collect_candidates(s, fleet, group, now, false);
+	slots = plan_count_slots(s, group);
+	if (slots < AMPLE_ROOM_FACTOR && s->uses_suspect)
+		plan_record_unmet(&s->ample_unmet, group, 0);
+	return slots < AMPLE_ROOM_FACTOR * needed ? 0 : assign(s, fleet, group, out);
+}
+
 unsigned int plan_place_in_ample_room(struct plan_scratch *s, const struct fleet *fleet,
 				      const struct work_group *group, const struct plan_clock *at,
 				      struct fleet_server **out)
 {
-	unsigned int needed = group->step->is_gang ? group->count : 1;
 	bool work_arrives;
-	unsigned int slots;
 	unsigned int placed;
 
 	if (!group->step->after_count)
@@ -112,15 +124,16 @@
 		return 0;
 	s->uses_headroom = true;
 	s->uses_reserved = !work_arrives || group->step->is_endless;
-	plan_collect_candidates(s, fleet, group, at->now, false);
+	placed = try_place(s, fleet, group, at->now, out);
+	if (!placed) {
+		/* the last resort: a faulty server among many that have recovered costs a restart
+		 */
+		s->uses_suspect = true;
+		placed = try_place(s, fleet, group, at->now, out);
+	}
 	s->uses_headroom = false;
 	s->uses_reserved = false;
-	slots = plan_count_slots(s, group);
-	if (slots < AMPLE_ROOM_FACTOR)
-		plan_record_unmet(&s->ample_unmet, group, 0);
-	if (slots < AMPLE_ROOM_FACTOR * needed)
-		return 0;
-	placed = assign(s, fleet, group, out);
+	s->uses_suspect = false;
 	if (placed)
 		s->refusal = PLAN_PLACED;
 	return placed;
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -116,7 +116,10 @@
 {
 	if (avoids(s, sv, group, now))
 		return false;
-	return fleet_accepts_work(sv, now) && suits(sv, group) && plan_may_use(s, sv, group, now);
+	if (!fleet_accepts_work(sv, now) &&
+	    !(s->uses_suspect && fleet_is_suspect_for_a_stall(sv, now)))
+		return false;
+	return suits(sv, group) && plan_may_use(s, sv, group, now);
 }
 
 /* sets @rack_first, so that the candidates can be stored sorted by rack */
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -72,6 +72,7 @@
  * @has_reservation: servers are reserved for a gang in this round
  * @uses_headroom: headroom is a candidate of the current group
  * @uses_reserved: reserved servers are candidates of the current group
+ * @uses_suspect: servers that are suspect for a stall are candidates of the current group
  * @newest_arrival: when the newest first step of a job that was placed or tried became ready,
  *                  monotonic ms
  * @pool: pools whose use has been summed up in this round
@@ -92,6 +93,7 @@
 	bool has_reservation;
 	bool uses_headroom;
 	bool uses_reserved;
+	bool uses_suspect;
 	int64_t newest_arrival;
 	struct plan_pool pool[PLAN_POOLS_MAX];
 	unsigned int pool_count;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -266,6 +266,28 @@
 }
 END_TEST
 
+/* A third of the servers had hung twice and were suspect for 16 s after they had recovered. */
+START_TEST(in_ample_room_servers_suspect_of_a_stall_are_the_last_resort)
+{
+	struct fleet *f = sample_fleet(NULL, 6, 6);
+	struct work_group *gang = sample_gang(f, 1, 1, 2, 8);
+	struct fleet_server *out[2];
+
+	for (unsigned int i = 1; i < 6; i++)
+		fleet_suspect(sample_server(f, i), start.now);
+	gang->waiting_since = start.now;
+	ck_assert_uint_eq(place(f, gang, out), 0);
+	gang->waiting_since = start.now - 2500;
+	ck_assert_uint_eq(place(f, gang, out), 2);
+	/* two do not answer: there is not twice the room */
+	sample_server(f, 4)->is_reachable = false;
+	sample_server(f, 5)->is_reachable = false;
+	sample_server(f, 3)->suspect_until += 1000;
+	ck_assert_uint_eq(place(f, gang, out), 0);
+	talloc_free(f);
+}
+END_TEST
+
 /*
  * Found on the large site, scale-2: a twelfth of the servers fail every task and then
  * have free capacity again at once. A gang with two attempts lost both of them there.
@@ -927,6 +949,7 @@
 	tcase_add_test(t, a_task_waits_for_its_data_rack_up_to_a_limit);
 	tcase_add_test(t, tasks_of_a_step_per_server_are_limited);
 	tcase_add_test(t, servers_that_do_not_accept_work_get_none);
+	tcase_add_test(t, in_ample_room_servers_suspect_of_a_stall_are_the_last_resort);
 	tcase_add_test(t, an_explanation_counts_the_servers_that_are_excluded);
 	tcase_add_test(t, an_explanation_names_the_rule_that_refused);
 	tcase_add_test(t, servers_that_fail_every_task_cost_a_gang_at_most_one_attempt);
