A step does not wait for a data rack that can't take it

A step waited for its data rack for the declared run time although no server there would accept a task within that time: they had left, drained or lacked the label.

test_plan: a_task_does_not_wait_for_a_data_rack_whose_servers_leave failed before.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -392,6 +392,19 @@
 	return placed;
 }
 
+static bool data_rack_could_fit(const struct fleet *fleet, const struct work_group *group,
+				unsigned int rack, int64_t latest)
+{
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		if (sv->rack == rack && fleet_accepts_work(sv, latest) && suits(sv, group) &&
+		    fleet_resources_fit(&group->step->need, &sv->capacity))
+			return true;
+	}
+	return false;
+}
+
 static unsigned int place_near_data(struct plan_scratch *s, const struct fleet *fleet,
 				    const struct work_group *group, const struct plan_clock *at,
 				    struct fleet_server **out)
@@ -405,7 +418,8 @@
 		placed = plan_assign_waiting(s, group, rack, out);
 		if (placed)
 			return placed;
-		if (at->now < group->ready_since + wait_limit_ms) {
+		if (at->now < group->ready_since + wait_limit_ms &&
+		    data_rack_could_fit(fleet, group, rack, group->ready_since + wait_limit_ms)) {
 			s->refusal = PLAN_AWAITS_DATA_RACK;
 			return 0;
 		}
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -180,6 +180,23 @@
 }
 END_TEST
 
+START_TEST(a_task_does_not_wait_for_a_data_rack_whose_servers_leave)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 1);
+	struct work_job *job = sample_job(f, 1, 1, 1, 1);
+	struct work_group *g;
+	struct fleet_server *out[1];
+
+	sample_server(f, 0)->presence = FLEET_DRAINING;
+	job->step[0].data_rack = talloc_strdup(job, "r0");
+	g = sample_start(job);
+	g->ready_since = start.now;
+	ck_assert_uint_eq(place(f, g, out), 1);
+	ck_assert_ptr_eq(out[0], sample_server(f, 1));
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(tasks_of_a_step_per_server_are_limited)
 {
 	struct fleet *f = sample_fleet(NULL, 2, 2);
@@ -947,6 +964,7 @@
 	tcase_add_test(t, a_gang_takes_the_rack_with_the_least_free_capacity);
 	tcase_add_test(t, a_gang_for_one_rack_is_not_spread_over_two);
 	tcase_add_test(t, a_task_waits_for_its_data_rack_up_to_a_limit);
+	tcase_add_test(t, a_task_does_not_wait_for_a_data_rack_whose_servers_leave);
 	tcase_add_test(t, tasks_of_a_step_per_server_are_limited);
 	tcase_add_test(t, servers_that_do_not_accept_work_get_none);
 	tcase_add_test(t, in_ample_room_servers_suspect_of_a_stall_are_the_last_resort);
