--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -186,7 +186,8 @@
 	if (status == ORDER_INVALID)
 		fleet_suspect(o->sv, sited_now_ms());
 	if (status == ORDER_NO_CAPACITY)
-		o->sv->suspect_until = sited_now_ms() + CAPACITY_SUSPECT_MS;
+		o->sv->suspect_until =
+			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
 	if (status == ORDER_INVALID && work_task_record_failure(t)) {
 		work_job_set_state(t->group->job, WORK_FAILED, sited_wall_ms());
 		lead_job_stop(l, t->group->job, "the server does not accept the task");
