A new leader whose claims are refused pauses between them

Found in review: with reads answered and writes refused, 32 claims were tried again at the speed of the network, 3,785 store calls a second in a trial with 5 VMs where 36 are usual. A pause of 150 ms now precedes each further try. The trial was not repeated with it.

--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#include "mtimer/mtimer.h"
+
 const char *sited_partition_name(unsigned int part)
 {
 	static char names[SITED_PARTITIONS][8];
@@ -232,6 +234,11 @@
 
 static void read_claim(struct part_load *load);
 
+static void on_claim_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	read_claim(data);
+}
+
 static void on_claimed(const struct store_result *r, void *data)
 {
 	struct claim_commit *call = data;
@@ -242,8 +249,12 @@
 	if (!l)
 		return;
 	if (r->status != STORE_OK) {
-		/* the claim may have been written nevertheless; its row is read to find out */
-		read_claim(load);
+		/*
+		 * The claim may have been written nevertheless; its row is read to find out. A
+		 * store that answers reads and refuses writes gets a pause.
+		 */
+		mtimer_add(load, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_claim_timer,
+			   load);
 		return;
 	}
 	l->claims[load->part] = r->version;
