Lengthen a suspect period once for all tasks that stalled in it

Callers saw most jobs with nothing running for more than 40 s after servers had made no progress for 6 s, in an idle pool.

A server on which a task stalls is suspect and gets nothing for 8 s; the period doubles each time, up to 60 s, until a task succeeds there. Each stalled task counted as a time: four single tasks that are found to have stalled by one poll made it 60 s. The same with tasks that fail while their server is suspect already. When several servers hang for some seconds, the pool is out of use for a minute after they have recovered.

Tasks that stall or fail within a suspect period were there before it, and tell nothing new: the period is neither lengthened nor doubled, and their failures don't count for the next one. It still doubles when work placed after it stalls again.

New scenario, all servers hang for 6 s while tasks of one accelerator fill the pool.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -157,8 +157,16 @@
 	return false;
 }
 
+/* other causes also set suspect_until, but only a suspect period has a duration */
+static bool is_in_suspect_period(const struct fleet_server *sv, int64_t now)
+{
+	return sv->suspect_duration && sv->suspect_until > now;
+}
+
 void fleet_suspect(struct fleet_server *sv, int64_t now)
 {
+	if (is_in_suspect_period(sv, now))
+		return;
 	sv->suspect_duration = sv->suspect_duration
 				       ? MIN(sv->suspect_duration * 2, FLEET_SUSPECT_MAX_MS)
 				       : FLEET_SUSPECT_MS;
@@ -174,7 +182,7 @@
 		return false;
 	TALLOC_FREE(sv->last_failed_job);
 	sv->last_failed_job = talloc_strdup(sv, job);
-	if (++sv->failures < FLEET_FAILURES_MAX)
+	if (is_in_suspect_period(sv, now) || ++sv->failures < FLEET_FAILURES_MAX)
 		return false;
 	fleet_suspect(sv, now);
 	sv->is_suspect_for_failures = true;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -221,7 +221,12 @@
 void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - record that a task completed on @sv; ends probation */
 void fleet_note_success(struct fleet_server *sv, int64_t now);
-/** fleet_suspect() - make @sv suspect for any reason: no new work for a period */
+/**
+ * fleet_suspect() - make @sv suspect for any reason: no new work for a period
+ *
+ * Load pattern: tasks that were on the server before it became suspect stall or fail one after
+ * the other. They tell nothing new, so the period is neither lengthened nor doubled for them.
+ */
 void fleet_suspect(struct fleet_server *sv, int64_t now);
 
 #endif
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -938,6 +938,22 @@
     site.expected.append(("no member waits alone, %s did" % alone[:3], not alone))
 
 
+async def servers_hang_for_a_while(site):
+    """Each task that stood still doubled the time for which its server got nothing, up to 60 s."""
+    for _ in range(12):
+        job = site.add_job()
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 8, 1, 1, False, "urgent"
+        job.spec = {"ms": 6000, "gang": 0, "fail": 0}
+        site.pool.needs[job.id] = job.gpu
+        site.following.append(asyncio.ensure_future(site.submit_and_watch(job)))
+    await asyncio.sleep(2.5)
+    for server in site.pool.servers:
+        server.hang = True
+    await asyncio.sleep(6)
+    for server in site.pool.servers:
+        server.hang = False
+
+
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
     for i in range(60):
@@ -951,7 +967,7 @@
 
 BY_AGENTS = [agent_is_started_again, agents_die_in_turn, agents_wake_with_old_orders, agent_wakes_under_the_next_leader,
              leader_and_agent_die_together, agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
-SCENARIOS = BY_AGENTS + [history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over, jobs_fail_by_their_own_fault, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
+SCENARIOS = BY_AGENTS + [history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over, jobs_fail_by_their_own_fault, servers_hang_for_a_while, planned_stops_after_servers_died, small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away, history_is_lost, old_transaction_comes_late, leaders_die_in_turn,
              handover_with_a_slow_store, refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others, one_vm_is_turned_away,
              leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over]
 
