Forgive failures among the servers of one kind

Work that needs a label can use only the servers that have it. Where the servers of a kind are less than a quarter of their pool, jobs that fail by their own fault could make all of them suspect, and no share of the pool ended that.

The share now counts servers of the same pool and kind, the first label.

test_fleet, two of twelve servers of another kind: none forgiven before, both now.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -189,9 +189,16 @@
 	return true;
 }
 
-static bool is_usable(const struct fleet_server *sv, const char *service)
+static const char *kind_of(const struct fleet_server *sv)
 {
-	return sv->presence == FLEET_LISTED && sv->is_reachable && !strcmp(sv->service, service);
+	return sv->label_count ? sv->labels[0] : "";
+}
+
+/* work that needs a kind of server can't use the others of the pool */
+static bool is_usable_peer(const struct fleet_server *sv, const struct fleet_server *other)
+{
+	return sv->presence == FLEET_LISTED && sv->is_reachable &&
+	       !strcmp(sv->service, other->service) && !strcmp(kind_of(sv), kind_of(other));
 }
 
 static bool is_suspect_for_failures(const struct fleet_server *sv, int64_t now)
@@ -199,7 +206,8 @@
 	return sv->is_suspect_for_failures && sv->suspect_until > now;
 }
 
-unsigned int fleet_forgive_failures(struct fleet *f, const char *service, int64_t now)
+unsigned int fleet_forgive_failures(struct fleet *f, const struct fleet_server *failing,
+				    int64_t now)
 {
 	unsigned int usable = 0;
 	unsigned int suspect = 0;
@@ -207,7 +215,7 @@
 	for (guint i = 0; i < f->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(f->all, i);
 
-		if (!is_usable(sv, service))
+		if (!is_usable_peer(sv, failing))
 			continue;
 		usable++;
 		suspect += is_suspect_for_failures(sv, now);
@@ -218,7 +226,7 @@
 	for (guint i = 0; i < f->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(f->all, i);
 
-		if (!is_usable(sv, service) || !is_suspect_for_failures(sv, now))
+		if (!is_usable_peer(sv, failing) || !is_suspect_for_failures(sv, now))
 			continue;
 		sv->suspect_until = now;
 		sv->suspect_duration = 0;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -73,7 +73,7 @@
  * @address: "ip:port"
  * @service: name of the pool of backend servers that it belongs to
  * @rack: index of its rack in struct fleet
- * @labels: labels that steps may require
+ * @labels: labels that steps may require; the first is its kind
  * @capacity: total resources of the server
  * @used: resources held by tasks that start, run, stop or may be running
  * @awaiting_preemption: resources set aside for tasks awaiting preemption of others
@@ -209,14 +209,15 @@
 
 /**
  * fleet_forgive_failures() - end the suspect periods of servers if too many failed tasks
- * @service: pool of backend servers to which this applies
+ * @failing: the server that became suspect last; only servers of its pool and kind count
  *
  * Load pattern: jobs that fail by their own fault are most of what is left in the queue. Each
  * server fails tasks of several of them, so that no server accepts work while the pool is idle.
  *
  * Return: number of servers that accept work again.
  */
-unsigned int fleet_forgive_failures(struct fleet *f, const char *service, int64_t now);
+unsigned int fleet_forgive_failures(struct fleet *f, const struct fleet_server *failing,
+				    int64_t now);
 /** fleet_note_progress() - record that a task on @sv made progress */
 void fleet_note_progress(struct fleet_server *sv, int64_t now);
 /** fleet_note_success() - record that a task completed on @sv; ends probation */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -484,7 +484,7 @@
 	log_event("server_suspected", "{ss ss sI}", "server", sv->id, "why",
 		  "tasks of different jobs failed there", "for_ms",
 		  (json_int_t)sv->suspect_duration);
-	forgiven = fleet_forgive_failures(l->fleet, sv->service, sited_now_ms());
+	forgiven = fleet_forgive_failures(l->fleet, sv, sited_now_ms());
 	if (forgiven)
 		log_event("failures_forgiven", "{ss si ss}", "service", sv->service, "servers",
 			  (int)forgiven, "why",
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -84,7 +84,7 @@
 	for (unsigned int i = first; i < end; i++) {
 		fleet_note_failure(sample_server(f, i), "one", now);
 		if (fleet_note_failure(sample_server(f, i), "another", now))
-			forgiven += fleet_forgive_failures(f, sample_server(f, i)->service, now);
+			forgiven += fleet_forgive_failures(f, sample_server(f, i), now);
 	}
 	return forgiven;
 }
@@ -141,6 +141,23 @@
 }
 END_TEST
 
+START_TEST(failures_on_another_kind_do_not_count)
+{
+	struct fleet *f = sample_fleet(NULL, 12, 4);
+
+	for (unsigned int i = 0; i < 2; i++) {
+		struct fleet_server *sv = sample_server(f, i);
+
+		sv->labels = talloc_zero_array(sv, char *, 1);
+		sv->labels[0] = talloc_strdup(sv, "large");
+		sv->label_count = 1;
+	}
+	ck_assert_uint_eq(fail_twice(f, 0, 2, 100), 2);
+	ck_assert_uint_eq(accepting(f, 100), 12);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(suspect_periods_double_until_a_success)
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
@@ -202,6 +219,7 @@
 	tcase_add_test(t, failures_on_many_servers_exclude_none);
 	tcase_add_test(t, servers_that_stall_are_not_forgiven);
 	tcase_add_test(t, failures_in_another_pool_do_not_count);
+	tcase_add_test(t, failures_on_another_kind_do_not_count);
 	tcase_add_test(t, suspect_periods_double_until_a_success);
 	tcase_add_test(t, tasks_of_one_period_do_not_lengthen_it);
 	tcase_add_test(t, only_unlisted_servers_without_tasks_are_pruned);
