--- a/tools/soak.py
+++ b/tools/soak.py
@@ -895,6 +895,7 @@
 async def all_vms_are_down_for_longer_than_a_lease(site):
     """The leader that followed waited as if the former one had granted leases until then."""
     gangs = await start_gangs(site)
+    await asyncio.sleep(1.5)  # for jobs that are cancelled
     leave_for_good(site, gangs, False)
     site.end_of_faults()
     site.faults.append("kill all")
@@ -968,6 +969,22 @@
     site.expected.append(("no member waits alone, %s did" % alone[:3], not alone))
 
 
+async def all_servers_hang_for_a_while(site):
+    """Each task that stood still doubled the time for which its server got nothing, up to 60 s."""
+    for _ in range(12):
+        job = site.add_job()
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 8, 1, 1, False, "urgent"
+        job.spec = {"ms": 6000, "gang": 0, "fail": 0}
+        site.pool.needs[job.id] = job.gpu
+        site.following.append(asyncio.ensure_future(site.submit_and_watch(job)))
+    await asyncio.sleep(2.5)
+    for server in site.pool.servers:
+        server.hang = True
+    await asyncio.sleep(6)
+    for server in site.pool.servers:
+        server.hang = False
+
+
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
     for i in range(60):
@@ -1208,9 +1225,9 @@
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
-    servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time,
-    servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
-    the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
+    servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
+    leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
+    a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job, history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while]
 # too long to be played with the others
 BY_NAME = [
