--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -140,14 +140,6 @@
 		   call_new(l));
 }
 
-static const struct store_row *find_leader_row(const struct store_result *r)
-{
-	for (unsigned int i = 0; i < r->count; i++)
-		if (!strcmp(r->rows[i].table, SITED_LEAD_TABLE))
-			return &r->rows[i];
-	return NULL;
-}
-
 static void on_written(const struct store_result *r, void *data)
 {
 	struct grant_call *call = data;
@@ -164,7 +156,7 @@
 		write_later(l, call->sent_at);
 		break;
 	case STORE_CONFLICT:
-		leader = find_leader_row(r);
+		leader = store_find_row(r, SITED_LEAD_TABLE, SITED_LEAD_KEY);
 		/* the answer that made this VM the leader may name a newer version than its row's
 		 */
 		if (leader && lead_row_term(leader) == l->term)
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -225,19 +225,10 @@
 	lead_servers_acknowledge(l);
 }
 
-static const struct store_row *find_row(const struct store_result *r, const char *table,
-					const char *key)
-{
-	for (unsigned int i = 0; i < r->count; i++)
-		if (!strcmp(r->rows[i].table, table) && !strcmp(r->rows[i].key, key))
-			return &r->rows[i];
-	return NULL;
-}
-
 static const struct store_row *conflicting_row(const struct store_result *r,
 					       const struct commit_entry *e)
 {
-	return find_row(r, table_of(e), e->key);
+	return store_find_row(r, table_of(e), e->key);
 }
 
 /* an earlier attempt was performed if every row holds the value that this one would write */
@@ -277,7 +268,7 @@
 /* takes over conflicting rows; returns false when this VM stepped down and @l is freed */
 static bool resolve_conflict(struct lead *l, struct commit *c, const struct store_result *r)
 {
-	const struct store_row *claim = find_row(r, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
+	const struct store_row *claim = store_find_row(r, SITED_CLAIM_TABLE, SITED_LEAD_KEY);
 
 	sited_count(&l->d->metrics, COUNT_CONFLICTS);
 	if (claim && lead_row_term(claim) != l->term) {
