Wait before a refused claim is tried again

A new leader whose claims the store refused read and wrote them again without a pause, for 32 partitions at once.

--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#include "mtimer/mtimer.h"
+
 const char *sited_partition_name(unsigned int part)
 {
 	static char names[SITED_PARTITIONS][8];
@@ -229,6 +231,11 @@
 
 static void read_claim(struct part_load *load);
 
+static void on_claim_timer(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	read_claim(data);
+}
+
 static void on_claimed(const struct store_result *r, void *data)
 {
 	struct claim_commit *call = data;
@@ -238,13 +245,23 @@
 	talloc_free(call);
 	if (!l)
 		return;
-	if (r->status != STORE_OK) {
+	switch (r->status) {
+	case STORE_OK:
+		l->claims[load->part] = r->version;
+		read_jobs(load);
+		break;
+	case STORE_CONFLICT:
+	case STORE_UNKNOWN:
 		/* the claim may have been written nevertheless; its row is read to find out */
 		read_claim(load);
-		return;
+		break;
+	case STORE_REFUSED:
+	case STORE_HISTORY_GONE:
+	case STORE_INVALID:
+		mtimer_add(load, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_claim_timer,
+			   load);
+		break;
 	}
-	l->claims[load->part] = r->version;
-	read_jobs(load);
 }
 
 static void write_claim(struct part_load *load)
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -48,6 +48,7 @@
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
         self.rejected = None     # start of the keys of rows that are called invalid
+        self.refused_parts = ()  # parts whose transactions get 429
         self.answers_late = 0.0  # seconds between a write and its answer
         self.leads = {}   # version of a row that says who leads -> its document
         self.calls = 0
@@ -107,6 +108,8 @@
                 raise Drop
         await asyncio.sleep(0.001 * self.slow)
         if path == "/-/rows-tx":
+            if (document["put"] + document["remove"] + document["expect-rev"])[0]["part"] in self.refused_parts:
+                return 429, {}
             fault = fault_of(document, int(headers["content-length"]))
             if self.rejected and any(p["table"] == "groups" and p["key"].startswith(self.rejected) for p in document["put"]):
                 fault = "a row of " + self.rejected
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -518,6 +518,19 @@
         await asyncio.sleep(2)
 
 
+async def claims_are_refused(site):
+    """The store refuses what a new leader writes; it must not be pressed while it does."""
+    site.store.refused_parts = ["p%d" % i for i in range(32)]
+    site.leader().send(signal.SIGKILL)
+    await asyncio.sleep(3)
+    before = site.store.calls
+    await asyncio.sleep(3)
+    rate = (site.store.calls - before) / 3
+    site.store.refused_parts = ()
+    site.expected.append(("under 800 store calls a second, %.0f were" % rate, rate < 800))
+    await asyncio.sleep(3)
+
+
 async def history_is_lost(site):
     """After a lost history the lead was not confirmed any more, and all looks ended 10 s later."""
     site.store.forget_history()
@@ -1094,7 +1107,7 @@
 SCENARIOS = BY_AGENTS + [
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
-    history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
+    claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, one_vm_is_turned_away, leader_wakes_after_its_time, servers_are_silent_for_a_while,
     server_answers_no_more, small_leader_hands_over, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage,
