--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -48,6 +48,7 @@
         self.lose = 0.0   # share of writes that are done and not answered
         self.late = 0.0   # share of writes that are done seconds later
         self.rejected = None     # start of the keys of rows that are called invalid
+        self.refused_parts = ()  # parts whose transactions get 429
         self.answers_late = 0.0  # seconds between a write and its answer
         self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
@@ -110,7 +111,7 @@
                 await asyncio.sleep(30)
                 raise Drop
         await asyncio.sleep(0.001 * self.slow)
-        if path == "/-/rows-tx" and self.mode == "read-only":
+        if path == "/-/rows-tx" and self.refuses_writes_to(document):
             status, answer = 429, {}
         elif path == "/-/rows-tx":
             fault = fault_of(document, int(headers["content-length"]))
@@ -125,6 +126,10 @@
             status, answer = 404, {}
         return status, dict(answer, **{"now-ms": int(time.monotonic() * 1000)})
 
+    def refuses_writes_to(self, document):
+        part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
+        return self.mode == "read-only" or part in self.refused_parts
+
     async def transaction(self, document):
         part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
         if self.rng.random() < self.late:
