After a call without an answer, reuse no connection that was open then

Callers saw accepted jobs with nothing running for tens of seconds, and submissions answered 504, long after the store was back. While calls to the store fail, each opens a new connection, so that an outage of some seconds leaves many in the client's cache. When these then end without a word, as connections do across a cut, each call took another of the dead ones and gave it up only after 1.5 s; reads succeeded in between on new ones, so that nobody replaced the leader, which could store nothing and granted no leases.

A call to the store now reuses only connections opened after the last call that got no answer; for two seconds after it each opens a new one, as libcurl counts their age in seconds.

--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -232,6 +232,17 @@
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
 }
 
+/* libcurl counts the age of a connection in whole seconds */
+static void call_limit_reuse(struct httpc_call *call, const struct httpc_options *opt)
+{
+	int64_t age_s = (base_now_ns() - opt->opened_after) / (BASE_MS_PER_S * BASE_NS_PER_MS);
+
+	if (opt->fresh || (opt->opened_after && age_s < 2))
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	else if (opt->opened_after)
+		curl_easy_setopt(call->easy, CURLOPT_MAXLIFETIME_CONN, (long)(age_s - 1));
+}
+
 struct httpc_call *httpc_start(struct httpc *client, const struct httpc_options *opt,
 			       httpc_done *done, void *data)
 {
@@ -257,8 +268,7 @@
 	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)MIN(remaining_ms, HTTPC_CONNECT_TIMEOUT_MS));
 	curl_easy_setopt(call->easy, CURLOPT_PROTOCOLS_STR, "http");
-	if (opt->fresh)
-		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	call_limit_reuse(call, opt);
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	for (unsigned int i = 0; i < G_N_ELEMENTS(opt->header) && opt->header[i]; i++)
 		call->headers = curl_slist_append(call->headers, opt->header[i]);
--- a/lib/httpc/httpc.h
+++ b/lib/httpc/httpc.h
@@ -42,6 +42,8 @@
  * @body: request body, copied; not sent with GET
  * @deadline: when the call ends without an answer, in ns on the clock of base_now_ns()
  * @fresh: open a new connection, because a reused one may have failed undetected
+ * @opened_after: reuse only connections opened after this time, in ns on the clock of
+ *                base_now_ns(); 0 for any
  * @header: up to three header lines; the first NULL ends the list
  */
 struct httpc_options {
@@ -50,6 +52,7 @@
 	struct str body;
 	int64_t deadline;
 	bool fresh;
+	int64_t opened_after;
 	const char *header[3];
 };
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1199,6 +1199,20 @@
     await need_all_servers(site, 2)
 
 
+async def many_connections_fall_silent(site):
+    """After an outage, each call took another of the dead connections, and gave it up only after 1.5 s."""
+    await asyncio.sleep(1)
+    site.faults += ["busy store", "silent connections"]
+    await site.store_mode("busy", 4)  # each call meanwhile opens a connection
+    await asyncio.sleep(0.5)
+    await site.silent_connections()
+    await asyncio.sleep(8)
+    began = time.monotonic()
+    await asyncio.sleep(4)
+    starts = len([r for r in site.pool.runs if r.began > began])
+    site.expected.append(("tasks start from 8 s on, %d did" % starts, starts > 5))
+
+
 async def store_takes_no_writes_for_a_while(site):
     """Reads go on, so that nobody else can lead; what runs must keep its leases."""
     await start_gangs(site)
@@ -1242,7 +1256,7 @@
     leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
-    vms_start_as_the_store_returns, store_takes_no_writes_for_a_while]
+    vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
