--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -41,7 +41,7 @@
         self.log = []   # changed keys in order of their versions
         self.version = 0
         self.oldest = 0  # feeds can't go on from before
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # set, and replaced by a new one, at each change
         self.locks = {}
         self.mode = "up"  # up, busy, silent, reset, read-only
         self.slow = 1
@@ -81,8 +81,8 @@
                     asyncio.get_running_loop().call_later(self.forgets_after_lead, self.forget_history)
                     self.forgets_after_lead = None
             self.log.append((version, table, part, key))
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
         return version
 
     def row(self, table, part, key):
@@ -183,8 +183,7 @@
                 for row in rows:
                     row["ver"] = row["ver"] or self.version
                 return 200, {"rows": rows, "ver": self.version}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
