--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1263,6 +1263,17 @@
     planned_stops_after_servers_were_cut_off, third_leader_falls_silent_after_servers_died]
 
 
+async def cancel_one(site):
+    """So that a scenario in which few jobs last long enough asks for the promise on cancellations too."""
+    job = site.add_job()
+    job.count, job.steps, job.gpu, job.is_cancelled = 1, 1, 0, False
+    job.spec, job.asked_to_cancel, site.pool.needs[job.id] = {"ms": 20000, "gang": 0, "fail": 0}, True, 0
+    await site.submit(job)
+    answer = await site.ask("DELETE", job)
+    if answer and answer[0] == 200:
+        job.cancelled = time.monotonic()
+
+
 async def play(seed, seconds, scenario, directory, per_second):
     site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
     try:
@@ -1272,6 +1283,7 @@
         sampler = asyncio.ensure_future(site.sample())
         if scenario:
             await asyncio.sleep(2)
+            await cancel_one(site)
             await scenario(site)
         else:
             await site.chaos(seconds)
