Soak: starts are lost only while the leader that dies gives them

The kept log shows that the next leader led 0.4 s after the starts, stopped all members and started them again; the servers of the play still lost starts until the killed VM was started again, up to 1.5 s after its death. Four new starts were lost, and two members of that attempt waited for them, as they must.

The servers now lose starts only until the leader is dead.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -972,10 +972,11 @@
                 break
         await asyncio.sleep(0.05)
         half_started += [job.id] if 0 < len(runs_of(site, job)) < job.count else []
-        leader = site.leader()
-        await site.kill(leader)
+        death = asyncio.ensure_future(site.kill(site.leader()))
+        await asyncio.sleep(0)  # the leader is dead; those of its successor arrive
         for server in site.pool.servers:
             server.loses_starts = False
+        await death
         await asyncio.sleep(3)
     alone = [r.task for r in site.pool.runs if r.how == "alone" and r.task[:16] in half_started]
     site.expected.append(("gangs were half started, %d" % len(half_started), bool(half_started)))
