--- a/tools/check.py
+++ b/tools/check.py
@@ -10,6 +10,7 @@
 import time
 
 BUILD = os.environ.get("BUILD", "build")
+KEPT_LOGS = "run/soak"  # of failed plays
 
 
 def known_red():
@@ -57,10 +58,11 @@
              ("scheduler cut off from its servers", [sys.executable, "tools/handover.py"], 120),
              ("planned stop under load", [sys.executable, "tools/planned_stop.py"], 120),
              ("soak: scenarios and seeds that once failed",
-              [sys.executable, "tools/soak.py", "--scenario", "all", "--regressions", "--seconds", "12", "--jobs", "4"],
+              [sys.executable, "tools/soak.py", "--scenario", "all", "--regressions", "--seconds", "12", "--jobs", "4",
+               "--keep", KEPT_LOGS],
               400),
              ("soak: three seeds", [sys.executable, "tools/soak.py", "--seed", "7", "--seeds", "3", "--seconds", "12",
-                                    "--jobs", "3"], 240),
+                                    "--jobs", "3", "--keep", KEPT_LOGS], 240),
              ("faults --seed 1", [sys.executable, "tools/faults.py", "--seed", "1", "--seconds", "45"], 240),
              ("faults --seed 2", [sys.executable, "tools/faults.py", "--seed", "2", "--seconds", "45"], 240)]
     passed, failed, red = 0, 0, []
