--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -162,7 +162,6 @@
 {
 	struct fleet *f = sample_fleet(NULL, 1, 1);
 	struct fleet_server *sv = sample_server(f, 0);
-
 	int64_t now = 0;
 
 	for (int64_t period = FLEET_SUSPECT_MS; period < FLEET_SUSPECT_MAX_MS; period *= 2) {
--- a/tests/test_plan_idle.c
+++ b/tests/test_plan_idle.c
@@ -779,6 +779,15 @@
 	return job;
 }
 
+/* as many tasks as a rack has servers */
+static struct work_job *rack_gang(struct world *w)
+{
+	struct work_job *job = fixed_gang(w, 8, 4000);
+
+	job->step[0].same_rack = true;
+	return job;
+}
+
 /* a task of one accelerator that leaves no room for a task of a gang */
 static void occupy(struct world *w, unsigned int server, int64_t declared_ms, int64_t run_ms)
 {
@@ -791,6 +800,12 @@
 	sample_run(&work_job_group(job, 0, 0)->task[0], sample_server(w->fleet, server), w->at.now);
 }
 
+static void occupy_racks_from(struct world *w, unsigned int server)
+{
+	for (unsigned int i = server; i < w->fleet->all->len; i += 8)
+		occupy(w, i, 20000, 20000);
+}
+
 /* leaves no room for any task */
 static void fill(struct world *w, unsigned int server)
 {
@@ -837,11 +852,9 @@
 	struct world *w = world_new(24, 8);
 	struct work_job *job;
 
-	for (unsigned int i = 0; i < 24; i += 8)
-		occupy(w, i, 20000, 20000);
-	job = fixed_gang(w, 8, 4000);
+	occupy_racks_from(w, 0);
+	job = rack_gang(w);
 	job->step[0].is_gang = _i;
-	job->step[0].same_rack = true;
 	add_play(w, job, w->at.now);
 	ck_assert_msg(
 		!play_ms(w, 8000),
@@ -853,11 +866,10 @@
 START_TEST(a_gang_does_not_wait_for_a_rack_with_a_bad_server)
 {
 	struct world *w = world_new(24, 8);
-	struct work_job *job = fixed_gang(w, 8, 4000);
+	struct work_job *job = rack_gang(w);
 
 	for (unsigned int i = 0; i < 24; i += 8)
 		set_condition(w, i, _i);
-	job->step[0].same_rack = true;
 	add_play(w, job, w->at.now);
 	ck_assert_msg(!play_ms(w, 8000),
 		      "VIOLATED idle job: a gang waits for a rack while each has a bad server: %s",
@@ -869,11 +881,10 @@
 START_TEST(servers_are_not_reserved_for_a_gang_that_does_not_take_them)
 {
 	struct world *w = world_new(16, 8);
-	struct work_job *job = fixed_gang(w, 8, 4000);
+	struct work_job *job = rack_gang(w);
 
 	set_condition(w, 0, SUSPECT);
 	set_condition(w, 8, SUSPECT);
-	job->step[0].same_rack = true;
 	add_play(w, job, w->at.now);
 	add_play(w, fixed_gang(w, 7, 8000), w->at.now + 1500);
 	ck_assert_msg(
@@ -960,10 +971,8 @@
 	struct world *w = world_new(24, 8);
 	struct work_job *job;
 
-	for (unsigned int i = 8; i < 24; i += 8)
-		occupy(w, i, 20000, 20000);
-	job = fixed_gang(w, 8, 4000);
-	job->step[0].same_rack = true;
+	occupy_racks_from(w, 8);
+	job = rack_gang(w);
 	add_play(w, job, w->at.now + 1500);
 	add_urgent(w, 2, 500, 2500);
 	ck_assert_msg(!play_ms(w, 8000),
@@ -1013,14 +1022,12 @@
 	struct work_job *job;
 	struct work_task *t;
 
-	for (unsigned int i = 0; i < 24; i += 8)
-		occupy(w, i, 20000, 20000);
+	occupy_racks_from(w, 0);
 	t = g_ptr_array_index(sample_server(w->fleet, 0)->tasks, 0);
 	t->state = TASK_STOPPING;
 	t->stopped_at = INT64_MAX;
-	job = fixed_gang(w, 8, 4000);
+	job = rack_gang(w);
 	job->priority = 0;
-	job->step[0].same_rack = true;
 	add_play(w, job, w->at.now);
 	ck_assert_msg(!play_ms(w, 8000),
 		      "VIOLATED idle job: an urgent gang waits for a task that does not stop");
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -678,15 +678,19 @@
     await asyncio.sleep(12)
 
 
-async def small_leader_hands_over(site):
-    """A small VM led for the rest of the day, because pings did not say that their sender was large."""
-    large = site.vms[0]
-    large.send(signal.SIGKILL)
-    for vm in site.vms[1:]:
+def restart_as_small(vms):
+    for vm in vms:
         vm.resize(0.12)
         vm.send(signal.SIGKILL)
         vm.process.wait()
         vm.start()
+
+
+async def small_leader_hands_over(site):
+    """A small VM led for the rest of the day, because pings did not say that their sender was large."""
+    large = site.vms[0]
+    large.send(signal.SIGKILL)
+    restart_as_small(site.vms[1:])
     await asyncio.sleep(3)
     large.start()
     await asyncio.sleep(8)
@@ -798,11 +802,7 @@
 
 async def large_vm_takes_over_after_an_outage(site):
     """A small VM won, because the transactions of the large ones were lost in the outage."""
-    for vm in site.vms[2:]:
-        vm.resize(0.12)
-        vm.send(signal.SIGKILL)
-        vm.process.wait()
-        vm.start()
+    restart_as_small(site.vms[2:])
     await asyncio.sleep(6)
     leader, large, began = site.leader(), [vm.name for vm in site.vms[:2]], time.time() * 1e6
     site.faults += ["kill", "silent store"]
@@ -889,11 +889,7 @@
 async def small_leader_hands_over_after_servers_died(site):
     """The same, as a small VM led in between."""
     large = site.vms[0]
-    for vm in site.vms[1:]:
-        vm.resize(0.12)
-        vm.send(signal.SIGKILL)
-        vm.process.wait()
-        vm.start()
+    restart_as_small(site.vms[1:])
     await asyncio.sleep(7)
     site.expected.append(("the large VM leads", site.leader() is large))
     await gangs_lose_servers(site, True)
