--- a/lib/plan/plan_ample.c
+++ b/lib/plan/plan_ample.c
@@ -126,8 +126,7 @@
 	s->uses_reserved = !work_arrives || group->step->is_endless;
 	placed = try_place(s, fleet, group, at->now, out);
 	if (!placed) {
-		/* the last resort: a faulty server among many that have recovered costs a restart
-		 */
+		/* last, as a server that is still faulty costs a restart */
 		s->uses_suspect = true;
 		placed = try_place(s, fleet, group, at->now, out);
 	}
--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -15,7 +15,9 @@
 #include "mtimer/mtimer.h"
 
 #define GRANT_INTERVAL_MS 1000 /* between the writes of the row */
-/* beyond LEAD_UNCONFIRMED_MAX_MS, so that the row outlasts some writes that fail while reads work
+/*
+ * Beyond LEAD_UNCONFIRMED_MAX_MS, so that grants go on while some writes fail and reads work. Each
+ * second of it makes the next leader wait as long for servers that do not answer.
  */
 #define GRANT_AHEAD_MS 6000
 #define GRANT_INVALID_RETRY_MS 1000
@@ -157,8 +159,7 @@
 		break;
 	case STORE_CONFLICT:
 		leader = store_find_row(r, SITED_LEAD_TABLE, SITED_LEAD_KEY);
-		/* the answer that made this VM the leader may name a newer version than its row's
-		 */
+		/* the answer to the claim may have named a newer version than the row's */
 		if (leader && lead_row_term(leader) == l->term)
 			l->grant.leader_version = leader->version;
 		else if (leader)
