--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -75,7 +75,9 @@
 static void call_complete(struct httpc_call *call, CURLcode code)
 {
 	struct httpc *client = call->client;
-	struct httpc_answer answer = {.result = HTTPC_LOST};
+	struct httpc_answer answer = {.result = HTTPC_LOST,
+				      .error = code == CURLE_OK ? "" : curl_easy_strerror(code),
+				      .received = call->answer_len};
 	long status = 0;
 
 	if (code == CURLE_OK) {
--- a/lib/httpc/httpc.h
+++ b/lib/httpc/httpc.h
@@ -23,14 +23,17 @@
 
 /**
  * struct httpc_answer - outcome of a call; borrowed for the callback
- * @result: whether the other members are set: only with HTTPC_ANSWERED
- * @status: HTTP status
+ * @status: HTTP status; set only with HTTPC_ANSWERED, like @body
  * @body: the complete body; NUL-terminated
+ * @error: why there is no complete answer, in libcurl's words; "" with HTTPC_ANSWERED
+ * @received: bytes of the body that arrived, complete or not
  */
 struct httpc_answer {
 	enum httpc_result result;
 	unsigned int status;
 	struct str body;
+	const char *error;
+	size_t received;
 };
 
 typedef void httpc_done(const struct httpc_answer *answer, void *data);
--- a/src/sited_config.c
+++ b/src/sited_config.c
@@ -25,8 +25,9 @@
 		talloc_free(q);
 		return;
 	}
-	log_event("config_taken", "{sI sI sI ss}", "version", (json_int_t)q->version, "before",
-		  (json_int_t)before, "queues", (json_int_t)q->queue_count, "source", source);
+	log_event("config_taken", "{sI sI sI sI ss}", "version", (json_int_t)q->version, "before",
+		  (json_int_t)before, "queues", (json_int_t)q->queue_count, "bytes",
+		  (json_int_t)value.len, "source", source);
 	talloc_free(d->queues);
 	talloc_free(d->config_text);
 	d->queues = q;
