Tests that fail: a long answer over a small link never arrives

Each call to the store and between VMs has a limit on its whole time. Red on this code: two tests of test_store, one of test_onc, and the scenario configuration_outgrows_small_links of the soak, in which no VM has the change 2 s after it was stored.

--- a/tests/test_onc.c
+++ b/tests/test_onc.c
@@ -3,6 +3,7 @@
  */
 #include <arpa/inet.h>
 #include <check.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -248,8 +249,75 @@
 }
 END_TEST
 
+#define LONG_BYTES 1000000
+#define LONG_PIECES 40
+#define LONG_PIECE_MS 20
+
+/* answers the first call with @data, a record, in pieces; its connection then stays open */
+static void *answer_slowly(void *data)
+{
+	int listener = GPOINTER_TO_INT(data);
+	int fd = accept(listener, NULL, NULL);
+	uint32_t call[16]; /* mark, xid and so on */
+	char *buf = talloc_size(NULL, LONG_BYTES + 1000);
+	char *text = talloc_zero_size(buf, LONG_BYTES + 1);
+	cl_pull_res res = {.catalogue_version = 42, .catalogue = text, .vm_list = (char *)""};
+	struct rpc_msg msg = {.rm_direction = REPLY};
+	uint32_t mark;
+	size_t len;
+	XDR xdr;
+
+	ck_assert_int_gt(recv(fd, call, sizeof(call), 0), 8);
+	memset(text, 'x', LONG_BYTES);
+	msg.rm_xid = ntohl(call[1]);
+	msg.acpted_rply.ar_results.where = (caddr_t)&res;
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)xdr_cl_pull_res;
+	xdrmem_create(&xdr, buf + 4, LONG_BYTES + 900, XDR_ENCODE);
+	ck_assert(xdr_replymsg(&xdr, &msg));
+	len = xdr_getpos(&xdr) + 4;
+	mark = htonl(0x80000000U | (uint32_t)(len - 4));
+	memcpy(buf, &mark, 4);
+	for (size_t sent = 0; sent < len;) {
+		ssize_t n = send(fd, buf + sent, MIN(LONG_BYTES / LONG_PIECES, len - sent),
+				 MSG_NOSIGNAL);
+
+		if (n <= 0)
+			break;
+		sent += (size_t)n;
+		usleep(LONG_PIECE_MS * 1000);
+	}
+	talloc_free(buf);
+	return NULL;
+}
+
+/* Guards against a long answer over a small link that is given up, and asked for anew, for ever. */
+START_TEST(an_answer_that_takes_longer_than_its_limit_arrives)
+{
+	struct fixture *f = fixture_new("127.0.0.0/8");
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int on = 1;
+	pthread_t thread;
+
+	TALLOC_FREE(f->server);
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	ck_assert_int_eq(listen(listener, 1), 0);
+	ck_assert_int_eq(pthread_create(&thread, NULL, answer_slowly, GINT_TO_POINTER(listener)),
+			 0);
+	call(f, LONG_PIECES * LONG_PIECE_MS / 3);
+	ck_assert_int_eq(f->result, ONC_OK);
+	ck_assert_int_eq(f->version, 42);
+	pthread_join(thread, NULL);
+	close(listener);
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, an_answer_that_takes_longer_than_its_limit_arrives);
 	tcase_add_test(t, a_burst_of_connections_is_accepted_in_one_turn);
 	tcase_add_test(t, a_call_gets_its_result);
 	tcase_add_test(t, a_silent_peer_is_given_up_and_called_anew);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,6 +1,6 @@
 /**
  * DOC: test_store - answers of the platform's store: rejections, conflicts, lost answers, lost
- * history
+ * history, long answers over small links
  */
 #include <check.h>
 #include <curl/curl.h>
@@ -10,6 +10,7 @@
 #include "platform/store.h"
 #include "runner.h"
 #include "scripted.h"
+#include "trickle.h"
 
 #define PORT 17931
 #define ROW_BYTES 1000 /* not a multiple of three */
@@ -171,8 +172,104 @@
 }
 END_TEST
 
+/* ---- a long document over a small link ---- */
+
+#define LIMIT_MS 600	 /* limit of a call of the feed after a failure */
+#define IN_FORCE_MS 2000 /* a change is in force within this time after it was stored */
+
+/* a store that sends a row of @value_bytes at @bytes_per_s */
+static struct fixture *slow_fixture_new(size_t value_bytes, size_t bytes_per_s)
+{
+	struct fixture *f = fixture_new(200, "{}");
+	char *value = talloc_array(f, char, value_bytes + 1);
+	char *answer;
+
+	TALLOC_FREE(f->http);
+	memset(value, 'A', value_bytes);
+	value[value_bytes] = 0;
+	answer = talloc_asprintf(f,
+				 "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":"
+				 "\"config\",\"value\":\"%s\",\"ver\":9}],\"ver\":9}",
+				 value);
+	trickle_start(PORT, answer, bytes_per_s, value_bytes + 1000);
+	return f;
+}
+
+static void wait_done(struct fixture *f)
+{
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+}
+
+START_TEST(a_feed_whose_answer_takes_longer_than_its_limit_arrives)
+{
+	struct fixture *f = slow_fixture_new(1000000, 800000);
+	int64_t began = base_now_ns();
+
+	store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+	wait_done(f);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_uint_eq(strlen(f->value), 750000);
+	ck_assert_int_eq(store_failing_ms(f->store), 0);
+	ck_assert_int_lt((base_now_ns() - began) / BASE_NS_PER_MS, IN_FORCE_MS);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_read_whose_answer_takes_longer_than_its_limit_arrives)
+{
+	struct fixture *f = slow_fixture_new(1000000, 800000);
+	struct store_range range = {"op", "", "config", 1};
+
+	store_read(f->store, &range, base_deadline_in(LIMIT_MS), on_done, f);
+	wait_done(f);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_uint_eq(f->count, 1);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(an_answer_that_stops_in_the_middle_ends_the_call)
+{
+	struct fixture *f = fixture_new(200, "{}");
+	int64_t began = base_now_ns();
+
+	TALLOC_FREE(f->http);
+	trickle_start(PORT, "{\"rows\":[],\"ver\":9,\"more\":\"the rest does not arrive\"}",
+		      1000000, 60);
+	store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+	wait_done(f);
+	ck_assert_int_eq(f->result, STORE_UNKNOWN);
+	ck_assert_int_lt((base_now_ns() - began) / BASE_NS_PER_MS, IN_FORCE_MS);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_call_without_any_answer_ends_at_its_limit)
+{
+	struct fixture *f = fixture_new(200, "{}");
+	int64_t began = base_now_ns();
+
+	TALLOC_FREE(f->http);
+	trickle_start(PORT, "", 1000000, 0);
+	store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+	wait_done(f);
+	ck_assert_int_eq(f->result, STORE_UNKNOWN);
+	ck_assert_int_lt((base_now_ns() - began) / BASE_NS_PER_MS, LIMIT_MS + 200);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, a_feed_whose_answer_takes_longer_than_its_limit_arrives);
+	tcase_add_test(t, a_read_whose_answer_takes_longer_than_its_limit_arrives);
+	tcase_add_test(t, an_answer_that_stops_in_the_middle_ends_the_call);
+	tcase_add_test(t, a_call_without_any_answer_ends_at_its_limit);
 	tcase_add_test(t, a_transaction_sends_conditions_and_rows);
 	tcase_add_test(t, the_length_of_a_transaction_is_known_before_it_is_sent);
 	tcase_add_test(t, a_conflict_returns_the_conflicting_rows);
--- a/tools/site_http.py
+++ b/tools/site_http.py
@@ -6,6 +6,9 @@
 from urllib.parse import parse_qsl, urlsplit
 
 
+PIECE_BYTES = 16384
+
+
 class Drop(Exception):
     """The connection ends without an answer."""
 
@@ -34,6 +37,8 @@
         self.writers = set()
         self.server = None
         self.port = 0
+        self.bytes_per_s = None  # of all answers together; None for no limit
+        self.link_free_at = 0.0  # on the loop's clock
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -48,6 +53,20 @@
             self.server.close()
         self.reset_connections()
 
+    async def send(self, writer, data):
+        """At the rate of the link, which all connections share piece by piece."""
+        if not self.bytes_per_s:
+            writer.write(data)
+            await writer.drain()
+            return
+        loop = asyncio.get_running_loop()
+        for i in range(0, len(data), PIECE_BYTES):
+            piece = data[i:i + PIECE_BYTES]
+            self.link_free_at = max(self.link_free_at, loop.time()) + len(piece) / self.bytes_per_s
+            await asyncio.sleep(self.link_free_at - loop.time())
+            writer.write(piece)
+            await writer.drain()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -60,9 +79,8 @@
                 status, answer = await self.handle(method, url.path, dict(parse_qsl(url.query)), headers,
                                                    json.loads(body) if body else None)
                 text = json.dumps(answer).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                             % (status, len(text)) + text)
-                await writer.drain()
+                await self.send(writer, b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                                % (status, len(text)) + text)
         except (Drop, ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -40,6 +40,9 @@
 VMS_DOWN_S = 9.0        # longer than any lease granted before
 RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
 WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
+IN_FORCE_S = 2.0        # config-ms of the platform's deployments
+LARGE_QUEUES = 4200
+SMALL_LINK = 1.0e6      # bytes a second, 8 Mbit/s; a document of LARGE_QUEUES takes longer than 1 s
 PORTS_FIRST = 20000     # plays side by side must not take each other's
 PORT_BLOCKS = 100
 PORTS_A_BLOCK = 120
@@ -186,10 +189,12 @@
         self.gangs_idle_last = None  # when one of them was last without a run
         self.idle_last = 0.0    # seconds after the end until which some job was so
 
-    async def config(self, version):
+    async def config(self, version, queues=0):
+        """With so many further queues, q0 and on."""
+        names = [("urgent", 0), ("batch", 1)] + [("q%d" % i, 1) for i in range(queues)]
         routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
                    "priority": priority, "attempts": ATTEMPTS, "stretch-factor": 3.0, "slo-ms": 1000}
-                  for name, priority in (("urgent", 0), ("batch", 1))]
+                  for name, priority in names]
         text = json.dumps({"version": version, "routes": routes, "services": [{"name": "pool"}], "limits": {},
                            "tenants": [{"name": "w", "api-keys": ["k"], "guaranteed": {"gpu": 16}}]})
         await self.store.put("op", "config", base64.b64encode(text.encode()).decode())
@@ -1240,6 +1245,32 @@
                               len(site.store.leads) == terms))
 
 
+async def vms_without_queue(site, name):
+    """Names of the VMs that don't know a queue, by their answers to its callers."""
+    answers = await asyncio.gather(*[site.ask("GET", None, "/%s/" % name, vm=vm) for vm in site.vms])
+    return [vm.name for vm, answer in zip(site.vms, answers) if not answer or answer[0] == 404]
+
+
+async def change_queues(site, version, count):
+    """A change of the configuration, which must be in force on all VMs IN_FORCE_S after it was stored."""
+    await site.config(version, count)
+    await asyncio.sleep(IN_FORCE_S)
+    behind = await vms_without_queue(site, "q%d" % (count - 1))
+    site.expected.append(("version %d of %d queues is in force everywhere, on %s it was not" % (version, count, behind),
+                          not behind))
+
+
+async def configuration_outgrows_small_links(site):
+    """VMs gave up transfers that took longer than the limit of a call, and began anew, for ever."""
+    for door in site.store.doors.values():
+        door.bytes_per_s = SMALL_LINK
+    await change_queues(site, 2, 1500)
+    await change_queues(site, 3, LARGE_QUEUES)
+    site.faults.append("busy store")
+    await site.store_mode("busy", 1)
+    await change_queues(site, 4, LARGE_QUEUES + 1)
+
+
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1253,7 +1284,8 @@
     leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
-    vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent]
+    vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
+    configuration_outgrows_small_links]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
