A transfer is limited by progress, not by its whole time

Callers saw: on entry VMs with a small link, requests were handled by a configuration that had been replaced minutes before.

Cause: each call to the store and between VMs had a limit on its whole time. A document that takes longer than the limit was given up in its middle and asked for anew, so that the link carried nothing but beginnings: 1.1 to 1.3 MB a second, without end, in the incident. Class: a limit that does not distinguish a peer that is silent from one that is sending.

Fix: the deadline of a call is the latest time at which its answer begins. Later it ends when no byte moves for 600 ms, or 30 s after the deadline. A call that gets no byte ends at its deadline as before.

--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -18,11 +18,20 @@
 	GPtrArray *idle; /* easy handles for reuse, at most HTTPC_IDLE_HANDLES_MAX */
 };
 
+/*
+ * @progress_timer: checks that bytes are sent or received; NULL unless @stall_ms is set
+ * @transferred: bytes of both bodies at the last check
+ */
 struct httpc_call {
 	struct httpc *client;
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
+	size_t body_len;
+	int64_t deadline;
+	int64_t stall_ms;
+	struct mtimer *progress_timer;
+	size_t transferred;
 	bool is_sent; /* at least a part of the request may have been sent */
 	char *answer;
 	size_t answer_len;
@@ -102,6 +111,43 @@
 	talloc_free(call);
 }
 
+static size_t count_transferred(const struct httpc_call *call)
+{
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return (size_t)sent + call->answer_len;
+}
+
+/* The check before the deadline tells a request that was sent long ago from one under way. */
+static void on_progress_check(struct mtimer *timer G_GNUC_UNUSED, void *data)
+{
+	struct httpc_call *call = data;
+	size_t before = call->transferred;
+
+	call->transferred = count_transferred(call);
+	if (base_now_ns() < call->deadline)
+		call->progress_timer =
+			mtimer_add(call, call->client->ev, call->deadline, on_progress_check, call);
+	else if (call->transferred > before)
+		call->progress_timer =
+			mtimer_add(call, call->client->ev, base_deadline_in(call->stall_ms),
+				   on_progress_check, call);
+	else
+		call_complete(call, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void start_progress_checks(struct httpc_call *call)
+{
+	int64_t first_check = call->deadline - call->stall_ms * BASE_NS_PER_MS;
+	bool is_late = first_check <= base_now_ns();
+
+	call->transferred = is_late ? call->body_len : 0;
+	call->progress_timer =
+		mtimer_add(call, call->client->ev, is_late ? call->deadline : first_check,
+			   on_progress_check, call);
+}
+
 static void finish_completed_calls(struct httpc *client)
 {
 	CURLMsg *msg;
@@ -228,6 +274,7 @@
 		return;
 	}
 	call->body = str_dup(call, opt->body);
+	call->body_len = opt->body.len;
 	curl_easy_setopt(easy, CURLOPT_POST, 1L);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, opt->method);
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)opt->body.len);
@@ -251,7 +298,11 @@
 	struct httpc_call *call = talloc_zero(client, struct httpc_call);
 	int64_t remaining_ms = MAX(base_remaining_ms(opt->deadline), 1);
 
+	if (opt->stall_ms)
+		remaining_ms += HTTPC_TRANSFER_MAX_MS;
 	call->client = client;
+	call->deadline = opt->deadline;
+	call->stall_ms = opt->stall_ms;
 	call->done = done;
 	call->data = data;
 	if (client->idle->len)
@@ -276,6 +327,8 @@
 		call->headers = curl_slist_append(call->headers, opt->header[i]);
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
 	call_set_body(call, opt);
+	if (call->stall_ms)
+		start_progress_checks(call);
 	client->in_flight++;
 	curl_multi_add_handle(client->multi, call->easy);
 	return call;
--- a/lib/httpc/httpc.h
+++ b/lib/httpc/httpc.h
@@ -11,6 +11,8 @@
 #include <tevent.h>
 #include "base/base.h"
 
+#define HTTPC_TRANSFER_MAX_MS 30000
+
 struct httpc;
 struct httpc_call;
 
@@ -44,6 +46,9 @@
  * @url: absolute URL with the scheme "http"
  * @body: request body, copied; not sent with GET
  * @deadline: when the call ends without an answer, in ns on the clock of base_now_ns()
+ * @stall_ms: with 0, the whole answer must arrive by @deadline. Else a transfer that is under
+ *            way at @deadline goes on while bytes are sent or received, until none is for so
+ *            long, and at most HTTPC_TRANSFER_MAX_MS beyond @deadline
  * @fresh: open a new connection, because a reused one may have failed undetected
  * @opened_after: reuse only connections opened after this time, in ns on the clock of
  *                base_now_ns(); 0 for any
@@ -54,6 +59,7 @@
 	const char *url;
 	struct str body;
 	int64_t deadline;
+	int64_t stall_ms;
 	bool fresh;
 	int64_t opened_after;
 	const char *header[3];
--- a/lib/onc/onc.c
+++ b/lib/onc/onc.c
@@ -18,12 +18,17 @@
 #define ONC_IDLE_TIMEOUT_MS 120000 /* after this time without a call, a connection is closed */
 #define ONC_OUT_QUEUE_MAX (32U * 1024 * 1024) /* bytes queued for sending on one connection */
 
-/* a non-blocking socket that carries records (record marking of RFC 5531) */
+/*
+ * a non-blocking socket that carries records (record marking of RFC 5531)
+ * @in: the beginning of a record whose rest has not arrived
+ * @received: bytes received so far
+ */
 struct stream {
 	struct tevent_context *ev;
 	int fd;
 	struct tevent_fd *fde;
 	GByteArray *in;
+	uint64_t received;
 	GByteArray *out;
 	size_t out_sent;
 	struct tevent_immediate *flush; /* writes the queued records; see is_flush_scheduled */
@@ -83,6 +88,7 @@
 			return false;
 		if (n < 0)
 			return errno == EAGAIN || errno == EINTR;
+		stream->received += (uint64_t)n;
 		g_byte_array_append(stream->in, buf, (guint)n);
 		if (!stream_parse(stream))
 			return false;
@@ -450,11 +456,14 @@
 
 /* ---- client ---- */
 
+/* @received: bytes that the connection had received at the last check of progress */
 struct client_call {
 	struct onc_client *client;
 	const struct onc_proc *proc;
 	uint32_t xid;
 	size_t res_size;
+	int64_t deadline;
+	uint64_t received;
 	onc_done *done;
 	void *data;
 	struct mtimer *timer;
@@ -513,6 +522,13 @@
 	}
 }
 
+/* A record that is being received may be the answer, or precede it. */
+static bool is_receiving(const struct client_call *p, const struct stream *stream)
+{
+	return stream && stream->in->len && stream->received > p->received &&
+	       base_now_ns() < p->deadline + ONC_TRANSFER_MAX_MS * BASE_NS_PER_MS;
+}
+
 static void on_client_call_deadline(struct mtimer *timer G_GNUC_UNUSED, void *data)
 {
 	struct client_call *p = data;
@@ -525,9 +541,16 @@
 		stream->on_closed(stream);
 		return;
 	}
+	if (!client_call_find(client, xid))
+		return;
+	if (is_receiving(p, client->stream)) {
+		p->received = client->stream->received;
+		p->timer = mtimer_add(p, client->ev, base_deadline_in(ONC_STALL_MS),
+				      on_client_call_deadline, p);
+		return;
+	}
 	/* without an answer, the connection may be dead; the next call opens another one */
-	if (client_call_find(client, xid))
-		client_disconnect(client, ONC_LOST);
+	client_disconnect(client, ONC_LOST);
 }
 
 static void on_not_sent(struct tevent_context *ev G_GNUC_UNUSED,
@@ -657,5 +680,7 @@
 		tevent_schedule_immediate(p->im, client->ev, on_not_sent, p);
 		return;
 	}
+	p->deadline = deadline;
+	p->received = client->stream->received;
 	p->timer = mtimer_add(p, client->ev, deadline, on_client_call_deadline, p);
 }
--- a/lib/onc/onc.h
+++ b/lib/onc/onc.h
@@ -14,6 +14,9 @@
 
 #define ONC_RECORD_MAX (8U * 1024 * 1024) /* bytes; a longer record closes the connection */
 
+#define ONC_STALL_MS 600
+#define ONC_TRANSFER_MAX_MS 30000
+
 /**
  * struct onc_proc - one procedure, as a server offers it and a client calls it
  * @prog: program number
@@ -101,7 +104,9 @@
  * onc_call() - send one call
  * @args: arguments of the procedure's type, borrowed for onc_call() only
  * @res_size: size of the decoded result in bytes
- * @deadline: when the call ends without a result, in ns on the clock of base_now_ns()
+ * @deadline: when the call ends without a result, in ns on the clock of base_now_ns(). While
+ *            a record is being received, the call goes on until no byte of it arrives for
+ *            ONC_STALL_MS, and at most ONC_TRANSFER_MAX_MS beyond @deadline
  * @done: called exactly once, after onc_call() has returned
  *
  * A call that gets no answer by its deadline closes the connection, because the
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -185,7 +185,7 @@
 	char *answer;
 
 	TALLOC_FREE(f->http);
-	memset(value, 'A', value_bytes);
+	memset(value, 'Q', value_bytes);
 	value[value_bytes] = 0;
 	answer = talloc_asprintf(f,
 				 "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":"
