A change of the configuration is not lost behind another row

Callers would see: a change that never comes into force on VMs whose feed answered with it and, before it, another row of the operator's table, such as a wave of upkeep: while a store call is repeated, or when both change at once.

Cause: the check that a range read at a key did not return the next row was also applied to a feed, whose rows come in order of their versions; all rows of the answer were ignored and the feed went on after them. It now applies to reads alone; the receiver of a feed picks its row by key.

Found by reading, not the cause of the incident. Soak scenario configuration_changes_with_another_row: on none of five VMs before, on all now.

--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -94,7 +94,7 @@
 /* when the requested row does not exist, a range that starts at its key yields a later row */
 static bool is_requested(const struct table *t, const struct store_result *r)
 {
-	return !t->key || (r->count && !strcmp(r->rows[0].key, t->key));
+	return t->mode == TABLE_FOLLOW || !t->key || (r->count && !strcmp(r->rows[0].key, t->key));
 }
 
 static void on_answer(const struct store_result *r, void *data)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1271,6 +1271,19 @@
     await change_queues(site, 4, LARGE_QUEUES + 1)
 
 
+async def configuration_changes_with_another_row(site):
+    """A change was lost when the same answer of the store began with another row of the operator's table."""
+    site.faults.append("busy store")
+    outage = asyncio.ensure_future(site.store_mode("busy", 1))
+    await asyncio.sleep(0.5)
+    await site.store.put("op", "wave/1", base64.b64encode(b"{}").decode())
+    await site.config(2, 10)
+    await outage
+    await asyncio.sleep(IN_FORCE_S)
+    behind = await vms_without_queue(site, "q9")
+    site.expected.append(("the change is in force everywhere, on %s it was not" % behind, not behind))
+
+
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1285,7 +1298,7 @@
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
-    configuration_outgrows_small_links]
+    configuration_outgrows_small_links, configuration_changes_with_another_row]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
