VMs with small links take changes of the configuration from large ones

Cause: the document went whole to each VM at each change, from the store and from a peer at once. The peer's answer took the connection of the pings, so that these were answered after the document; and the link had no room for orders.

Now a VM whose link needs more than 250 ms for the document, by its length, holds the transfer after the first bytes and asks a large VM for the change since its own version (lib/qchange), on a connection of its own. It then follows the store from the row's version. Without an answer within 400 ms the transfer continues. Abandoned reads and feeds end their transfers. Peers exchange changes only; the procedure that gave the document is gone, and a VM of an earlier version takes the configuration from the store meanwhile.

The soak scenario only_one_vm_has_a_large_link passed before as well, since the stand-in limits links to the store alone; it guards the chains, storms and restarts.

--- a/lib/httpc/httpc.c
+++ b/lib/httpc/httpc.c
@@ -32,6 +32,9 @@
 	int64_t stall_ms;
 	struct mtimer *progress_timer;
 	size_t transferred;
+	httpc_begin_fn *on_begin; /* NULL once it was called */
+	void *begin_data;
+	bool is_held;
 	bool is_sent; /* at least a part of the request may have been sent */
 	char *answer;
 	size_t answer_len;
@@ -68,7 +71,16 @@
 {
 	struct httpc_call *call = data;
 	size_t len = size * n;
+	httpc_begin_fn *on_begin = call->on_begin;
+	curl_off_t expected = -1;
 
+	if (on_begin) {
+		call->on_begin = NULL;
+		curl_easy_getinfo(call->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &expected);
+		call->is_held = on_begin(expected, call->begin_data);
+	}
+	if (call->is_held)
+		return CURL_WRITEFUNC_PAUSE;
 	if (call->answer_len + len > HTTPC_ANSWER_MAX)
 		return 0;
 	if (call->answer_len + len + 1 > call->answer_cap) {
@@ -81,6 +93,28 @@
 	return len;
 }
 
+/* @call no longer uses its handle, which the next call may */
+static void release_handle(struct httpc_call *call)
+{
+	struct httpc *client = call->client;
+
+	curl_slist_free_all(call->headers);
+	if (client->idle->len < HTTPC_IDLE_HANDLES_MAX) {
+		curl_easy_reset(call->easy);
+		g_ptr_array_add(client->idle, call->easy);
+	} else {
+		curl_easy_cleanup(call->easy);
+	}
+}
+
+void httpc_cancel(struct httpc_call *call)
+{
+	curl_multi_remove_handle(call->client->multi, call->easy);
+	call->client->in_flight--;
+	release_handle(call);
+	talloc_free(call);
+}
+
 static void call_complete(struct httpc_call *call, CURLcode code)
 {
 	struct httpc *client = call->client;
@@ -101,13 +135,7 @@
 	curl_multi_remove_handle(client->multi, call->easy);
 	client->in_flight--;
 	call->done(&answer, call->data);
-	curl_slist_free_all(call->headers);
-	if (client->idle->len < HTTPC_IDLE_HANDLES_MAX) {
-		curl_easy_reset(call->easy);
-		g_ptr_array_add(client->idle, call->easy);
-	} else {
-		curl_easy_cleanup(call->easy);
-	}
+	release_handle(call);
 	talloc_free(call);
 }
 
@@ -129,7 +157,7 @@
 	if (base_now_ns() < call->deadline)
 		call->progress_timer =
 			mtimer_add(call, call->client->ev, call->deadline, on_progress_check, call);
-	else if (call->transferred > before)
+	else if (call->transferred > before || call->is_held)
 		call->progress_timer =
 			mtimer_add(call, call->client->ev, base_deadline_in(call->stall_ms),
 				   on_progress_check, call);
@@ -334,6 +362,20 @@
 	return call;
 }
 
+void httpc_on_begin(struct httpc_call *call, httpc_begin_fn *begin, void *data)
+{
+	call->on_begin = begin;
+	call->begin_data = data;
+}
+
+void httpc_resume(struct httpc_call *call)
+{
+	if (!call->is_held)
+		return;
+	call->is_held = false;
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+}
+
 unsigned int httpc_in_flight(const struct httpc *client)
 {
 	return client->in_flight;
--- a/lib/httpc/httpc.h
+++ b/lib/httpc/httpc.h
@@ -77,6 +77,18 @@
 /** httpc_start() - start a call; @done is called exactly once, after httpc_start() has returned */
 struct httpc_call *httpc_start(struct httpc *client, const struct httpc_options *opt,
 			       httpc_done *done, void *data);
+/**
+ * httpc_begin_fn() - the body of an answer begins to arrive
+ * @len: length of the body in bytes, -1 when unknown
+ * Return: true to hold the transfer: nothing more is received until httpc_resume().
+ */
+typedef bool httpc_begin_fn(int64_t len, void *data);
+/** httpc_on_begin() - have @begin called once for @call, which was started just now */
+void httpc_on_begin(struct httpc_call *call, httpc_begin_fn *begin, void *data);
+/** httpc_resume() - continue a transfer that was held */
+void httpc_resume(struct httpc_call *call);
+/** httpc_cancel() - end a call without calling its httpc_done */
+void httpc_cancel(struct httpc_call *call);
 /** httpc_in_flight() - number of calls that have not ended */
 unsigned int httpc_in_flight(const struct httpc *client);
 
--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -9,6 +9,7 @@
 const CL_TEXT_MAX = 65536;
 const CL_BLOB_MAX = 4194304;
 const CL_NOTES_MAX = 4096;
+const CL_QUEUES_MAX = 262144;
 
 /* the state of one backend server, spread by gossip, which is faster than the VM list */
 struct cl_note {
@@ -179,13 +180,57 @@
 	bool done;
 };
 
+typedef string cl_text<CL_TEXT_MAX>;
+
+struct cl_queue {
+	string name<CL_TEXT_MAX>;
+	string host<CL_TEXT_MAX>;
+	string prefix<CL_TEXT_MAX>;
+	string service<CL_TEXT_MAX>;
+	hyper priority;
+	hyper attempts;
+	double stretch;
+	hyper slo_ms;
+	bool is_public;
+	bool has_advisor;
+};
+
+struct cl_workspace {
+	string name<CL_TEXT_MAX>;
+	cl_text keys<CL_NOTES_MAX>;
+	hyper guaranteed_accelerators;
+};
+
+/* queues of the new version: copies of the old version's from an index on, then added ones */
+struct cl_queue_run {
+	unsigned int first;
+	unsigned int count;
+	cl_queue added<CL_QUEUES_MAX>;
+};
+
+/* turns one version of the configuration into a newer one; version 0 is empty */
+struct cl_config_change {
+	hyper before;
+	hyper after;
+	hyper body_max;
+	cl_queue_run runs<CL_QUEUES_MAX>;
+	bool has_workspaces; /* else they are those of the old version */
+	cl_workspace workspaces<CL_NOTES_MAX>;
+};
+
 struct cl_config_args {
 	hyper config_version;
+	hyper wait_ms; /* how long the receiver waits for a newer version before it answers */
 };
 
+/* a cl_config_change, encoded */
+typedef opaque cl_config_step<CL_BLOB_MAX>;
+
+/* changes from the version of the call on, in order; none when the sender has no newer one */
 struct cl_config_res {
 	hyper config_version;
-	string value<CL_BLOB_MAX>;
+	hyper row_version; /* of the store's row that holds this version */
+	cl_config_step steps<CL_NOTES_MAX>;
 };
 
 /*
@@ -263,9 +308,10 @@
 		cl_relay_res LEAD_RELAY(cl_relay_args) = 3;
 		cl_ack LEAD_STORED(cl_stored_args) = 4;
 		cl_ack LEAD_VACANT(cl_leader) = 5;
-		cl_config_res LEAD_CONFIG(cl_config_args) = 6;
 		cl_order_res LEAD_START(cl_start_args) = 7;
 		cl_order_res LEAD_STOP(cl_stop_args) = 8;
 		cl_order_res LEAD_LOOK(cl_look_args) = 9;
+		/* 6 gave the whole document of the configuration */
+		cl_config_res LEAD_CONFIG(cl_config_args) = 10;
 	} = 1;
 } = 0x20004c03;
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -314,6 +314,96 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cl_text (XDR *xdrs, cl_text *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, CL_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_queue (XDR *xdrs, cl_queue *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->host, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->prefix, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->stretch))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->slo_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_public))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_advisor))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_workspace (XDR *xdrs, cl_workspace *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, CL_TEXT_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->keys.keys_val, (u_int *) &objp->keys.keys_len, CL_NOTES_MAX,
+		sizeof (cl_text), (xdrproc_t) xdr_cl_text))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->guaranteed_accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_queue_run (XDR *xdrs, cl_queue_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->added.added_val, (u_int *) &objp->added.added_len, CL_QUEUES_MAX,
+		sizeof (cl_queue), (xdrproc_t) xdr_cl_queue))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_config_change (XDR *xdrs, cl_config_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->before))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->body_max))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, CL_QUEUES_MAX,
+		sizeof (cl_queue_run), (xdrproc_t) xdr_cl_queue_run))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_workspaces))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workspaces.workspaces_val, (u_int *) &objp->workspaces.workspaces_len, CL_NOTES_MAX,
+		sizeof (cl_workspace), (xdrproc_t) xdr_cl_workspace))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cl_config_args (XDR *xdrs, cl_config_args *objp)
 {
@@ -321,6 +411,18 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cl_config_step (XDR *xdrs, cl_config_step *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->cl_config_step_val, (u_int *) &objp->cl_config_step_len, CL_BLOB_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -331,7 +433,10 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->value, CL_BLOB_MAX))
+	 if (!xdr_quad_t (xdrs, &objp->row_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CL_NOTES_MAX,
+		sizeof (cl_config_step), (xdrproc_t) xdr_cl_config_step))
 		 return FALSE;
 	return TRUE;
 }
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -17,6 +17,7 @@
 #define CL_TEXT_MAX 65536
 #define CL_BLOB_MAX 4194304
 #define CL_NOTES_MAX 4096
+#define CL_QUEUES_MAX 262144
 
 struct cl_note {
 	char *server;
@@ -184,14 +185,76 @@
 };
 typedef struct cl_ack cl_ack;
 
+typedef char *cl_text;
+
+struct cl_queue {
+	char *name;
+	char *host;
+	char *prefix;
+	char *service;
+	quad_t priority;
+	quad_t attempts;
+	double stretch;
+	quad_t slo_ms;
+	bool_t is_public;
+	bool_t has_advisor;
+};
+typedef struct cl_queue cl_queue;
+
+struct cl_workspace {
+	char *name;
+	struct {
+		u_int keys_len;
+		cl_text *keys_val;
+	} keys;
+	quad_t guaranteed_accelerators;
+};
+typedef struct cl_workspace cl_workspace;
+
+struct cl_queue_run {
+	u_int first;
+	u_int count;
+	struct {
+		u_int added_len;
+		cl_queue *added_val;
+	} added;
+};
+typedef struct cl_queue_run cl_queue_run;
+
+struct cl_config_change {
+	quad_t before;
+	quad_t after;
+	quad_t body_max;
+	struct {
+		u_int runs_len;
+		cl_queue_run *runs_val;
+	} runs;
+	bool_t has_workspaces;
+	struct {
+		u_int workspaces_len;
+		cl_workspace *workspaces_val;
+	} workspaces;
+};
+typedef struct cl_config_change cl_config_change;
+
 struct cl_config_args {
 	quad_t config_version;
+	quad_t wait_ms;
 };
 typedef struct cl_config_args cl_config_args;
 
+typedef struct {
+	u_int cl_config_step_len;
+	char *cl_config_step_val;
+} cl_config_step;
+
 struct cl_config_res {
 	quad_t config_version;
-	char *value;
+	quad_t row_version;
+	struct {
+		u_int steps_len;
+		cl_config_step *steps_val;
+	} steps;
 };
 typedef struct cl_config_res cl_config_res;
 
@@ -339,9 +402,6 @@
 #define LEAD_VACANT 5
 extern  cl_ack * lead_vacant_1(cl_leader *, CLIENT *);
 extern  cl_ack * lead_vacant_1_svc(cl_leader *, struct svc_req *);
-#define LEAD_CONFIG 6
-extern  cl_config_res * lead_config_1(cl_config_args *, CLIENT *);
-extern  cl_config_res * lead_config_1_svc(cl_config_args *, struct svc_req *);
 #define LEAD_START 7
 extern  cl_order_res * lead_start_1(cl_start_args *, CLIENT *);
 extern  cl_order_res * lead_start_1_svc(cl_start_args *, struct svc_req *);
@@ -351,6 +411,9 @@
 #define LEAD_LOOK 9
 extern  cl_order_res * lead_look_1(cl_look_args *, CLIENT *);
 extern  cl_order_res * lead_look_1_svc(cl_look_args *, struct svc_req *);
+#define LEAD_CONFIG 10
+extern  cl_config_res * lead_config_1(cl_config_args *, CLIENT *);
+extern  cl_config_res * lead_config_1_svc(cl_config_args *, struct svc_req *);
 extern int cl_lead_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -369,9 +432,6 @@
 #define LEAD_VACANT 5
 extern  cl_ack * lead_vacant_1();
 extern  cl_ack * lead_vacant_1_svc();
-#define LEAD_CONFIG 6
-extern  cl_config_res * lead_config_1();
-extern  cl_config_res * lead_config_1_svc();
 #define LEAD_START 7
 extern  cl_order_res * lead_start_1();
 extern  cl_order_res * lead_start_1_svc();
@@ -381,6 +441,9 @@
 #define LEAD_LOOK 9
 extern  cl_order_res * lead_look_1();
 extern  cl_order_res * lead_look_1_svc();
+#define LEAD_CONFIG 10
+extern  cl_config_res * lead_config_1();
+extern  cl_config_res * lead_config_1_svc();
 extern int cl_lead_1_freeresult ();
 #endif /* K&R C */
 
@@ -407,7 +470,13 @@
 extern  bool_t xdr_cl_relay_res (XDR *, cl_relay_res*);
 extern  bool_t xdr_cl_stored_args (XDR *, cl_stored_args*);
 extern  bool_t xdr_cl_ack (XDR *, cl_ack*);
+extern  bool_t xdr_cl_text (XDR *, cl_text*);
+extern  bool_t xdr_cl_queue (XDR *, cl_queue*);
+extern  bool_t xdr_cl_workspace (XDR *, cl_workspace*);
+extern  bool_t xdr_cl_queue_run (XDR *, cl_queue_run*);
+extern  bool_t xdr_cl_config_change (XDR *, cl_config_change*);
 extern  bool_t xdr_cl_config_args (XDR *, cl_config_args*);
+extern  bool_t xdr_cl_config_step (XDR *, cl_config_step*);
 extern  bool_t xdr_cl_config_res (XDR *, cl_config_res*);
 extern  bool_t xdr_cl_order_target (XDR *, cl_order_target*);
 extern  bool_t xdr_cl_start_args (XDR *, cl_start_args*);
@@ -438,7 +507,13 @@
 extern bool_t xdr_cl_relay_res ();
 extern bool_t xdr_cl_stored_args ();
 extern bool_t xdr_cl_ack ();
+extern bool_t xdr_cl_text ();
+extern bool_t xdr_cl_queue ();
+extern bool_t xdr_cl_workspace ();
+extern bool_t xdr_cl_queue_run ();
+extern bool_t xdr_cl_config_change ();
 extern bool_t xdr_cl_config_args ();
+extern bool_t xdr_cl_config_step ();
 extern bool_t xdr_cl_config_res ();
 extern bool_t xdr_cl_order_target ();
 extern bool_t xdr_cl_start_args ();
--- a/src/sited.h
+++ b/src/sited.h
@@ -57,6 +57,7 @@
 #define SITED_LARGE_CORES 0.25 /* a VM with fewer cores leads only when no large VM contends */
 
 struct lead;
+struct sited_config;
 
 /**
  * struct sited_leader - what this VM knows about the leader
@@ -107,9 +108,7 @@
 /**
  * struct sited - state of the daemon
  * @queues: configuration in force, NULL before the first
- * @config_text: document from which @queues was decoded, sent to peers
- * @config_behind_pings: consecutive pings whose answer named a newer configuration
- * @is_config_requested: a request to a peer for its configuration is in flight
+ * @config: state of following the configuration, of sited_config.c
  * @peers: struct peer of other entry VMs
  * @next_peer: index, modulo the number of peers, of the next peer to ping or to name in an answer
  * @ticks: number of election ticks; a VM of a large site pings only on some of them
@@ -142,9 +141,7 @@
 	struct orders *orders;
 	struct httpd *front;
 	struct queues *queues;
-	char *config_text;
-	unsigned int config_behind_pings;
-	bool is_config_requested;
+	struct sited_config *config;
 	GPtrArray *peers;
 	unsigned int next_peer;
 	unsigned int ticks;
@@ -195,8 +192,10 @@
 
 /** sited_config_start() - read the operator's configuration and follow its changes */
 void sited_config_start(struct sited *d);
-/** sited_config_apply() - apply a configuration if it is valid and newer; @source is logged */
-void sited_config_apply(struct sited *d, struct str value, const char *source);
+/** sited_on_config() - answer a peer's call for changes of the configuration */
+void sited_on_config(struct onc_request *req);
+/** sited_compare_config() - a peer at @address has this version; ask it when it is newer */
+void sited_compare_config(struct sited *d, const struct address *address, int64_t peer_version);
 
 /* ---- sited_front.c ---- */
 
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -160,8 +160,11 @@
 
 static struct table_source leader_row_source(struct lead *l)
 {
-	struct table_source source = {l,  l->d->ev,	 l->d->store, SITED_LEAD_TABLE,
-				      "", SITED_LEAD_KEY};
+	struct table_source source = {.owner = l,
+				      .ev = l->d->ev,
+				      .store = l->d->store,
+				      .table = SITED_LEAD_TABLE,
+				      .key = SITED_LEAD_KEY};
 
 	return source;
 }
--- a/src/sited_list.c
+++ b/src/sited_list.c
@@ -95,7 +95,8 @@
 
 static struct table_source list_source(struct lead *l)
 {
-	struct table_source source = {l, l->d->ev, l->d->store, MEMBERS_TABLE, "", NULL};
+	struct table_source source = {
+		.owner = l, .ev = l->d->ev, .store = l->d->store, .table = MEMBERS_TABLE};
 
 	return source;
 }
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -171,8 +171,12 @@
 static struct table_source part_source(struct part_load *load, const char *table, const char *key)
 {
 	struct lead *l = load->lead;
-	struct table_source source = {
-		load, l->d->ev, l->d->store, table, sited_partition_name(load->part), key};
+	struct table_source source = {.owner = load,
+				      .ev = l->d->ev,
+				      .store = l->d->store,
+				      .table = table,
+				      .part = sited_partition_name(load->part),
+				      .key = key};
 
 	return source;
 }
@@ -348,7 +352,8 @@
 
 static void follow_jobs(struct lead *l, int64_t after)
 {
-	struct table_source jobs = {l, l->d->ev, l->d->store, SITED_JOBS_TABLE, "", NULL};
+	struct table_source jobs = {
+		.owner = l, .ev = l->d->ev, .store = l->d->store, .table = SITED_JOBS_TABLE};
 
 	table_follow(&jobs, after, LEAD_FEED_TIMEOUT_MS, on_change, on_history_gone, l);
 }
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -17,8 +17,6 @@
 #define VMS_IN_ANSWER_MAX 32	  /* VMs named in one answer; a VM needs only a few peers */
 #define PEER_REPORT_VALID_MS 1500 /* validity of a VM's report about its store calls */
 #define VMS_INTERVAL_MS 5000	  /* the list of VMs changes only when VMs restart */
-#define CONFIG_BEHIND_MAX 2	  /* pings; this VM's own feed delivers a change within one */
-#define CONFIG_ANSWER_MS 1000
 #define STORED_ANSWER_MS 1000
 #define VACANT_ANSWER_MS 1000
 #define CLIENT_FREE_DELAY_MS 2000 /* longer than any call of the client */
@@ -177,17 +175,35 @@
 	return false;
 }
 
-bool sited_had_large_peer(const struct sited *d)
+static bool is_recent_large(const struct peer *p)
 {
-	for (guint i = 0; i < d->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(d->peers, i);
+	return p->is_large && is_within(MAX(p->last_contact_at, p->known_at), LARGE_RECENT_MS);
+}
 
-		if (p->is_large && is_within(MAX(p->last_contact_at, p->known_at), LARGE_RECENT_MS))
+bool sited_had_large_peer(const struct sited *d)
+{
+	for (guint i = 0; i < d->peers->len; i++)
+		if (is_recent_large(g_ptr_array_index(d->peers, i)))
 			return true;
-	}
 	return false;
 }
 
+unsigned int sited_large_addresses(const struct sited *d, struct address *out, unsigned int max)
+{
+	unsigned int count = 0;
+
+	for (unsigned int pass = 0; pass < 2; pass++) {
+		for (guint i = 0; i < d->peers->len && count < max; i++) {
+			const struct peer *p = g_ptr_array_index(d->peers, i);
+			bool is_near = !strcmp(p->failure_domain, d->site->failure_domain);
+
+			if (is_recent_large(p) && is_near == (pass == 0))
+				out[count++] = p->address;
+		}
+	}
+	return count;
+}
+
 unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max)
 {
 	int64_t silent_ms = peer_silent_ms(d);
@@ -238,44 +254,6 @@
 	return NULL;
 }
 
-/* ---- configuration from a peer, for a VM whose calls to the store fail ---- */
-
-static void on_config(enum onc_result result, void *res, void *data)
-{
-	struct sited *d = data;
-	const cl_config_res *answer = res;
-
-	d->is_config_requested = false;
-	d->config_behind_pings = 0;
-	if (result == ONC_OK && answer->value[0])
-		sited_config_apply(d, str_from(answer->value), "a peer");
-}
-
-static void compare_config(struct sited *d, struct onc_client *client, int64_t peer_version)
-{
-	cl_config_args args = {d->queues ? d->queues->version : 0};
-
-	if (peer_version <= args.config_version) {
-		d->config_behind_pings = 0;
-		return;
-	}
-	if (d->is_config_requested ||
-	    (++d->config_behind_pings < CONFIG_BEHIND_MAX && !store_failing_ms(d->store)))
-		return;
-	d->is_config_requested = true;
-	onc_call(client, &sited_procs[SITED_PROC_CONFIG], &args, sizeof(cl_config_res),
-		 base_deadline_in(CONFIG_ANSWER_MS), on_config, d);
-}
-
-static void answer_config(struct sited *d, struct onc_request *req)
-{
-	const cl_config_args *args = req->args;
-	int64_t version = d->queues ? d->queues->version : 0;
-	cl_config_res res = {version, version > args->config_version ? d->config_text : ""};
-
-	onc_reply(req, &res);
-}
-
 /* ---- pings ---- */
 
 static void encode_leader(const struct sited *d, cl_leader *out)
@@ -301,12 +279,13 @@
 
 /**
  * struct ping - a ping in flight
+ * @address: of the receiver
  * @leader_version: version of the receiver's leader row; -1 for a ping that isn't to the leader
  * @vm: name of the receiver
  */
 struct ping {
 	struct sited *d;
-	struct onc_client *client;
+	struct address address;
 	int64_t leader_version;
 	char vm[64];
 };
@@ -344,7 +323,7 @@
 	if (result == ONC_OK) {
 		update_pinged_peer(d, ping, answer);
 		apply_vms(d, answer);
-		compare_config(d, ping->client, answer->config_version);
+		sited_compare_config(d, &ping->address, answer->config_version);
 	}
 	if (ping->leader_version >= 0 && ping->leader_version == d->leader.version && !d->lead)
 		sited_leader_ping_done(d, result, answer);
@@ -355,8 +334,8 @@
 	talloc_free(ping);
 }
 
-static void send_ping(struct sited *d, struct onc_client *client, const char *vm,
-		      int64_t leader_version)
+static void send_ping(struct sited *d, struct onc_client *client, const struct address *address,
+		      const char *vm, int64_t leader_version)
 {
 	struct ping *ping = talloc_zero(d, struct ping);
 	cl_lead_ping_args args = {.sender = {d->site->vm, d->site->failure_domain,
@@ -367,7 +346,7 @@
 
 	encode_leader(d, &args.leader);
 	ping->d = d;
-	ping->client = client;
+	ping->address = *address;
 	ping->leader_version = leader_version;
 	g_strlcpy(ping->vm, vm, sizeof(ping->vm));
 	onc_call(client, &sited_procs[SITED_PROC_PING], &args, sizeof(cl_lead_ping_res),
@@ -376,7 +355,7 @@
 
 void sited_ping_leader(struct sited *d)
 {
-	send_ping(d, d->leader.client, d->leader.vm, d->leader.version);
+	send_ping(d, d->leader.client, &d->leader.address, d->leader.vm, d->leader.version);
 }
 
 void sited_ping_other(struct sited *d)
@@ -386,7 +365,7 @@
 	if (!d->peers->len)
 		return;
 	p = g_ptr_array_index(d->peers, d->next_peer++ % d->peers->len);
-	send_ping(d, client_of(d, p), p->vm, -1);
+	send_ping(d, client_of(d, p), &p->address, p->vm, -1);
 }
 
 void sited_announce_lead(struct sited *d)
@@ -395,7 +374,7 @@
 		struct peer *p = g_ptr_array_index(d->peers, i);
 
 		if (p->is_large)
-			send_ping(d, client_of(d, p), p->vm, -1);
+			send_ping(d, client_of(d, p), &p->address, p->vm, -1);
 	}
 }
 
@@ -555,7 +534,7 @@
 		answer_vacant(d, req);
 		return;
 	case SITED_PROC_CONFIG:
-		answer_config(d, req);
+		sited_on_config(req);
 		return;
 	case SITED_PROC_START:
 		sited_on_start(req);
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -69,6 +69,12 @@
  * Return: number of entries filled in.
  */
 unsigned int sited_live_vms(const struct sited *d, struct sited_vm *out, unsigned int max);
+/**
+ * sited_large_addresses() - large VMs that were in contact or named by a peer within 10 s
+ * @max: number of entries in @out; those of this VM's failure domain come first
+ * Return: number of entries filled in.
+ */
+unsigned int sited_large_addresses(const struct sited *d, struct address *out, unsigned int max);
 /**
  * sited_announce_lead() - ping all large VMs as a new leader
  *
--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -30,25 +30,33 @@
 	table_rows_fn *on_rows;
 	table_read_done_fn *on_end;
 	table_history_gone_fn *on_gone;
+	store_begin_fn *on_begin;
 	void *data;
 };
 
 /**
- * struct table_call - a call in flight; it outlives its table when the owner is freed
+ * struct table_call - a call in flight
  * @table: NULL once the table has been freed
  * @sent_at: in ns on base_now_ns()'s clock
+ * @store_call: NULL once the answer has arrived
  */
 struct table_call {
 	struct table *table;
 	int64_t sent_at;
+	struct store_call *store_call;
 };
 
 static void send_call(struct table *t);
 
+/* A call whose answer is being handled is freed by on_answer(). */
 static int table_destructor(struct table *t)
 {
 	if (t->call)
 		t->call->table = NULL;
+	if (t->call && t->call->store_call) {
+		store_cancel(t->call->store_call);
+		talloc_free(t->call);
+	}
 	return 0;
 }
 
@@ -104,8 +112,7 @@
 	struct table_page page = {r->rows, r->count, r->version, call->sent_at};
 	bool has_next_call;
 
-	if (!t)
-		goto out;
+	call->store_call = NULL;
 	t->call = NULL;
 	if (r->status == STORE_HISTORY_GONE && t->mode == TABLE_FOLLOW) {
 		end_follow(t);
@@ -146,12 +153,35 @@
 	call->table = t;
 	call->sent_at = base_now_ns();
 	t->call = call;
-	if (t->mode == TABLE_READ)
-		store_read(t->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS), on_answer,
-			   call);
-	else
+	if (t->mode == TABLE_READ) {
+		call->store_call =
+			store_read(t->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS),
+				   on_answer, call);
+		return;
+	}
+	call->store_call =
 		store_feed(t->store, t->name, t->version, wait_ms,
 			   base_deadline_in(wait_ms + TABLE_FEED_MARGIN_MS), on_answer, call);
+	if (t->on_begin)
+		store_on_begin(call->store_call, t->on_begin, t->data);
+}
+
+void table_resume(struct table *t)
+{
+	if (t->call)
+		store_resume(t->call->store_call);
+}
+
+void table_skip_to(struct table *t, int64_t version)
+{
+	if (t->mode != TABLE_FOLLOW || version <= t->version)
+		return;
+	t->version = version;
+	if (!t->call)
+		return; /* the call is sent again after a delay */
+	store_cancel(t->call->store_call);
+	TALLOC_FREE(t->call);
+	send_call(t);
 }
 
 static struct table *table_new(const struct table_source *source, enum table_mode mode,
@@ -171,22 +201,25 @@
 	return t;
 }
 
-void table_read(const struct table_source *source, table_rows_fn *on_rows,
-		table_read_done_fn *on_end, void *data)
+struct table *table_read(const struct table_source *source, table_rows_fn *on_rows,
+			 table_read_done_fn *on_end, void *data)
 {
 	struct table *t = table_new(source, TABLE_READ, on_rows, data);
 
 	t->on_end = on_end;
 	send_call(t);
+	return t;
 }
 
-void table_follow(const struct table_source *source, int64_t after, int64_t wait_ms,
-		  table_rows_fn *on_rows, table_history_gone_fn *on_gone, void *data)
+struct table *table_follow(const struct table_source *source, int64_t after, int64_t wait_ms,
+			   table_rows_fn *on_rows, table_history_gone_fn *on_gone, void *data)
 {
 	struct table *t = table_new(source, TABLE_FOLLOW, on_rows, data);
 
 	t->version = after;
 	t->wait_ms = wait_ms;
 	t->on_gone = on_gone;
+	t->on_begin = source->on_begin;
 	send_call(t);
+	return t;
 }
--- a/src/sited_table.h
+++ b/src/sited_table.h
@@ -2,8 +2,8 @@
  * DOC: sited_table - reads a whole table of the store, or follows its changes
  *
  * A call that the store rejects or does not answer is repeated after
- * SITED_STORE_RETRY_MS. Freeing the owner ends the read or the feed: no callback
- * runs afterwards, even when an answer arrives later.
+ * SITED_STORE_RETRY_MS. Freeing the owner, or the read or feed itself, ends it: no callback
+ * runs afterwards, and an answer that is being received is abandoned.
  */
 #ifndef SITED_TABLE_H
 #define SITED_TABLE_H
@@ -17,11 +17,15 @@
 #define SITED_STORE_RETRY_MS 150 /* delay before a rejected store call is repeated */
 #define TABLE_FEED_MARGIN_MS 600 /* the timeout of a feed call is its wait plus this margin */
 
+struct table;
+
 /**
  * struct table_source - which rows to read or follow
  * @owner: parent of the read or the feed, which ends when the owner is freed
  * @part: partition to read, NULL or "" for the unnamed one; table_follow() ignores it
  * @key: key of the only row to read, NULL for all rows; table_follow() ignores it
+ * @on_begin: called when an answer of a feed begins to arrive, with the length and the data of
+ *	the feed; NULL for no call. When it returns true, the answer is held until table_resume()
  */
 struct table_source {
 	TALLOC_CTX *owner;
@@ -30,6 +34,7 @@
 	const char *table;
 	const char *part;
 	const char *key;
+	store_begin_fn *on_begin;
 };
 
 /**
@@ -59,8 +64,8 @@
  *           row of the next page
  * @on_end: called once after the last page
  */
-void table_read(const struct table_source *source, table_rows_fn *on_rows,
-		table_read_done_fn *on_end, void *data);
+struct table *table_read(const struct table_source *source, table_rows_fn *on_rows,
+			 table_read_done_fn *on_end, void *data);
 
 /** table_history_gone_fn() - the feed has ended and has been freed */
 typedef void table_history_gone_fn(void *data);
@@ -74,7 +79,16 @@
  * @on_gone: called when the store no longer keeps the changes since the last
  *           version reported; the table must be read again
  */
-void table_follow(const struct table_source *source, int64_t after, int64_t wait_ms,
-		  table_rows_fn *on_rows, table_history_gone_fn *on_gone, void *data);
+struct table *table_follow(const struct table_source *source, int64_t after, int64_t wait_ms,
+			   table_rows_fn *on_rows, table_history_gone_fn *on_gone, void *data);
+
+/** table_resume() - continue to receive an answer that was held */
+void table_resume(struct table *t);
+/**
+ * table_skip_to() - do not report the changes of a feed up to @version
+ *
+ * An answer that is being received is abandoned. Not to be called from the feed's callbacks.
+ */
+void table_skip_to(struct table *t, int64_t version);
 
 #endif
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "mtimer/mtimer.h"
 #include "platform/store.h"
 #include "runner.h"
 #include "scripted.h"
@@ -195,6 +196,10 @@
 	return f;
 }
 
+static void on_nothing(struct mtimer *timer, void *data)
+{
+}
+
 static void wait_done(struct fixture *f)
 {
 	while (!f->is_done)
@@ -264,8 +269,68 @@
 }
 END_TEST
 
+static bool hold(int64_t len, void *data)
+{
+	int64_t *held_len = data;
+
+	*held_len = len;
+	return true;
+}
+
+static void run_for(struct fixture *f, int64_t ms)
+{
+	int64_t until = base_deadline_in(ms);
+
+	while (base_now_ns() < until) {
+		mtimer_add(f, f->ev, until, on_nothing, NULL);
+		tevent_loop_once(f->ev);
+	}
+}
+
+START_TEST(an_answer_that_is_held_goes_on_later)
+{
+	struct fixture *f = slow_fixture_new(400000, 4000000);
+	int64_t held_len = 0;
+	struct store_call *call =
+		store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+
+	store_on_begin(call, hold, &held_len);
+	run_for(f, 2 * LIMIT_MS + 600);
+	ck_assert(!f->is_done);
+	ck_assert_int_gt(held_len, 400000);
+	store_resume(call);
+	wait_done(f);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_uint_eq(strlen(f->value), 300000);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_cancelled_call_reports_nothing)
+{
+	struct fixture *f = slow_fixture_new(400000, 4000000);
+	int64_t held_len = 0;
+	struct store_call *call =
+		store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+
+	store_on_begin(call, hold, &held_len);
+	run_for(f, 100);
+	store_cancel(call);
+	call = store_feed(f->store, "op", 5, 0, base_deadline_in(LIMIT_MS), on_done, f);
+	store_cancel(call);
+	run_for(f, 2 * LIMIT_MS);
+	ck_assert(!f->is_done);
+	ck_assert_int_eq(store_failing_ms(f->store), 0);
+	trickle_stop();
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, an_answer_that_is_held_goes_on_later);
+	tcase_add_test(t, a_cancelled_call_reports_nothing);
 	tcase_add_test(t, a_feed_whose_answer_takes_longer_than_its_limit_arrives);
 	tcase_add_test(t, a_read_whose_answer_takes_longer_than_its_limit_arrives);
 	tcase_add_test(t, an_answer_that_stops_in_the_middle_ends_the_call);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -42,6 +42,7 @@
 WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
 IN_FORCE_S = 2.0        # config-ms of the platform's deployments
 LARGE_QUEUES = 4200
+TINY_LINK = 2.0e5       # bytes a second, 1.6 Mbit/s; such a document takes longer than 5 s
 SMALL_LINK = 1.0e6      # bytes a second, 8 Mbit/s; a document of LARGE_QUEUES takes longer than 1 s
 PORTS_FIRST = 20000     # plays side by side must not take each other's
 PORT_BLOCKS = 100
@@ -135,13 +136,14 @@
         self.resize(1.0)
         self.start()
 
-    def resize(self, cores):
-        """Its share of a processor from its next start on; it decides who leads."""
+    def resize(self, cores, link_mbps=1000):
+        """Its share of a processor, which decides who leads, and its link, from its next start on."""
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
                     'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[platform]\naddr = "127.0.0.1:%d"\n'
-                    '[limits]\ncpu-share = %s\n' % (self.name, int(self.name[-1]) % ZONES, self.peers, self.peers,
-                                                   self.front, self.ready, self.store, cores))
+                    '[limits]\ncpu-share = %s\nlink-mbps = %s\n' % (
+                        self.name, int(self.name[-1]) % ZONES, self.peers, self.peers, self.front, self.ready,
+                        self.store, cores, link_mbps))
 
     def start(self):
         """Start it again, unless another fault has done so already."""
@@ -1271,6 +1273,33 @@
     await change_queues(site, 4, LARGE_QUEUES + 1)
 
 
+async def only_one_vm_has_a_large_link(site):
+    """The whole document went to each VM at each change, over links that need longer for it than there is."""
+    small = site.vms[1:]
+    for vm in small:
+        vm.resize(0.12, TINY_LINK * 8 / 1e6)
+        site.store.doors[vm.name].bytes_per_s = TINY_LINK
+    await site.config(2, LARGE_QUEUES)
+    for vm in small:
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await asyncio.sleep(2 * IN_FORCE_S)
+    for i in range(1, 4):
+        await change_queues(site, 2 + i, LARGE_QUEUES + 200 * i)
+    for i in range(10):  # one after another, faster than the document travels
+        await site.config(6 + i, LARGE_QUEUES + 601 + i)
+        await asyncio.sleep(0.2)
+    await change_queues(site, 16, LARGE_QUEUES + 700)
+    site.faults.append("kill")
+    site.vms[0].send(signal.SIGKILL)  # the others go on with what they have, and by themselves
+    site.vms[0].process.wait()
+    await asyncio.sleep(0.5)
+    site.vms[0].start()
+    await asyncio.sleep(2 * IN_FORCE_S)
+    await change_queues(site, 17, LARGE_QUEUES + 10)
+
+
 async def configuration_changes_with_another_row(site):
     """A change was lost when the same answer of the store began with another row of the operator's table."""
     site.faults.append("busy store")
@@ -1298,7 +1327,7 @@
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
-    configuration_outgrows_small_links, configuration_changes_with_another_row]
+    configuration_outgrows_small_links, configuration_changes_with_another_row, only_one_vm_has_a_large_link]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
