Logs: whether a server was leaving, and for how long it had been silent, when it is lost

A crash is told from another incarnation after a planned leave by whether the server was draining, and its time by the first poll without an answer.

--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -145,6 +145,7 @@
  * @orders_in_flight: starts and stops in flight
  * @answered_polls: polls answered up to now; numbers them for @last_poll of struct work_task
  * @missed_polls: consecutive failed polls
+ * @missed_since: when the first of them failed, monotonic ms; valid while @missed_polls is not 0
  * @next_poll_at: earliest next poll, monotonic ms
  * @last_poll_at: when the newest poll was sent, monotonic ms
  * @answered_at: when a poll was last answered, monotonic ms; 0 before
@@ -170,6 +171,7 @@
 	unsigned int orders_in_flight;
 	uint64_t answered_polls;
 	unsigned int missed_polls;
+	int64_t missed_since;
 	int64_t next_poll_at;
 	int64_t last_poll_at;
 	int64_t answered_at;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -105,11 +105,21 @@
 	       LEASE_MARGIN_MS;
 }
 
+/* "silent_ms": since the first poll without an answer; 0 when all were answered */
+static void log_server_lost(const struct fleet_server *sv, const char *why)
+{
+	const struct server_io *io = sv->user;
+	int64_t silent_ms = io && io->missed_polls ? sited_now_ms() - io->missed_since : 0;
+
+	log_event("server_lost", "{ss sI ss sb si sI}", "server", sv->id, "born",
+		  (json_int_t)sv->born, "why", why, "draining", sv->drain_deadline != 0, "tasks",
+		  (int)sv->tasks->len, "silent_ms", (json_int_t)silent_ms);
+}
+
 void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why)
 {
+	log_server_lost(sv, why);
 	sv->presence = FLEET_REPLACED;
-	log_event("server_lost", "{ss sI ss si}", "server", sv->id, "born", (json_int_t)sv->born,
-		  "why", why, "tasks", (int)sv->tasks->len);
 	while (sv->tasks->len)
 		lead_task_release(l, g_ptr_array_index(sv->tasks, 0), why);
 	lead_request_round(l);
@@ -124,9 +134,8 @@
 {
 	GPtrArray *tasks = g_ptr_array_copy(old->tasks, NULL, NULL);
 
+	log_server_lost(old, "it was started again");
 	old->presence = FLEET_REPLACED;
-	log_event("server_lost", "{ss sI ss si}", "server", old->id, "born", (json_int_t)old->born,
-		  "why", "it was started again", "tasks", (int)tasks->len);
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 
@@ -327,7 +336,8 @@
 {
 	struct server_io *io = lead_server_io(l, sv);
 
-	io->missed_polls++;
+	if (!io->missed_polls++)
+		io->missed_since = sited_now_ms();
 	io->next_poll_at = sited_now_ms() + (io->missed_polls > 1 ? POLL_RETRY_MS : 0);
 	if (io->missed_polls >= MISSES_MAX && sv->is_reachable) {
 		sv->is_reachable = false;
