Soak that fails: tasks that crash each server that starts them

Six jobs with a task that crashes its server 10 ms after its start, one in three of them gangs, beside sound jobs, servers that crash for another reason and two leaders that die. The stand-in's server is back after 1.5 s, under its id or another.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -2,7 +2,8 @@
 
 What a task does stands in the job's text, a JSON object: "ms" (run time of a task),
 "gang" (number of members that only work together, 0 for none), "fail" (attempts
-that fail) and "snapshot" (length of what it checkpoints, none when missing). The ledger is what the checks of the soak go by.
+that fail), "snapshot" (length of what it checkpoints, none when missing) and "deadly" (number of its first tasks that crash
+their server as they start). The ledger is what the checks of the soak go by.
 """
 
 import asyncio
@@ -15,6 +16,8 @@
 BEAT_S = 0.5
 LEASE_MAX_MS = 6000
 STOP_S = 0.05
+DEADLY_S = 0.01  # after its start a task crashes its server
+CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
 ZONES = 3
 SLOW_CLOCK = 0.98  # rate of the clock of some servers
@@ -46,6 +49,7 @@
 class BackendServer:
     def __init__(self, pool, name, rack, zone, rate):
         self.pool, self.name, self.rack, self.zone, self.rate = pool, name, rack, zone, rate
+        self.first_name = name
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
         self.late = 0.0         # share of orders carried out seconds later, unanswered
@@ -55,11 +59,13 @@
         self.refuse = False     # turns starts away, as an unhealthy server does
         self.draining = False
         self.listed = None
+        self.life = 0
         self.reborn()
 
     def reborn(self):
         """A new incarnation: nothing runs, nothing is known."""
         crashed, self.runs = list(getattr(self, "runs", {}).values()), {}
+        self.life += 1
         self.born = int(time.time() * 1000)
         self.barred = {}        # task -> highest attempt that may not start any more
         self.ends = []
@@ -70,6 +76,19 @@
         for run in crashed:
             self.pool.close(run, "crashed")
 
+    async def crash(self, as_another):
+        """It is silent, then back as a new incarnation, under its id or under another."""
+        self.silent = True
+        self.http.reset_connections()
+        self.reborn()
+        former = self.name
+        if as_another:
+            self.name = "%s-%d" % (self.first_name, self.life)
+        await asyncio.sleep(CRASHED_S)
+        self.silent, self.listed = False, None
+        if as_another:
+            await self.pool.store.apply([("servers", "", former, None)])
+
     async def leave_for_good(self, is_unlisted, runs_on):
         """It crashes, or runs on as long as its leases last; its entry is removed after three beats, or stays."""
         self.silent = True
@@ -148,8 +167,14 @@
         run = Run(self, task, attempt, json.loads(document["spec"]), document["fence"])
         self.runs[task] = run
         self.pool.began(run)
+        if int(task.rsplit(".", 1)[1]) < run.spec.get("deadly", 0):
+            asyncio.get_running_loop().call_later(DEADLY_S, self.crash_under, self.life)
         return self.reply(200)
 
+    def crash_under(self, life):
+        if life == self.life:
+            asyncio.ensure_future(self.crash(self.pool.rng.random() < 0.5))
+
     def stop(self, document):
         if self.is_fenced_off(document):
             return self.reply(409, reason="fence")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -32,6 +32,8 @@
 SERVERS = 12
 PER_RACK = 4
 ATTEMPTS = 3            # of the queue
+CRASHES = 3             # servers that crashed under a task, after which it may start
+STARTS_AFTER_CRASHES = 3  # fewer times than this
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
 IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
@@ -487,7 +489,13 @@
         refused_ran = [j.id for j in refused if any(t in by_task for t in j.tasks())]
         unfinished = [(j.id, list(j.seen)) for j in accepted if not j.cancelled
                       and not j.seen.keys() & self.ends_of(j)]
-        wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS
+        crashed = {}
+        for run in runs:
+            if run.how == "crashed" and jobs[run.task[:16]].spec.get("deadly", 0) > int(run.task.rsplit(".", 1)[1]):
+                crashed.setdefault(run.task, []).append(run.ended)
+        deadly = [(t, len(ends)) for t, ends in crashed.items() if len(ends) >= CRASHES
+                  and sum(r.began > sorted(ends)[CRASHES - 1] for r in by_task[t]) >= STARTS_AFTER_CRASHES]
+        wrongly = [j.id for j in accepted if "failed" in j.seen and j.spec["fail"] < ATTEMPTS and not j.spec.get("deadly")
                    and all(sum(r.how == "failed" for r in by_task.get(t, [])) < ATTEMPTS for t in j.tasks())]
         wins = list(self.events("lead_won"))
         wrong_terms = [w for w in wins if w["term"] != self.store.leads[w["row_version"]]["term"]]
@@ -496,6 +504,7 @@
         return [("one run of a task at a time", len(runs), again),
                 ("no start after an end as done was acknowledged", len(self.pool.done_noted), after_done),
                 ("no start beyond the attempts", len(failed), budget),
+                ("few starts after three servers have crashed", len(crashed) or 1, deadly),
                 ("no start on a full server", len(runs), self.pool.starts_over_capacity),
                 ("no start before the steps it follows", sum(j.steps > 1 for j in accepted), order),
                 ("no start after a cancellation", sum(bool(j.cancelled) for j in self.jobs), late),
@@ -1313,6 +1322,30 @@
     site.expected.append(("the change is in force everywhere, on %s it was not" % behind, not behind))
 
 
+async def tasks_crash_their_servers(site):
+    """Nothing counted the servers that crashed under a task, which was started on one after another, for ever."""
+    deadly = []
+    for i in range(6):
+        job = site.add_job()
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 3, 1, 2, False, "batch"
+        job.spec = {"ms": 2000, "gang": 3 if i % 3 == 2 else 0, "fail": 0, "deadly": 1}
+        site.pool.needs[job.id] = job.gpu
+        deadly.append(job)
+        site.following.append(asyncio.ensure_future(site.submit_and_watch(job)))
+        await asyncio.sleep(1)
+        if i in (1, 3):
+            await site.kill(site.leader())
+    for server in site.pool.servers[:4]:  # for a reason of their own
+        site.faults.append("server crash")
+        await server.crash(False)
+    for _ in range(300):
+        await asyncio.sleep(0.1)
+        if all("failed" in job.seen for job in deadly):
+            break
+    left = [job.id for job in deadly if "failed" not in job.seen]
+    site.expected.append(("jobs whose tasks crash their servers are given up, %s were not" % left, not left))
+
+
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1327,7 +1360,8 @@
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
-    configuration_outgrows_small_links, configuration_changes_with_another_row, only_one_vm_has_a_large_link]
+    configuration_outgrows_small_links, configuration_changes_with_another_row, only_one_vm_has_a_large_link,
+    tasks_crash_their_servers]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
