An odd entry among the backend servers changes nothing for the others

Operators of similar systems reported entries that are nested too deeply, or hold a number that is too large or a port out of range. Here no process ended, and the list was followed on; but an entry was used whose fields could not be true. One with a start time in the future replaced its server: tasks that ran there were started elsewhere and ran twice, and the server's own later entries were taken for those of an earlier incarnation, until the leader changed. Numbers of any size were cast to 64 bits, which is not defined and differs between processors; port 0 and host names were accepted; texts could be as long as a row and went on to logs and calls between VMs.

Cause: members_apply() checked that fields were there and of their type, not what they held. Class: bounds of outside input are assumed, not checked. Now each field has a bound, and an entry beyond one names no server.

--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -182,6 +182,20 @@
 	return json_is_number(v) ? json_number_value(v) : fallback;
 }
 
+int64_t base_json_within(const json_t *obj, const char *key, int64_t min, int64_t max,
+			 int64_t fallback)
+{
+	const json_t *v = json_object_get(obj, key);
+	double real = json_number_value(v);
+
+	if (json_is_integer(v))
+		return json_integer_value(v) >= min && json_integer_value(v) <= max
+			       ? json_integer_value(v)
+			       : fallback;
+	return json_is_real(v) && real >= (double)min && real <= (double)max ? (int64_t)real
+									     : fallback;
+}
+
 bool base_json_bool(const json_t *obj, const char *key, bool fallback)
 {
 	const json_t *v = json_object_get(obj, key);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -118,6 +118,13 @@
 int64_t base_json_int(const json_t *obj, const char *key, int64_t fallback);
 /** base_json_number() - an integer or real member */
 double base_json_number(const json_t *obj, const char *key, double fallback);
+/**
+ * base_json_within() - an integer or real member between @min and @max, rounded towards 0
+ *
+ * Unlike a cast of base_json_number(), this is defined for numbers of any size.
+ */
+int64_t base_json_within(const json_t *obj, const char *key, int64_t min, int64_t max,
+			 int64_t fallback);
 /** base_json_bool() - a boolean member */
 bool base_json_bool(const json_t *obj, const char *key, bool fallback);
 /** base_json_text() - compact JSON text of @v owned by @ctx; "null" when it cannot be encoded */
--- a/src/sited_list.c
+++ b/src/sited_list.c
@@ -45,7 +45,7 @@
 		}
 		return;
 	}
-	sv = members_apply(l->fleet, row->key, row->value, sited_now_ms(), &fault);
+	sv = members_apply(l->fleet, row->key, row->value, sited_now_ms(), sited_wall_ms(), &fault);
 	if (!sv) {
 		log_event("server_entry_unusable", "{ss ss sI}", "server", row->key, "fault", fault,
 			  "row_version", (json_int_t)row->version);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1348,6 +1348,38 @@
     site.expected.append(("jobs whose tasks crash their servers are given up, %s were not" % left, not left))
 
 
+async def odd_entries_among_the_servers(site):
+    """An entry from another writer that is odd in one field; one from the future kept its server out for good."""
+    deep, long = "[" * 100000 + "]" * 100000, json.dumps("x" * 60000)
+    odd = [("capacity", v) for v in (deep, "1e300", "1e400", "-1", '{"cpu":1e300,"mem-mb":1e300,"gpu":1e300}',
+                                     '{"cpu":-1,"mem-mb":9223372036854775807,"gpu":99999999999999}')]
+    odd += [("addr", v) for v in ('"127.0.0.1:0"', '"127.0.0.1:99999"', '"nowhere"', deep, long, "7", '"\\u0000:1"')]
+    odd += [("born", v) for v in ("9223372036854775807", "4102444800000", "1e300", "-1", deep)]
+    odd += [("labels", v) for v in (deep, "[%s]" % ",".join([long[:300] + '"'] * 100), "{}", "[1e400]")]
+    odd += [("service", v) for v in (long, "null", deep)] + [("zone", v) for v in (long, "7")]
+    odd += [("remaining-ms", "9223372036854775807"), ("state", '"resting"'), ("state", deep)]
+    await asyncio.sleep(1.5)
+    processes = [vm.process for vm in site.vms]
+    for i, (field, value) in enumerate(odd):
+        entry = json.dumps(dict(site.pool.servers[0].entry(), **{field: "ODD"})).replace('"ODD"', value)
+        value = base64.b64encode(entry.encode()).decode()
+        await site.store.put("servers", "odd-%d" % i, value)
+        server = site.pool.servers[i % SERVERS]
+        await site.store.put("servers", server.name, value)
+        await asyncio.sleep(0.05)
+        server.listed = None  # it says again what is so
+    await site.store.put("servers", "odd-bytes", base64.b64encode(b"\xff\x00{").decode())
+    await site.store.put("servers", "odd-text", "this is not base64")
+    site.stopping = True
+    await asyncio.sleep(10)
+    await need_all_servers(site, 1)
+    await site.kill(site.leader())  # the next leader reads the whole list
+    await asyncio.sleep(12)
+    ended = [vm.name for vm, process in zip(site.vms, processes) if process.poll() not in (None, -signal.SIGKILL)]
+    site.expected.append(("no process ends, %s did" % ended, not ended))
+    await need_all_servers(site, 1)
+
+
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1363,7 +1395,7 @@
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
     configuration_outgrows_small_links, configuration_changes_with_another_row, only_one_vm_has_a_large_link,
-    tasks_crash_their_servers]
+    tasks_crash_their_servers, odd_entries_among_the_servers]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
