A start is not sent to a server that has shrunk meanwhile

A server's capacity may shrink while it runs. Placement reads it from the list each time, but a task that was assigned before and waited for the store was started without a second look. It now waits again.

--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -164,6 +164,15 @@
 		give_up(l, t);
 }
 
+/* the server has shrunk, or lists runs of no task, since the task was assigned to it */
+static bool exceeds_capacity(const struct fleet_server *sv, const struct fleet_resources *need)
+{
+	struct fleet_resources unused = fleet_unused_capacity(sv);
+
+	return (need->cpu && unused.cpu < 0) || (need->memory_mb && unused.memory_mb < 0) ||
+	       (need->accelerators && unused.accelerators < 0);
+}
+
 void lead_task_start(struct lead *l, struct work_task *t)
 {
 	struct fleet_server *sv = t->server;
@@ -184,6 +193,10 @@
 		lead_task_release(l, t, "the store has not confirmed the leadership");
 		return;
 	}
+	if (exceeds_capacity(sv, &t->group->step->need)) {
+		lead_task_release(l, t, "its server has too little capacity left");
+		return;
+	}
 	t->state = TASK_STARTING;
 	t->unanswered_starts = 0;
 	/* should the server crash again, no other task is new there */
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -16,6 +16,7 @@
 BEAT_S = 0.5
 LEASE_MAX_MS = 6000
 STOP_S = 0.05
+CONTACT_S = 3.0  # contact-ms of the platform's deployments
 DEADLY_S = 0.01  # after its start a task crashes its server
 CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
@@ -50,6 +51,8 @@
     def __init__(self, pool, name, rack, zone, rate):
         self.pool, self.name, self.rack, self.zone, self.rate = pool, name, rack, zone, rate
         self.first_name = name
+        self.capacity = CAPACITY
+        self.shrunk_at, self.capacity_before = 0.0, CAPACITY
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
         self.late = 0.0         # share of orders carried out seconds later, unanswered
@@ -105,7 +108,18 @@
     def entry(self):
         return {"service": "pool", "addr": "127.0.0.1:%d" % self.http.port, "zone": self.zone, "version": "v1",
                 "slots": 8, "state": "draining" if self.draining else "ready", "cold-left-ms": 0,
-                "remaining-ms": 4000, "capacity": CAPACITY, "labels": ["a", self.rack], "born": self.born, "seq": 1}
+                "remaining-ms": 4000, "capacity": self.capacity, "labels": ["a", self.rack], "born": self.born, "seq": 1}
+
+    def resize(self, gpu):
+        """While it runs; what it says of itself shows it at the next beat."""
+        self.shrunk_at, self.capacity_before = time.monotonic(), self.capacity
+        self.capacity = dict(CAPACITY, gpu=gpu)
+
+    def limit(self):
+        """Accelerators over which no start may bring it; a smaller capacity counts a little later."""
+        if time.monotonic() < self.shrunk_at + CONTACT_S + BEAT_S:
+            return max(self.capacity["gpu"], self.capacity_before["gpu"])
+        return self.capacity["gpu"]
 
     async def announce(self):
         entry = json.dumps(self.entry())
@@ -258,7 +272,7 @@
         self.runs.append(run)
         self.open.setdefault(run.group, []).append(run)
         used = self.in_use(run.server)
-        if used > CAPACITY["gpu"]:
+        if used > run.server.limit():
             self.starts_over_capacity.append((run.task, run.server.name, used))
 
     def close(self, run, how):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -289,8 +289,8 @@
         """Room for twice the waiting tasks, while less than half of the pool is in use."""
         live = self.pool.live()
         used = [self.pool.in_use(s) for s in live]
-        slots = sum(max(CAPACITY["gpu"] - u, 0) // job.gpu for u in used)
-        return sum(used) * 2 < CAPACITY["gpu"] * len(live) and slots >= 2 * tasks
+        slots = sum(max(s.capacity["gpu"] - u, 0) // job.gpu for s, u in zip(live, used))
+        return sum(used) * 2 < sum(s.capacity["gpu"] for s in live) and slots >= 2 * tasks
 
     def idle_jobs(self):
         done = {r.task for r in self.pool.runs if r.how == "done"}
@@ -1348,6 +1348,23 @@
     site.expected.append(("jobs whose tasks crash their servers are given up, %s were not" % left, not left))
 
 
+async def servers_shrink_and_grow(site):
+    """Their capacity changes while they run, also as assignments wait for a store that is slow or away."""
+    for gpu in (3, 8, 2, 8):
+        asyncio.ensure_future(site.store_mode("busy", 4.5) if gpu == 3 else site.store_slow())
+        for server in site.pool.servers:
+            server.resize(gpu)
+        for _ in range(8):
+            job = site.add_job()
+            job.count, job.steps, job.gpu, job.is_cancelled, job.route = 6, 1, 1, False, "urgent"
+            job.spec = {"ms": 600, "gang": 0, "fail": 0}
+            site.pool.needs[job.id] = 1
+            site.following.append(asyncio.ensure_future(site.submit_and_watch(job)))
+        await asyncio.sleep(5)
+    for server in site.pool.servers:
+        server.resize(CAPACITY["gpu"])
+
+
 async def odd_entries_among_the_servers(site):
     """An entry from another writer that is odd in one field; one from the future kept its server out for good."""
     deep, long = "[" * 100000 + "]" * 100000, json.dumps("x" * 60000)
@@ -1395,7 +1412,7 @@
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
     configuration_outgrows_small_links, configuration_changes_with_another_row, only_one_vm_has_a_large_link,
-    tasks_crash_their_servers, odd_entries_among_the_servers]
+    tasks_crash_their_servers, odd_entries_among_the_servers, servers_shrink_and_grow]
 # too long to be played with the others
 BY_NAME = [
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
