--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -120,8 +120,8 @@
  * @failures: number of failed attempts
  * @crash_points: points of blame for crashes of servers that started it, see blame.h
  * @crash_attempt: latest attempt that got such points
- * @has_run_well: an attempt has run for BLAME_NEW_MS, so the task does not crash servers as it
- *	starts; not stored
+ * @has_run_well: an attempt has run for a while, see blame.h, so the task does not crash servers
+ *	as it starts; not stored
  * @server: server that it is on, NULL when waiting or done
  * @snapshot: latest checkpoint, or NULL
  * @started_at: when the latest start was confirmed, monotonic ms; 0 before
@@ -350,9 +350,11 @@
 #define WORK_CRASH_UNSEEN_POINTS 1  /* for a crash that no leader saw, only a stored row shows */
 /**
  * work_task_record_crash() - record that the current attempt's server has crashed
- * @points: 0 changes nothing, like a second crash of one attempt: a stop follows the task to the
- *	next incarnation, and a row may be read twice. Each member of a gang has points of its own:
- *the servers of the others may have crashed for another reason
+ * @points: 0 changes nothing
+ *
+ * An attempt counts once: a stop follows the task to the server's next incarnation, which may
+ * crash as well, and a row may be read twice. Each member of a gang has points of its own, as
+ * the servers of the others may have crashed for another reason.
  *
  * Return: true if the task must be given up; never for an endless step.
  */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -140,8 +140,8 @@
 	return s;
 }
 
-/* gives the points, after the tasks have been released */
-static void suspects_free(struct lead *l, struct suspects *s, const struct fleet_server *sv)
+/* gives the points, once the tasks have been released, and frees @s */
+static void suspects_blame(struct lead *l, struct suspects *s, const struct fleet_server *sv)
 {
 	for (guint i = 0; i < s->task->len; i++)
 		lead_task_crashed(l, g_ptr_array_index(s->task, i), sv, s->points[i]);
@@ -157,7 +157,7 @@
 	sv->presence = FLEET_REPLACED;
 	while (sv->tasks->len)
 		lead_task_release(l, g_ptr_array_index(sv->tasks, 0), why);
-	suspects_free(l, suspects, sv);
+	suspects_blame(l, suspects, sv);
 	lead_request_round(l);
 }
 
@@ -186,7 +186,7 @@
 			lead_task_release(l, t, "its server was started again");
 		}
 	}
-	suspects_free(l, suspects, old);
+	suspects_blame(l, suspects, old);
 	lead_request_round(l);
 }
 
