--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -124,6 +124,7 @@
         super().__init__(rng)
         self.held_s = 0.0
         site_store.PART_S = TX_S
+        site_servers.BEAT_S = HEARTBEAT_S
 
     async def handle(self, name, method, path, query, headers, document):
         await asyncio.sleep(ANSWER_S + (self.held_s if path != "/-/rows-tx" else 0))
