Election: a row's version comes from an answer that holds the row

Cause: the version in the answer to a transaction is the newest of the store and not that of the rows written. The leader took it for the version of its row and told the other VMs; these believe a row only if its version is higher, so they ignored the store's row and contended with a condition that never holds.

Evidence: a play with logs. The peers learn of version 276 and contend 1,051 times in 33 s; the row in the store has version 270.

Fix: struct store_result has only the store's newest version. A win, a vacated row and the claim of a partition are read back before their version is used, and the store's answer to a contention replaces the row that it expected, also by a lower version, which a peer may cause. The row with the bound of leases has one writer, the leader whose row is a condition, so that there a version that is too high only conflicts, and the conflict corrects it at once.

The soak's store names the newest version in half of the plays.

The check of terms reads an unknown version as a violation; it ended in a KeyError.

--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -76,7 +76,7 @@
 	case STORE_OK:
 		sited_count(&c->d->metrics, COUNT_ACCEPTED);
 		sited_observe(&c->d->metrics, HIST_ACCEPT, c->started_at);
-		sited_notify_stored(c->d, c->id, c->value, r->version);
+		sited_notify_stored(c->d, c->id, c->value, r->newest);
 		front_finish(c, 200, "stored");
 		return;
 	case STORE_CONFLICT:
@@ -229,7 +229,7 @@
 
 	if (r->status == STORE_OK) {
 		sited_count(&c->d->metrics, COUNT_CANCELLED);
-		sited_notify_stored(c->d, c->id, c->value, r->version);
+		sited_notify_stored(c->d, c->id, c->value, r->newest);
 		front_finish(c, 200, "cancelled");
 	} else if (r->status == STORE_CONFLICT) {
 		/* The row has changed; its new state decides. */
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -140,18 +140,24 @@
 		set_leader(d, row, source);
 }
 
+/* the leader's row in the answer to a read; a removed row when the store has none */
+static const struct store_row *leader_row_of(const struct store_result *r)
+{
+	static const struct store_row none = {.removed = true};
+
+	return r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY) ? &r->rows[0] : &none;
+}
+
 static void on_row(const struct store_result *r, void *data)
 {
 	struct sited *d = data;
-	const struct store_row none = {.removed = true};
-	bool found = r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY);
 
 	if (r->status != STORE_OK)
 		return;
 	if (d->lead)
-		sited_check_leader_row(d, found ? &r->rows[0] : &none);
+		sited_check_leader_row(d, leader_row_of(r));
 	else
-		apply_leader_row(d, found ? &r->rows[0] : &none);
+		apply_leader_row(d, leader_row_of(r));
 }
 
 static const struct store_range lead_range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
@@ -205,39 +211,82 @@
 
 /* ---- contending ---- */
 
-static void on_contended(const struct store_result *r, void *data)
+/*
+ * Takes the row that the store holds in place of the version that the contention expected. A
+ * peer may have reported a version above that of any row; without this, no row would count as
+ * newer, and all contentions would conflict.
+ */
+static void replace_expected_row(struct sited *d, const struct store_row *row)
+{
+	if (d->leader.version == d->contended_version && row->version != d->contended_version) {
+		log_event("lead_version_wrong", "{sI sI}", "expected",
+			  (json_int_t)d->contended_version, "row_version",
+			  (json_int_t)row->version);
+		d->leader.version = -1;
+	}
+	apply_leader_row(d, row);
+}
+
+static bool is_own_win(const struct sited *d, const struct store_row *row)
+{
+	json_t *v = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+	bool is_own = !strcmp(base_json_str(v, "vm", ""), d->site->vm) &&
+		      base_json_int(v, "term", 0) == d->contended_term;
+
+	json_decref(v);
+	return is_own;
+}
+
+/* The row as it was read after this VM's transaction: only now is its version known. */
+static void on_win_read(const struct store_result *r, void *data)
 {
 	struct sited *d = data;
+	const struct store_row *row = leader_row_of(r);
 
 	d->is_contending = false;
-	if (r->status == STORE_CONFLICT) {
-		for (unsigned int i = 0; i < r->count; i++)
-			apply_leader_row(d, &r->rows[i]);
-		if (!r->count)
-			read_row(d);
-		return;
-	}
 	if (r->status != STORE_OK) {
-		/* If the transaction was performed, the row names this VM, which contends again. */
+		/* The row names this VM, which contends again once it has read it. */
 		d->leader.version = -1;
 		return;
 	}
+	if (!is_own_win(d, row)) {
+		replace_expected_row(d, row);
+		return;
+	}
 	/* A peer may have reported a newer row before this answer arrived. */
-	if (r->version < d->leader.version)
+	if (row->version < d->leader.version)
 		return;
-	d->leader.version = r->version;
+	d->leader.version = row->version;
 	/* Not the known term + 1: a peer may have reported this row already. */
 	d->leader.term = d->contended_term;
 	sited_free_client_later(d, &d->leader.client);
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
 	if (d->stop_at)
 		return;
-	d->lead = lead_new(d, d->leader.term, r->version, d->contended_at);
+	d->lead = lead_new(d, d->leader.term, row->version, d->contended_at);
 	d->lead->handover = json_incref(d->handover);
 	d->lead->handover_read_at = d->handover_read_at;
 	sited_announce_lead(d);
 }
 
+static void on_contended(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	if (r->status == STORE_OK) {
+		store_read(d->store, &lead_range, base_deadline_in(SITED_STORE_TIMEOUT_MS),
+			   on_win_read, d);
+		return;
+	}
+	d->is_contending = false;
+	if (r->status != STORE_CONFLICT || !r->count) {
+		/* If the transaction was performed, the row names this VM, which contends again. */
+		d->leader.version = -1;
+		return;
+	}
+	replace_expected_row(d, &r->rows[0]);
+}
+
 static void send_contention(struct sited *d)
 {
 	struct store_tx *tx = store_tx_new(d, "");
@@ -287,7 +336,8 @@
 {
 	struct sited *d = data;
 
-	on_row(r, d);
+	if (r->status == STORE_OK && !d->lead)
+		replace_expected_row(d, leader_row_of(r));
 	if (r->status != STORE_OK || is_contention_obsolete(d)) {
 		d->is_contending = false;
 		return;
@@ -340,17 +390,28 @@
 
 /* ---- handover ---- */
 
-static void on_vacated(const struct store_result *r, void *data)
+/* The row as it was read after this VM has given up: only now is its version known. */
+static void on_vacated_row(const struct store_result *r, void *data)
 {
 	struct sited *d = data;
 
 	/* The other VMs wait while is_contending is set; clearing it lets them contend. */
 	d->is_contending = false;
-	if (r->status != STORE_OK)
-		return;
-	d->leader.version = r->version;
-	d->leader.vm[0] = 0;
-	sited_notify_vacant(d);
+	on_row(r, d);
+	if (r->status == STORE_OK && !d->leader.vm[0])
+		sited_notify_vacant(d);
+}
+
+static void on_vacated(const struct store_result *r, void *data)
+{
+	struct sited *d = data;
+
+	d->leader.version = -1;
+	if (r->status == STORE_OK)
+		store_read(d->store, &lead_range, base_deadline_in(SITED_STORE_TIMEOUT_MS),
+			   on_vacated_row, d);
+	else
+		d->is_contending = false;
 }
 
 static void vacate(struct sited *d)
--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -142,32 +142,43 @@
 		   call_new(l));
 }
 
+/* @l may be freed: the conflict may be with the row of the next leader */
+static void resolve_conflict(struct lead *l, const struct store_result *r)
+{
+	const struct store_row *leader = store_find_row(r, SITED_LEAD_TABLE, SITED_LEAD_KEY);
+	const struct store_row *grant = store_find_row(r, SITED_GRANT_TABLE, SITED_LEAD_KEY);
+
+	if (leader && leader->version > l->row_version) {
+		sited_check_leader_row(l->d, leader);
+	} else if (leader && grant && grant->version < l->grant.row_version) {
+		l->grant.row_version = grant->version;
+		write_row(l);
+	} else {
+		mtimer_add(l, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_read_timer, l);
+	}
+}
+
 static void on_written(const struct store_result *r, void *data)
 {
 	struct grant_call *call = data;
 	struct lead *l = lead_current(call->d, call->serial);
-	const struct store_row *leader = NULL;
 
 	if (!l)
 		goto out;
 	switch (r->status) {
 	case STORE_OK:
 		record_clock(l, call, r);
-		l->grant.row_version = r->version;
+		/*
+		 * An upper bound. Only the leader of this row's term writes the row, so a version
+		 * above the row's own is that of no other write of it: the next write conflicts.
+		 */
+		l->grant.row_version = r->newest;
 		extend(l, call->sent_at);
 		write_later(l, call->sent_at);
 		break;
 	case STORE_CONFLICT:
-		leader = store_find_row(r, SITED_LEAD_TABLE, SITED_LEAD_KEY);
-		/* the answer to the claim may have named a newer version than the row's */
-		if (leader && lead_row_term(leader) == l->term)
-			l->grant.leader_version = leader->version;
-		else if (leader)
-			sited_check_leader_row(call->d, leader);
-		l = lead_current(call->d, call->serial);
-		if (l)
-			mtimer_add(l, l->d->ev, base_deadline_in(SITED_STORE_RETRY_MS),
-				   on_read_timer, l);
+		record_clock(l, call, r);
+		resolve_conflict(l, r);
 		break;
 	case STORE_UNKNOWN:
 		/* the row may have been written: its version is needed to write the next one */
@@ -204,7 +215,7 @@
 		MAX(store_ms + GRANT_AHEAD_MS * LEAD_CLOCK_MARGIN_PERCENT / 100, l->grant.floor_ms);
 	l->grant.sent_at = call->sent_at;
 	value = encode_row(tx, l, l->grant.sent_ms);
-	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, l->grant.leader_version);
+	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, l->row_version);
 	store_tx_expect(tx, SITED_GRANT_TABLE, SITED_LEAD_KEY, l->grant.row_version);
 	store_tx_put(tx, SITED_GRANT_TABLE, SITED_LEAD_KEY, str_from(value));
 	store_commit(l->d->store, tx, base_deadline_in(SITED_STORE_TIMEOUT_MS), on_written, call);
@@ -214,6 +225,5 @@
 void lead_grant_start(struct lead *l)
 {
 	l->grant.former_over_at = INT64_MAX;
-	l->grant.leader_version = l->row_version;
 	read_row(l);
 }
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -24,8 +24,8 @@
  *
  * Local times include the time for which this VM was suspended, as the store's clock does.
  * @until: that time, ms on base_boottime_ns()'s clock; 0 before it was first stored
- * @row_version: version of the row that holds it, 0 when there is none
- * @leader_version: version of the leader's row, a condition of each write
+ * @row_version: version of the row that holds it, or after a write a version that is not below
+ *	it; 0 when there is none
  * @sent_ms: bound in the latest write, ms on the store's clock
  * @sent_at: when that write was sent, ms on base_boottime_ns()'s clock
  * @floor_ms: the bound of an earlier leader, ms on the store's clock; the row never holds less
@@ -37,7 +37,6 @@
 struct lead_grant {
 	int64_t until;
 	int64_t row_version;
-	int64_t leader_version;
 	int64_t sent_ms;
 	int64_t sent_at;
 	int64_t floor_ms;
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -261,8 +261,8 @@
 			   load);
 		return;
 	}
-	l->claims[load->part] = r->version;
-	read_jobs(load);
+	/* transactions expect the version of the claim, which only a read of its row shows */
+	read_claim(load);
 }
 
 static void write_claim(struct part_load *load)
@@ -299,7 +299,7 @@
 {
 	struct part_load *load = data;
 
-	/* an earlier write of the claim that got no answer may have been performed */
+	/* the claim was written, maybe by a transaction that got no answer */
 	if (load->lead->claims[load->part])
 		read_jobs(load);
 	else
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -342,7 +342,7 @@
 	switch (r->status) {
 	case STORE_OK:
 		for (unsigned int i = 0; i < c->count; i++)
-			versions[i] = r->version;
+			versions[i] = r->newest;
 		l->commits[c->part] = NULL;
 		sited_observe(&c->d->metrics, HIST_COMMIT, c->started_at);
 		on_commit_stored(l, c, versions);
--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -69,7 +69,7 @@
 static bool advance_page(struct table *t, const struct store_result *r)
 {
 	if (!t->version)
-		t->version = r->version;
+		t->version = r->newest;
 	if (t->key || !r->has_more || !r->count)
 		return false;
 	/* the range includes its first key: the next page repeats this row */
@@ -109,7 +109,7 @@
 {
 	struct table_call *call = data;
 	struct table *t = call->table;
-	struct table_page page = {r->rows, r->count, r->version, call->sent_at};
+	struct table_page page = {r->rows, r->count, r->newest, call->sent_at};
 	bool has_next_call;
 
 	call->store_call = NULL;
@@ -127,7 +127,7 @@
 		page.count = 0;
 	has_next_call = t->mode == TABLE_FOLLOW || advance_page(t, r);
 	if (t->mode == TABLE_FOLLOW)
-		t->version = MAX(t->version, r->version);
+		t->version = MAX(t->version, r->newest);
 	/* on_rows() may free the owner; the table's destructor then clears call->table */
 	t->call = call;
 	t->on_rows(&page, t->data);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -46,7 +46,7 @@
 	f->is_done = true;
 	f->result = r->status;
 	f->count = r->count;
-	f->version = r->version;
+	f->version = r->newest;
 	if (r->count)
 		f->value = str_dup(f, r->rows[0].value);
 }
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -9,6 +9,7 @@
 from site_http import Drop, Server
 
 PART_S = 0.002  # a transaction holds its part for so long
+OTHERS_WRITE = 0.3  # share of the answers while which others write
 # Limits of the published protocol.
 ROW_BYTES = 65536          # of a value
 CALL_BYTES = 1000000       # of the body of a call, and of a page
@@ -52,6 +53,8 @@
         self.answers_late = 0.0  # seconds between a write and its answer
         self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
+        self.names_newest = False  # answers name the store's newest version as they leave, not that of their rows
+        self.luck = random.Random(0)  # apart from rng, whose numbers the seeds' faults go by
         self.calls = 0
         self.doors = {}   # name of a VM -> Server, so that one VM can be turned away
 
@@ -124,8 +127,17 @@
             status, answer = await self.feed(query)
         else:
             status, answer = 404, {}
+        if self.names_newest and path in ("/-/rows-tx", "/-/rows-get"):
+            answer = await self.name_newest(answer)
         return status, dict(answer, **{"now-ms": int(time.monotonic() * 1000)})
 
+    async def name_newest(self, answer):
+        """Others may write, in tables that nobody here reads, while the answer is under way."""
+        await asyncio.sleep(0.001 * self.slow)
+        if self.luck.random() < OTHERS_WRITE:
+            self.version += 1
+        return dict(answer, ver=self.version)
+
     def refuses_writes_to(self, document):
         part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
         return self.mode == "read-only" or part in self.refused_parts
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -167,11 +167,12 @@
 
 
 class Site:
-    def __init__(self, seed, directory, by_agents):
+    def __init__(self, seed, name, directory, by_agents):
         self.rng = random.Random(seed)
         self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
+        self.store.names_newest = random.Random("%d %s" % (seed, name)).random() < 0.5
         self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
         self.vms = [Vm(self, i) for i in range(VMS)]
         self.jobs = []
@@ -500,7 +501,7 @@
                    and all(sum(r.how == "crashed" for r in by_task.get(t, [])) < CRASHES_TO_GIVE_UP for t in j.tasks())
                    and all(sum(r.how == "failed" for r in by_task.get(t, [])) < ATTEMPTS for t in j.tasks())]
         wins = list(self.events("lead_won"))
-        wrong_terms = [w for w in wins if w["term"] != self.store.leads[w["row_version"]]["term"]]
+        wrong_terms = [w for w in wins if w["term"] != self.store.leads.get(w["row_version"], {}).get("term")]
         value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
         terms = json.loads(base64.b64decode(value))["term"] if value else 0
         return [("one run of a task at a time", len(runs), again),
@@ -591,6 +592,57 @@
     site.store.slow = 1
 
 
+async def leader_leaves_while_the_store_is_slow(site):
+    """It took the version in the answer to its transaction for its row's; all VMs contended with that, for ever."""
+    site.store.names_newest = True
+    for _ in range(2):
+        leader, began = site.leader(), time.time() * 1e6
+        site.faults += ["slow store", "terminate"]
+        site.store.slow = 60
+        leader.send(signal.SIGTERM)
+        await asyncio.sleep(5)
+        site.store.slow = 1
+        await asyncio.sleep(2)
+        expect_lead(site, began)
+        leader.start()
+        await asyncio.sleep(1)
+
+
+def expect_lead(site, since):
+    """The row names a VM, which has won after a moment, in microseconds of the time of day, and knows it."""
+    value, _ = site.store.rows["lead", "", "scheduler"]
+    row = json.loads(base64.b64decode(value))
+    knows = any((e["vm"], e["term"]) == (row["vm"], row["term"]) and e["time_us"] > since for e in site.events("lead_won"))
+    site.expected.append(("a VM leads; the row names '%s' in term %d" % (row["vm"], row["term"]), knows))
+
+
+def rpc_call(rng, proc, body):
+    """Record of a call to a procedure of the entry VMs' program."""
+    words = [rng.getrandbits(32), 0, 2, 0x20004c03, 1, proc, 0, 0, 0, 0]
+    data = b"".join(w.to_bytes(4, "big") for w in words) + body
+    return (len(data) | 0x80000000).to_bytes(4, "big") + data
+
+
+async def peer_names_a_version_that_never_was(site):
+    """As a VM of an earlier version may; each row of the store was then older, so that nobody could be elected."""
+    vacant = 5  # procedure by which a leader hands over
+    empty = (0).to_bytes(4, "big")
+    for _ in range(2):
+        leader, began = site.leader(), time.time() * 1e6
+        site.faults += ["wrong version", "kill"]
+        body = empty * 3 + (1).to_bytes(8, "big") + (site.store.version + 100000).to_bytes(8, "big")
+        for vm in site.vms:
+            _, writer = await asyncio.open_connection("127.0.0.1", vm.peers)
+            writer.write(rpc_call(site.rng, vacant, body))
+            await asyncio.sleep(0.1)
+            writer.close()
+        leader.send(signal.SIGKILL)
+        await asyncio.sleep(4)
+        expect_lead(site, began)
+        leader.start()
+        await asyncio.sleep(1)
+
+
 async def winner_hears_of_its_win_from_others(site):
     """It counted its own win twice, so that the next leader's orders had the same term."""
     site.store.answers_late = 0.5
@@ -787,17 +839,13 @@
     def record(data, last=True):
         return (len(data) | (0x80000000 if last else 0)).to_bytes(4, "big") + data
 
-    def call_of(proc, body):
-        words = [site.rng.getrandbits(32), 0, 2, 0x20004c03, 1, proc, 0, 0, 0, 0]
-        return b"".join(w.to_bytes(4, "big") for w in words) + body
-
     for vm in site.vms:
         process = vm.process
         for i in range(40):
             body = site.rng.randbytes(site.rng.randrange(0, 400))
             data = site.rng.choice([body, record(body), record(body, False), b"\xff\xff\xff\xff" + body,
-                                    record(call_of(site.rng.randrange(0, 14), body)),
-                                    record(call_of(site.rng.randrange(7, 10), b"\0" * 400))])
+                                    rpc_call(site.rng, site.rng.randrange(0, 14), body),
+                                    rpc_call(site.rng, site.rng.randrange(7, 10), b"\0" * 400)])
             _, writer = await asyncio.open_connection("127.0.0.1", vm.peers)
             writer.write(data)
             await asyncio.sleep(0.01)
@@ -1417,6 +1465,7 @@
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
+    leader_leaves_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
     leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
@@ -1442,7 +1491,7 @@
 
 
 async def play(seed, seconds, scenario, directory, per_second):
-    site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
+    site = Site(seed, scenario.__name__ if scenario else "", directory, seed % 2 == 0 or scenario in BY_AGENTS)
     try:
         await site.start()
         await asyncio.sleep(1.5)
