Leader: a cancelled row is not taken for an older one

Cause: the leader took the version in the answer to its transaction for that of the job's row. It is the store's newest, so it may be that of the cancel, whose row was then ignored, from the feed and from the VM that had cancelled. The next transaction of the job could even have expected the cancel's version and overwritten it.

Fix: after a write the leader keeps the version that it replaced, above which each row is its own or a newer one, and writes the job again once the feed, a conflict or a read has shown the row. Rows of groups have one writer, the holder of the claim, so that a version that is too high only conflicts. A VM that reports a stored job names no version; a final state is taken as it is.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -173,6 +173,7 @@
 struct cl_stored_args {
 	string id<CL_ID_MAX>;
 	string row<CL_TEXT_MAX>;
+	/* unused: who has written a row does not know its version. VMs of earlier versions send one. */
 	hyper row_version;
 };
 
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -81,7 +81,12 @@
 
 /**
  * struct work_row - state of a stored row relative to memory
- * @version: version of the stored row, 0 when there is none
+ * @version: for a job, version of the stored row that an answer of the store held last, 0 before;
+ *	for a group, a version that is not below that of the stored row, 0 when there is none
+ * @awaits_version: a later row has been stored, and no answer of the store has held it; a
+ *	row of a job with a version above @version is that one or a later one
+ * @read_at: while @awaits_version, when the row is read unless the feed brings it before,
+ *	monotonic ms
  * @changes: number of changes in memory
  * @stored: value of @changes that the stored row holds
  *
@@ -90,6 +95,8 @@
  */
 struct work_row {
 	int64_t version;
+	bool awaits_version;
+	int64_t read_at;
 	uint64_t changes;
 	uint64_t stored;
 };
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -63,7 +63,7 @@
 	} else if (strcmp(job->workspace, c->job->workspace)) {
 		front_finish(c, 429, "the id is taken by another workspace");
 	} else {
-		sited_notify_stored(c->d, c->id, str_dup(c, row->value), row->version);
+		sited_notify_stored(c->d, c->id, str_dup(c, row->value));
 		front_finish(c, 200, c->is_outcome_unknown ? "stored earlier" : "known");
 	}
 }
@@ -76,7 +76,7 @@
 	case STORE_OK:
 		sited_count(&c->d->metrics, COUNT_ACCEPTED);
 		sited_observe(&c->d->metrics, HIST_ACCEPT, c->started_at);
-		sited_notify_stored(c->d, c->id, c->value, r->newest);
+		sited_notify_stored(c->d, c->id, c->value);
 		front_finish(c, 200, "stored");
 		return;
 	case STORE_CONFLICT:
@@ -229,7 +229,7 @@
 
 	if (r->status == STORE_OK) {
 		sited_count(&c->d->metrics, COUNT_CANCELLED);
-		sited_notify_stored(c->d, c->id, c->value, r->newest);
+		sited_notify_stored(c->d, c->id, c->value);
 		front_finish(c, 200, "cancelled");
 	} else if (r->status == STORE_CONFLICT) {
 		/* The row has changed; its new state decides. */
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -237,6 +237,10 @@
 
 /** lead_update_job() - apply a row of a known job that a transaction has returned */
 void lead_update_job(struct lead *l, struct work_job *job, const struct store_row *row);
+/** lead_job_await_version() - a newer row of the job is stored, its version is not known */
+void lead_job_await_version(struct work_job *job);
+/** lead_job_read_row() - read a job's row whose version the feed has not brought in time */
+void lead_job_read_row(struct lead *l, struct work_job *job);
 /** lead_leases_wait_ms() - how long tasks may go on after their leader was replaced, in ms */
 int64_t lead_leases_wait_ms(const struct lead *l);
 /** lead_unconfirmed_task_deadline() - when a task that an earlier leader started has certainly
@@ -247,8 +251,14 @@
 
 /** lead_rows_load() - claim all partitions, read their rows, then follow what callers write */
 void lead_rows_load(struct lead *l);
-/** lead_apply_job_row() - apply a job's row from any source; an older version is ignored */
+/** lead_apply_job_row() - apply a job's row that the store returned; an older one is ignored */
 void lead_apply_job_row(struct lead *l, const struct store_row *row);
+/**
+ * lead_apply_reported_job() - apply a job's row that a VM has stored
+ *
+ * The row's version is not known, so it may be older than the one known.
+ */
+void lead_apply_reported_job(struct lead *l, const char *id, const char *value);
 /** sited_partition_name() - name of a store partition, such as "p3" */
 const char *sited_partition_name(unsigned int part);
 
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -17,9 +17,12 @@
 	return names[part];
 }
 
+/* the feed, which is the usual source of a row's version, is late by so much */
+#define JOB_READ_DELAY_MS 300
+
 /* ---- applying rows to memory ---- */
 
-static void add_job(struct lead *l, const struct store_row *row)
+static struct work_job *add_job(struct lead *l, const struct store_row *row)
 {
 	struct work_job *job = work_job_decode(l, str_from(row->key), row->value);
 
@@ -27,7 +30,7 @@
 		log_warn("row_unreadable",
 			 "row %s at version %" PRId64 " can't be decoded as a job", row->key,
 			 row->version);
-		return;
+		return NULL;
 	}
 	job->row.version = row->version;
 	g_hash_table_insert(l->jobs, job->id, job);
@@ -40,6 +43,21 @@
 		(json_int_t)job->priority, "steps", (int)job->step_count, "tasks",
 		(int)job->step[0].count, "accelerators", (json_int_t)job->step[0].need.accelerators,
 		"objective_ms", (json_int_t)work_objective_ms(job));
+	return job;
+}
+
+/* A final state is never changed, so it holds whatever the version of its row. */
+static void apply_end(struct lead *l, struct work_job *job, const struct work_job *read,
+		      int64_t version)
+{
+	if (!work_job_has_ended(read) || read->state == job->state)
+		return;
+	job->state = read->state;
+	job->ended_ms = read->ended_ms;
+	job->row.stored = job->row.changes;
+	log_event("job_ended_elsewhere", "{ss ss sI}", "id", job->id, "state",
+		  work_state_name(job->state), "row_version", (json_int_t)version);
+	lead_job_stop(l, job, "the stored job has ended");
 }
 
 /*
@@ -50,20 +68,14 @@
 {
 	struct work_job *read;
 
+	job->row.awaits_version = false;
 	if (row->version == job->row.version)
 		return;
 	read = work_job_decode(l, str_from(row->key), row->value);
 	if (!read)
 		return;
 	job->row.version = row->version;
-	if (work_job_has_ended(read) && read->state != job->state) {
-		job->state = read->state;
-		job->ended_ms = read->ended_ms;
-		job->row.stored = job->row.changes;
-		log_event("job_ended_elsewhere", "{ss ss sI}", "id", job->id, "state",
-			  work_state_name(job->state), "row_version", (json_int_t)row->version);
-		lead_job_stop(l, job, "the stored job has ended");
-	}
+	apply_end(l, job, read, row->version);
 	talloc_free(read);
 }
 
@@ -79,6 +91,82 @@
 		lead_update_job(l, job, row);
 }
 
+void lead_apply_reported_job(struct lead *l, const char *id, const char *value)
+{
+	struct store_row row = {.key = id, .value = str_from(value)};
+	struct work_job *job = g_hash_table_lookup(l->jobs, id);
+	struct work_job *read;
+
+	if (!job) {
+		job = add_job(l, &row);
+		if (job)
+			lead_job_await_version(job);
+		return;
+	}
+	read = work_job_decode(l, str_from(id), row.value);
+	if (read)
+		apply_end(l, job, read, 0);
+	talloc_free(read);
+}
+
+/* ---- rows of jobs whose version is not known ---- */
+
+void lead_job_await_version(struct work_job *job)
+{
+	job->row.awaits_version = true;
+	job->row.read_at = sited_now_ms() + JOB_READ_DELAY_MS;
+}
+
+struct job_read {
+	struct sited *d;
+	uint64_t serial;
+	char id[WORK_ID_LEN + 1];
+};
+
+/* no start is sent before a row of the job has been seen, so nothing of the job runs */
+static void drop_missing_job(struct lead *l, struct work_job *job)
+{
+	log_warn("job_missing", "job %s was reported, and the store has no row of it", job->id);
+	job->state = WORK_CANCELLED;
+	job->ended_ms = sited_wall_ms();
+	job->row.awaits_version = false;
+	job->row.stored = job->row.changes;
+	lead_job_stop(l, job, "the store has no row of the job");
+}
+
+static void on_job_read(const struct store_result *r, void *data)
+{
+	struct job_read *read = data;
+	struct lead *l = lead_current(read->d, read->serial);
+	struct work_job *job = l ? g_hash_table_lookup(l->jobs, read->id) : NULL;
+	bool found = r->count && !strcmp(r->rows[0].key, read->id);
+
+	if (!job || r->status != STORE_OK)
+		goto out;
+	if (found)
+		lead_apply_job_row(l, &r->rows[0]);
+	else if (job->row.awaits_version && !job->row.version)
+		drop_missing_job(l, job);
+	lead_request_round(l);
+out:
+	talloc_free(read);
+}
+
+void lead_job_read_row(struct lead *l, struct work_job *job)
+{
+	struct store_range range = {SITED_JOBS_TABLE, sited_partition(job->id), job->id, 1};
+	struct job_read *read = talloc_zero(l->d, struct job_read);
+
+	job->row.read_at = sited_now_ms() + SITED_STORE_TIMEOUT_MS;
+	read->d = l->d;
+	read->serial = l->serial;
+	g_strlcpy(read->id, job->id, sizeof(read->id));
+	store_read(l->d->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS), on_job_read,
+		   read);
+}
+
+/* ---- waits of a new leader ---- */
+
 int64_t lead_leases_wait_ms(const struct lead *l)
 {
 	/*
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -443,24 +443,18 @@
 	/* A lost notification does no harm: the leader's own reads of the store show the change. */
 }
 
-static void apply_stored(struct sited *d, const char *id, const char *value, int64_t version)
+static void apply_stored(struct sited *d, const char *id, const char *row)
 {
-	struct store_row row = {.table = SITED_JOBS_TABLE,
-				.part = sited_partition(id),
-				.key = id,
-				.value = str_from(value),
-				.version = version};
-
-	lead_apply_job_row(d->lead, &row);
+	lead_apply_reported_job(d->lead, id, row);
 	lead_request_round(d->lead);
 }
 
-void sited_notify_stored(struct sited *d, const char *id, const char *row, int64_t version)
+void sited_notify_stored(struct sited *d, const char *id, const char *row)
 {
-	cl_stored_args args = {(char *)id, (char *)row, version};
+	cl_stored_args args = {.id = (char *)id, .row = (char *)row};
 
 	if (d->lead)
-		apply_stored(d, id, row, version);
+		apply_stored(d, id, row);
 	else if (d->leader.client)
 		onc_call(d->leader.client, &sited_procs[SITED_PROC_STORED], &args, sizeof(cl_ack),
 			 base_deadline_in(STORED_ANSWER_MS), on_notified, NULL);
@@ -472,7 +466,7 @@
 	cl_ack res = {d->lead != NULL};
 
 	if (d->lead && work_id_is_valid(str_from(args->id)))
-		apply_stored(d, args->id, args->row, args->row_version);
+		apply_stored(d, args->id, args->row);
 	onc_reply(req, &res);
 }
 
--- a/src/sited_peers.h
+++ b/src/sited_peers.h
@@ -92,7 +92,7 @@
 /** sited_relay_target() - RPC client to a VM that answers and reaches the store, or NULL */
 struct onc_client *sited_relay_target(struct sited *d);
 /** sited_notify_stored() - send the leader a job's row that this VM has written */
-void sited_notify_stored(struct sited *d, const char *id, const char *row, int64_t version);
+void sited_notify_stored(struct sited *d, const char *id, const char *row);
 /** sited_notify_vacant() - notify all peers that this VM has handed leadership over */
 void sited_notify_vacant(struct sited *d);
 
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -3,8 +3,8 @@
  *
  * A job has a row, written when it is accepted and when its state changes, and
  * one row for each group that has started. A row is written only under the
- * condition that nobody else has written it since this leader last read or
- * wrote it. This condition, and not the election, keeps two leaders from placing
+ * condition that nobody else has written it since an answer of the store last showed
+ * it to this leader. This condition, and not the election, keeps two leaders from placing
  * one task twice. A start is sent only after the row that names its server is stored.
  */
 #include "sited_lead.h"
@@ -41,7 +41,10 @@
 
 /* ---- transactions ---- */
 
-/* a row that a transaction writes; @changes counts the changes in memory that @value holds */
+/*
+ * a row that a transaction writes; @changes counts the changes in memory that @value holds, and
+ * @replaced is the version that the transaction expects
+ */
 struct commit_entry {
 	struct work_job *job;
 	struct work_group *group; /* NULL for the job's own row */
@@ -50,6 +53,7 @@
 	char *key;
 	uint64_t changes;
 	char *value;
+	int64_t replaced;
 };
 
 /**
@@ -110,8 +114,14 @@
 
 static bool put_job_row(struct commit *c, struct work_job *job)
 {
-	struct commit_entry e = {
-		job, NULL, 0, &job->row, job->id, job->row.changes, work_job_encode(c, job)};
+	struct commit_entry e = {job,
+				 NULL,
+				 0,
+				 &job->row,
+				 job->id,
+				 job->row.changes,
+				 work_job_encode(c, job),
+				 job->row.version};
 
 	return put(c, &e);
 }
@@ -155,7 +165,8 @@
 			continue;
 		key = work_group_key(c, g->job, g->occurrence, g->step_index, i);
 		e[count] = (struct commit_entry){
-			g->job, g, i, row, key, row->changes, encode_group_row(c, g, i)};
+			g->job,	     g, i, row, key, row->changes, encode_group_row(c, g, i),
+			row->version};
 		bytes += store_row_bytes(c->tx, SITED_GROUPS_TABLE, key, str_from(e[count].value));
 		count++;
 	}
@@ -204,13 +215,33 @@
 	}
 }
 
-static void on_commit_stored(struct lead *l, struct commit *c, const int64_t *versions)
+/*
+ * Notes that a row was stored, in a version that is not above @newest. Others write the rows of
+ * jobs, when they cancel them, so a row of a job is written again only over a version that an
+ * answer has shown. The rows of groups are written only by the leader that holds the claim,
+ * which each transaction expects: a version that is too high conflicts, and the conflict shows
+ * the right one.
+ */
+static void note_stored(struct commit_entry *e, int64_t newest)
+{
+	if (e->group)
+		e->row->version = MAX(e->row->version, newest);
+	else if (e->row->version == e->replaced)
+		lead_job_await_version(e->job);
+}
+
+/* @versions: of the rows, when a conflict has shown that they were written; else NULL */
+static void on_commit_stored(struct lead *l, struct commit *c, const int64_t *versions,
+			     int64_t newest)
 {
 	for (unsigned int i = 0; i < c->count; i++) {
 		struct commit_entry *e = &c->entry[i];
 		struct work_row *row = e->row;
 
-		row->version = MAX(row->version, versions[i]);
+		if (versions)
+			row->version = MAX(row->version, versions[i]);
+		else
+			note_stored(e, newest);
 		row->stored = MAX(row->stored, e->changes);
 		e->job->is_stored_alone = false;
 		if (!e->group && work_job_has_ended(e->job))
@@ -279,7 +310,6 @@
 		  "claim", (json_int_t)l->claims[c->part], "claim_found",
 		  (json_int_t)(claim ? claim->version : 0), "rows_written", (int)c->count,
 		  "rows_found", (int)r->count);
-	/* the answer to a transaction may give a version newer than that of the rows it wrote */
 	if (claim)
 		l->claims[c->part] = claim->version;
 	for (unsigned int i = 0; i < r->count; i++) {
@@ -341,16 +371,14 @@
 		goto out;
 	switch (r->status) {
 	case STORE_OK:
-		for (unsigned int i = 0; i < c->count; i++)
-			versions[i] = r->newest;
 		l->commits[c->part] = NULL;
 		sited_observe(&c->d->metrics, HIST_COMMIT, c->started_at);
-		on_commit_stored(l, c, versions);
+		on_commit_stored(l, c, NULL, r->newest);
 		break;
 	case STORE_CONFLICT:
 		l->commits[c->part] = NULL;
 		if (was_performed(c, r, versions))
-			on_commit_stored(l, c, versions);
+			on_commit_stored(l, c, versions, r->newest);
 		else if (!resolve_conflict(l, c, r))
 			goto out;
 		break;
@@ -494,6 +522,11 @@
 	if (now < l->commit_not_before[part] || now < job->store_not_before ||
 	    !is_due(l, job, now) || is_closed)
 		return;
+	if (job->row.awaits_version) {
+		if (now >= job->row.read_at)
+			lead_job_read_row(l, job);
+		return;
+	}
 	if (!c)
 		c = l->commits[part] = commit_new(l, part);
 	put_job(c, job);
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -51,6 +51,7 @@
         self.rejected = None     # start of the keys of rows that are called invalid
         self.refused_parts = ()  # parts whose transactions get 429
         self.answers_late = 0.0  # seconds between a write and its answer
+        self.reads_late = 0.0    # seconds until the rows that a call asks for are read
         self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
         self.names_newest = False  # answers name the store's newest version as they leave, not that of their rows
@@ -113,7 +114,7 @@
             if mode == "silent":
                 await asyncio.sleep(30)
                 raise Drop
-        await asyncio.sleep(0.001 * self.slow)
+        await asyncio.sleep(0.001 * self.slow + (self.reads_late if path != "/-/rows-tx" else 0))
         if path == "/-/rows-tx" and self.refuses_writes_to(document):
             status, answer = 429, {}
         elif path == "/-/rows-tx":
@@ -127,16 +128,23 @@
             status, answer = await self.feed(query)
         else:
             status, answer = 404, {}
-        if self.names_newest and path in ("/-/rows-tx", "/-/rows-get"):
-            answer = await self.name_newest(answer)
+        if path in ("/-/rows-tx", "/-/rows-get"):
+            answer = await self.send(answer, self.answers_late if path == "/-/rows-tx" else 0.0)
         return status, dict(answer, **{"now-ms": int(time.monotonic() * 1000)})
 
-    async def name_newest(self, answer):
-        """Others may write, in tables that nobody here reads, while the answer is under way."""
-        await asyncio.sleep(0.001 * self.slow)
+    async def send(self, answer, late):
+        """The version is that of some moment on the way. Others may write meanwhile, in tables that nobody here reads."""
+        if not self.names_newest:
+            await asyncio.sleep(late)
+            return answer
+        late += 0.001 * self.slow
+        named_after = late * self.luck.random()
+        await asyncio.sleep(named_after)
         if self.luck.random() < OTHERS_WRITE:
             self.version += 1
-        return dict(answer, ver=self.version)
+        answer = dict(answer, ver=self.version)
+        await asyncio.sleep(late - named_after)
+        return answer
 
     def refuses_writes_to(self, document):
         part = (document["put"] + document["remove"] + document["expect-rev"])[0]["part"]
@@ -149,7 +157,6 @@
             await asyncio.sleep(0.3)
             raise Drop
         answer = await self.transact(document, part)
-        await asyncio.sleep(self.answers_late)
         if self.rng.random() < self.lose:
             raise Drop
         return answer
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
 import time
 
 from site_http import call
-from site_servers import CAPACITY, Pool, ZONES
+from site_servers import CAPACITY, CONTACT_S, Pool, ZONES
 from site_store import Store
 
 BUILD = os.environ.get("BUILD", "build")
@@ -36,6 +36,7 @@
 CRASHES = 3             # servers that crashed under a task, after which it may start
 STARTS_AFTER_CRASHES = 3  # fewer times than this
 CANCEL_S = 3.0          # no start so long after a cancellation was acknowledged
+STOP_MAX_S = 0.5        # stop-timeout-ms of the platform's deployments, and the time to see it
 SETTLE_S = 40.0         # all accepted jobs have ended so long after the last fault
 IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
 IDLE_MAX_S = 3.0        # for so long
@@ -167,12 +168,11 @@
 
 
 class Site:
-    def __init__(self, seed, name, directory, by_agents):
+    def __init__(self, seed, directory, by_agents):
         self.rng = random.Random(seed)
         self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
-        self.store.names_newest = random.Random("%d %s" % (seed, name)).random() < 0.5
         self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
         self.vms = [Vm(self, i) for i in range(VMS)]
         self.jobs = []
@@ -189,6 +189,7 @@
         self.samples = 0        # of jobs that had not ended, since then
         self.idle = {}          # id of a job -> since when nothing runs, though it could
         self.idle_too_long = {}  # id of a job -> (seconds after the end, seconds without a run)
+        self.run_on = []        # runs of cancelled jobs that did not stop
         self.idle_limit_s = None  # from when servers were gone until the jobs there run again
         self.gone_at = None     # when servers were gone for good
         self.gangs = set()      # ids of the jobs that ran there
@@ -216,6 +217,11 @@
         name = json.loads(base64.b64decode(value))["vm"] if value else ""
         return next((vm for vm in self.vms if vm.name == name), self.vms[0])
 
+    def stored_state(self, job):
+        """State in the job's row, None without a row."""
+        values = [value for (table, _, key), (value, _) in self.store.rows.items() if (table, key) == ("jobs", job.id)]
+        return json.loads(base64.b64decode(values[0]))["state"] if values else None
+
     async def ask(self, method, job, path=None, timeout=3.0, vm=None):
         vm = vm or self.rng.choice(self.vms)
         headers = {"Host": "jobs.example", "Authorization": "Bearer k", "Content-Type": "application/json"}
@@ -245,13 +251,16 @@
         await self.submit(job)
         await self.watch(job)
 
+    async def cancel(self, job, vm=None):
+        job.asked_to_cancel = True
+        answer = await self.ask("DELETE", job, vm=vm)
+        if answer and answer[0] == 200:
+            job.cancelled = time.monotonic()
+
     async def watch(self, job):
         if job.accepted and job.is_cancelled:
             await asyncio.sleep(self.rng.uniform(0, 2))
-            job.asked_to_cancel = True
-            answer = await self.ask("DELETE", job)
-            if answer and answer[0] == 200:
-                job.cancelled = time.monotonic()
+            await self.cancel(job)
         while job.accepted and not job.cancelled:
             await asyncio.sleep(0.3)
             answer = await self.ask("GET", job)
@@ -333,6 +342,18 @@
                 if now - max(since, self.quiet_at + IDLE_FROM_S) > IDLE_MAX_S:
                     self.idle_too_long[i] = (round(now - self.quiet_at, 1), round(now - since, 1))
 
+    def runs_of_cancelled(self):
+        """Those that go on, on servers that can be reached."""
+        cancelled = {job.id for job in self.jobs if job.cancelled}
+        return ["%s on %s" % (r.task, s.name) for s in self.pool.live() for r in s.runs.values() if r.task[:16] in cancelled]
+
+    async def cancelled_jobs_stop(self):
+        """Waits for it, for as long as it may take after the last fault and the last cancellation."""
+        last = max([self.quiet_at] + [job.cancelled for job in self.jobs if job.cancelled])
+        while self.runs_of_cancelled() and time.monotonic() < last + CONTACT_S + CANCEL_S + STOP_MAX_S:
+            await asyncio.sleep(SAMPLE_S)
+        self.run_on = self.runs_of_cancelled()
+
     # ---- faults ----
 
     def victim(self):
@@ -511,6 +532,7 @@
                 ("no start on a full server", len(runs), self.pool.starts_over_capacity),
                 ("no start before the steps it follows", sum(j.steps > 1 for j in accepted), order),
                 ("no start after a cancellation", sum(bool(j.cancelled) for j in self.jobs), late),
+                ("a cancelled job stops", sum(bool(j.cancelled) for j in self.jobs), self.run_on),
                 ("a refused job never runs", len(refused) or 1, refused_ran),
                 ("an accepted job ends", len(accepted), unfinished),
                 ("no job has nothing running while there is room", self.samples or 1,
@@ -643,6 +665,39 @@
         await asyncio.sleep(1)
 
 
+async def cancelled_while_the_store_is_slow(site):
+    """The leader took the version in the answer to its transaction for its row's, and the cancelled row for an older one."""
+    await asyncio.sleep(3)
+    site.stopping = True
+    await pool_is_idle(site)
+    fill = await submit_waiting(site, SERVERS, 3000)
+    site.following.append(asyncio.ensure_future(site.watch(fill)))
+    while len(runs_of(site, fill)) < SERVERS:
+        await asyncio.sleep(0.01)
+    turn = min(run.began for run in runs_of(site, fill)) + 3.0
+    jobs = [await submit_waiting(site, 1, 60000) for _ in range(SERVERS)]
+    site.faults.append("slow answers of the store")
+    await asyncio.sleep(turn - 1 - time.monotonic())
+    site.store.names_newest, site.store.reads_late, site.store.answers_late = True, 0.5, 0.25
+    await asyncio.sleep(turn - site.store.reads_late - time.monotonic())
+    for job in jobs:  # the row is read after the leader has stored that the job runs, and before it knows so
+        await asyncio.sleep(0.02)
+        site.following.append(asyncio.ensure_future(site.cancel(job)))
+    await asyncio.sleep(2)
+    site.store.reads_late = site.store.answers_late = 0.0
+    cancelled = sum(bool(job.cancelled) for job in jobs)
+    site.expected.append(("all cancellations are acknowledged, %d were" % cancelled, cancelled == len(jobs)))
+
+
+async def submit_waiting(site, count, ms):
+    """A job whose tasks need whole servers."""
+    job = site.add_job()
+    job.count, job.steps, job.gpu, job.is_cancelled, job.route = count, 1, 8, False, "urgent"
+    job.spec, site.pool.needs[job.id] = {"ms": ms, "gang": 0, "fail": 0}, 8
+    await site.submit(job)
+    return job
+
+
 async def winner_hears_of_its_win_from_others(site):
     """It counted its own win twice, so that the next leader's orders had the same term."""
     site.store.answers_late = 0.5
@@ -1454,6 +1509,8 @@
     await need_all_servers(site, 1)
 
 
+# the first leader takes over while answers name the versions of the rows written
+OWN_VERSIONS_FIRST = [cancelled_while_the_store_is_slow]
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1465,7 +1522,7 @@
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
-    leader_leaves_while_the_store_is_slow, peer_names_a_version_that_never_was,
+    leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
     leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
@@ -1485,13 +1542,17 @@
     job.count, job.steps, job.gpu, job.is_cancelled = 1, 1, 0, False
     job.spec, job.asked_to_cancel, site.pool.needs[job.id] = {"ms": 20000, "gang": 0, "fail": 0}, True, 0
     await site.submit(job)
-    answer = await site.ask("DELETE", job)
-    if answer and answer[0] == 200:
-        job.cancelled = time.monotonic()
+    await site.cancel(job)
+
+
+def draw_reading(seed, scenario):
+    """Whether the store's answers name its newest version; apart from the numbers that the seed's faults go by."""
+    return random.Random("%d %s" % (seed, scenario.__name__ if scenario else "")).random() < 0.5
 
 
 async def play(seed, seconds, scenario, directory, per_second):
-    site = Site(seed, scenario.__name__ if scenario else "", directory, seed % 2 == 0 or scenario in BY_AGENTS)
+    site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
+    site.store.names_newest = scenario not in OWN_VERSIONS_FIRST and draw_reading(seed, scenario)
     try:
         await site.start()
         await asyncio.sleep(1.5)
@@ -1505,6 +1566,7 @@
             await site.chaos(seconds)
         site.end_of_faults()
         await clients
+        await site.cancelled_jobs_stop()
         sampler.cancel()
         return site, site.check()
     finally:
