Cancel: a job whose cancel was answered 410 never starts

Cause: the store may perform a transaction that got no answer seconds later if its condition still holds, here that the job has no row. The cancel found none and wrote nothing, so the condition held.

Fix: a cancel that finds no row stores one, a cancelled job that nobody has submitted. The two conditions exclude each other, so that no order of events at the store, no restart and no takeover lets the job start. Queries answer 410 for such a row; a submission that meets it is answered 200 and shown as cancelled. The rows are removed like those of ended jobs, in larger batches, since each cancel of an unknown id now leaves one.

Callers of the soak now cancel submissions without an answer, and a 410 counts as an acknowledgement.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -64,6 +64,24 @@
 	return job;
 }
 
+struct work_job *work_job_new_unsubmitted(TALLOC_CTX *ctx, struct str id, const char *workspace,
+					  int64_t wall_ms)
+{
+	struct work_job *job = work_job_new(ctx, id, 1);
+
+	/* each row of a job has a step, also for VMs of earlier versions */
+	job->step[0].count = 1;
+	job->queue = talloc_strdup(job, "");
+	job->service = talloc_strdup(job, "");
+	job->workspace = talloc_strdup(job, workspace);
+	job->payload = talloc_strdup(job, "");
+	job->state = WORK_CANCELLED;
+	job->accepted_ms = wall_ms;
+	job->ended_ms = wall_ms;
+	job->is_unsubmitted = true;
+	return job;
+}
+
 static const char *check_step(const struct work_job *job, unsigned int index)
 {
 	const struct work_step *s = &job->step[index];
@@ -471,6 +489,8 @@
 		      (json_int_t)job->accepted_ms, "steps", steps, "times", (json_int_t)job->times,
 		      "first_ms", (json_int_t)job->first_ms, "every_ms", (json_int_t)job->every_ms,
 		      "state", work_state_name(job->state), "ended_ms", (json_int_t)job->ended_ms);
+	if (job->is_unsubmitted)
+		json_object_set_new(v, "unsubmitted", json_true());
 	text = base_json_text(ctx, v);
 	json_decref(v);
 	return text;
@@ -525,6 +545,7 @@
 	job->every_ms = base_json_int(v, "every_ms", 0);
 	job->state = state;
 	job->ended_ms = base_json_int(v, "ended_ms", 0);
+	job->is_unsubmitted = base_json_bool(v, "unsubmitted", false);
 	for (unsigned int i = 0; i < job->step_count; i++)
 		decode_step(job, json_array_get(steps, i), &job->step[i]);
 	if (work_job_finalize(job))
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -220,6 +220,8 @@
  * @first_ms: wall clock when the first occurrence is due
  * @every_ms: time between occurrences, in ms
  * @ended_ms: wall clock when it reached a final state
+ * @is_unsubmitted: it was cancelled before a submission of it was stored. Its row keeps one that
+ *	is still on its way, or is sent again, from starting; to callers the job does not exist
  * @groups: struct work_group of all started occurrences, in order of occurrence and step
  * @occurrences: number of started occurrences
  * @idle_since: since when nothing of the job runs although a task's turn has come, monotonic
@@ -247,6 +249,7 @@
 	int64_t every_ms;
 	enum work_state state;
 	int64_t ended_ms;
+	bool is_unsubmitted;
 	GPtrArray *groups;
 	unsigned int occurrences;
 	int64_t idle_since;
@@ -261,6 +264,9 @@
 
 /** work_job_new() - create a job owned by @ctx, with zeroed steps and no occurrence */
 struct work_job *work_job_new(TALLOC_CTX *ctx, struct str id, unsigned int step_count);
+/** work_job_new_unsubmitted() - job of @workspace that is cancelled and was not submitted before */
+struct work_job *work_job_new_unsubmitted(TALLOC_CTX *ctx, struct str id, const char *workspace,
+					  int64_t wall_ms);
 /**
  * work_job_finalize() - validate the job and compute critical paths
  *
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -53,6 +53,19 @@
 
 /* ---- submit ---- */
 
+static void on_submitted(const struct store_result *r, void *data);
+
+/* Prepares the transaction that stores the job over the version @replaced of its row. */
+static void encode_row(struct front_call *c, int64_t replaced)
+{
+	talloc_free(c->value);
+	c->value = work_job_encode(c, c->job);
+	talloc_free(c->tx);
+	c->tx = store_tx_new(c, sited_partition(c->id));
+	store_tx_expect(c->tx, SITED_JOBS_TABLE, c->id, replaced);
+	store_tx_put(c->tx, SITED_JOBS_TABLE, c->id, str_from(c->value));
+}
+
 /* The row exists: stored by this request with the answer lost, or by an earlier request. */
 static void finish_existing(struct front_call *c, const struct store_row *row)
 {
@@ -62,6 +75,12 @@
 		front_finish(c, 503, "the id is taken by a row that can't be read");
 	} else if (strcmp(job->workspace, c->job->workspace)) {
 		front_finish(c, 429, "the id is taken by another workspace");
+	} else if (job->is_unsubmitted) {
+		/* Its cancellation was acknowledged: it is known from now on, and never runs. */
+		work_job_set_state(c->job, WORK_CANCELLED, sited_wall_ms());
+		encode_row(c, row->version);
+		store_commit(c->d->store, c->tx, front_call_deadline(c, SITED_STORE_TIMEOUT_MS),
+			     on_submitted, c);
 	} else {
 		sited_notify_stored(c->d, c->id, str_dup(c, row->value));
 		front_finish(c, 200, c->is_outcome_unknown ? "stored earlier" : "known");
@@ -122,7 +141,7 @@
 static void start_submit(struct front_call *c)
 {
 	c->is_outcome_unknown = recent_has(c->d->unsettled_submits, c->id, sited_now_ms());
-	c->value = work_job_encode(c, c->job);
+	encode_row(c, 0);
 	if ((int64_t)strlen(c->value) > c->d->site->row_bytes_max) {
 		front_finish(c, 413, "the job is larger than a row of the store");
 		return;
@@ -131,9 +150,6 @@
 		front_finish(c, 413, "a step has more tasks than the rows of the store can hold");
 		return;
 	}
-	c->tx = store_tx_new(c, sited_partition(c->id));
-	store_tx_expect(c->tx, SITED_JOBS_TABLE, c->id, 0);
-	store_tx_put(c->tx, SITED_JOBS_TABLE, c->id, str_from(c->value));
 	if (!relay_if_store_fails(c))
 		send_submit(c);
 }
@@ -145,6 +161,7 @@
 	struct front_call *c = data;
 	struct work_job *job;
 
+	/* Unlike the answer to a cancellation, a 410 is not final here. */
 	if (r->status != STORE_OK) {
 		if (!front_relay(c))
 			front_finish(c, 503, "neither the leader nor the store answers");
@@ -157,6 +174,8 @@
 	job = work_job_decode(c, str_from(c->id), r->rows[0].value);
 	if (!job)
 		front_finish(c, 503, "the job's row can't be read");
+	else if (job->is_unsubmitted)
+		front_finish(c, 410, "no such job");
 	else if (c->workspace[0] && strcmp(job->workspace, c->workspace))
 		front_finish(c, 403, "the job is another workspace's");
 	else
@@ -213,6 +232,12 @@
 
 /* ---- cancel ---- */
 
+/*
+ * A 410 says that the job never starts from now on. A submission without an answer may
+ * still be performed, by any VM and seconds later, under the condition that the job has no row.
+ * So where there is none, the cancellation stores one, which is removed like those of ended jobs.
+ */
+
 static void on_cancel_row(const struct store_result *r, void *data);
 
 static void retry_cancel(struct front_call *c, const char *reason)
@@ -227,7 +252,9 @@
 {
 	struct front_call *c = data;
 
-	if (r->status == STORE_OK) {
+	if (r->status == STORE_OK && c->job->is_unsubmitted) {
+		front_finish(c, 410, "no such job; it can't be submitted any more");
+	} else if (r->status == STORE_OK) {
 		sited_count(&c->d->metrics, COUNT_CANCELLED);
 		sited_notify_stored(c->d, c->id, c->value);
 		front_finish(c, 200, "cancelled");
@@ -239,6 +266,16 @@
 	}
 }
 
+/* Stores @job, which is cancelled, over the version @replaced of its row. */
+static void store_cancelled(struct front_call *c, struct work_job *job, int64_t replaced)
+{
+	talloc_free(c->job);
+	c->job = job;
+	encode_row(c, replaced);
+	store_commit(c->d->store, c->tx, front_call_deadline(c, SITED_STORE_TIMEOUT_MS),
+		     on_cancelled, c);
+}
+
 static void on_cancel_row(const struct store_result *r, void *data)
 {
 	struct front_call *c = data;
@@ -249,7 +286,10 @@
 		return;
 	}
 	if (!r->count || strcmp(r->rows[0].key, c->id)) {
-		front_finish(c, 410, "no such job");
+		store_cancelled(
+			c,
+			work_job_new_unsubmitted(c, str_from(c->id), c->workspace, sited_wall_ms()),
+			0);
 		return;
 	}
 	job = work_job_decode(c, str_from(c->id), r->rows[0].value);
@@ -257,19 +297,16 @@
 		front_finish(c, 403, "the job is another workspace's");
 		return;
 	}
+	if (job->is_unsubmitted) {
+		front_finish(c, 410, "no such job; it can't be submitted any more");
+		return;
+	}
 	if (work_job_has_ended(job)) {
 		front_finish(c, 200, work_state_name(job->state));
 		return;
 	}
 	work_job_set_state(job, WORK_CANCELLED, sited_wall_ms());
-	talloc_free(c->value);
-	c->value = work_job_encode(c, job);
-	talloc_free(c->tx);
-	c->tx = store_tx_new(c, sited_partition(c->id));
-	store_tx_expect(c->tx, SITED_JOBS_TABLE, c->id, r->rows[0].version);
-	store_tx_put(c->tx, SITED_JOBS_TABLE, c->id, str_from(c->value));
-	store_commit(c->d->store, c->tx, front_call_deadline(c, SITED_STORE_TIMEOUT_MS),
-		     on_cancelled, c);
+	store_cancelled(c, job, r->rows[0].version);
 }
 
 static void start_cancel(struct front_call *c)
--- a/src/sited_front.h
+++ b/src/sited_front.h
@@ -29,7 +29,7 @@
  * @workspace: workspace of the key in the request, empty without a known key
  * @started_at: when this VM received the request, on base_now_ns()'s clock
  * @deadline: when the caller stops waiting, on base_now_ns()'s clock
- * @job: the submitted job, NULL for other operations
+ * @job: the job that is submitted or cancelled, NULL before its row was read
  * @value: text of the job's row to be stored
  * @tx: transaction that stores the row
  * @is_outcome_unknown: a transaction of this or of an earlier request for the job got no
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -260,7 +260,7 @@
 {
 	const struct work_job *job = l->is_loaded ? g_hash_table_lookup(l->jobs, id) : NULL;
 
-	if (!job)
+	if (!job || job->is_unsubmitted)
 		return WORK_STATE_COUNT;
 	*workspace = job->workspace;
 	/* A final state is visible only once stored, so that no later leader reverts it. */
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -75,6 +75,7 @@
 	if (!read)
 		return;
 	job->row.version = row->version;
+	job->is_unsubmitted = read->is_unsubmitted;
 	apply_end(l, job, read, row->version);
 	talloc_free(read);
 }
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -28,6 +28,9 @@
 #define SWEEP_MARGIN_MS 30000 /* a job's row is kept this much longer than status_retention_ms */
 #define SWEEP_JOBS_MAX 20     /* most jobs removed by one sweep */
 #define SWEEP_TX_MAX 24	      /* most transactions that remove one job: all rows of 64 steps */
+/* A caller may cancel as many unknown ids as the store takes writes; each leaves a row. */
+#define SWEEP_UNSUBMITTED_MAX \
+	(TX_ENTRIES_MAX / 2) /* rows that one sweep removes from a partition */
 
 static unsigned int part_index(const char *job_id)
 {
@@ -611,6 +614,45 @@
 	send_removal(l, tx);
 }
 
+/*
+ * Removes rows of jobs that were cancelled and never submitted. Unlike those of other ended jobs
+ * they may be replaced, by a submission, so their versions are conditions.
+ */
+static void remove_unsubmitted(struct lead *l, unsigned int part, struct work_job *const *jobs,
+			       unsigned int count)
+{
+	struct store_tx *tx = store_tx_new(l, sited_partition_name(part));
+
+	for (unsigned int i = 0; i < count; i++) {
+		store_tx_expect(tx, SITED_JOBS_TABLE, jobs[i]->id, jobs[i]->row.version);
+		store_tx_remove(tx, SITED_JOBS_TABLE, jobs[i]->id);
+		g_hash_table_remove(l->jobs, jobs[i]->id);
+		talloc_free(jobs[i]);
+	}
+	send_removal(l, tx);
+}
+
+static void sweep_unsubmitted(struct lead *l, int64_t before)
+{
+	static struct work_job *old[SITED_PARTITIONS][SWEEP_UNSUBMITTED_MAX];
+	unsigned int count[SITED_PARTITIONS] = {0};
+	GHashTableIter it;
+	gpointer job;
+
+	g_hash_table_iter_init(&it, l->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &job)) {
+		struct work_job *j = job;
+		unsigned int part = part_index(j->id);
+
+		if (j->is_unsubmitted && j->ended_ms < before &&
+		    count[part] < SWEEP_UNSUBMITTED_MAX)
+			old[part][count[part]++] = j;
+	}
+	for (unsigned int part = 0; part < SITED_PARTITIONS; part++)
+		if (count[part])
+			remove_unsubmitted(l, part, old[part], count[part]);
+}
+
 /* XXX: of a timed job only the first SWEEP_TX_MAX * TX_ENTRIES_MAX rows are removed */
 void lead_rows_sweep(struct lead *l)
 {
@@ -620,12 +662,13 @@
 	GHashTableIter it;
 	gpointer job;
 
+	sweep_unsubmitted(l, before);
 	g_hash_table_iter_init(&it, l->jobs);
 	while (count < SWEEP_JOBS_MAX && g_hash_table_iter_next(&it, NULL, &job)) {
 		const struct work_job *j = job;
 
-		if (work_job_has_ended(j) && j->ended_ms < before && !holds_servers(j) &&
-		    j->row.stored == j->row.changes)
+		if (work_job_has_ended(j) && !j->is_unsubmitted && j->ended_ms < before &&
+		    !holds_servers(j) && j->row.stored == j->row.changes)
 			old[count++] = job;
 	}
 	for (unsigned int i = 0; i < count; i++) {
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -479,6 +479,22 @@
 }
 END_TEST
 
+/* the row must outlast a change of version: one that can't be decoded would not end the job */
+START_TEST(a_job_cancelled_before_its_submission_is_stored)
+{
+	struct str id = str_from("00000000000000aa");
+	struct work_job *job = work_job_new_unsubmitted(NULL, id, "w", 5000);
+	struct work_job *read = work_job_decode(job, id, str_from(work_job_encode(job, job)));
+
+	ck_assert_ptr_nonnull(read);
+	ck_assert(read->is_unsubmitted);
+	ck_assert_int_eq(read->state, WORK_CANCELLED);
+	ck_assert_int_eq(read->ended_ms, 5000);
+	ck_assert_str_eq(read->workspace, "w");
+	talloc_free(job);
+}
+END_TEST
+
 START_TEST(group_keys_are_parsed_or_rejected)
 {
 	struct work_job *job = sample_job(NULL, 0xab, 1, 1, 1);
@@ -522,6 +538,7 @@
 	tcase_add_test(t, a_row_of_an_earlier_version_has_no_points_of_blame);
 	tcase_add_test(t, an_attempt_counts_for_one_crash);
 	tcase_add_test(t, a_crash_that_no_leader_saw_counts_once);
+	tcase_add_test(t, a_job_cancelled_before_its_submission_is_stored);
 	tcase_add_test(t, group_keys_are_parsed_or_rejected);
 }
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -144,10 +144,10 @@
         """Its share of a processor, which decides who leads, and its link, from its next start on."""
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
-                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[platform]\naddr = "127.0.0.1:%d"\n'
+                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[bounds]\nstatus_s = %d\n[platform]\naddr = "127.0.0.1:%d"\n'
                     '[limits]\ncpu-share = %s\nlink-mbps = %s\n' % (
                         self.name, int(self.name[-1]) % ZONES, self.peers, self.peers, self.front, self.ready,
-                        self.store, cores, link_mbps))
+                        self.site.status_s, self.store, cores, link_mbps))
 
     def start(self):
         """Start it again, unless another fault has done so already."""
@@ -170,6 +170,7 @@
 class Site:
     def __init__(self, seed, directory, by_agents):
         self.rng = random.Random(seed)
+        self.status_s = 120     # rows of ended jobs are kept for so long
         self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
@@ -238,6 +239,9 @@
             if answer and answer[0] == 200:
                 job.accepted = time.monotonic()
                 return
+            if job.is_cancelled and not (answer and answer[0] in (429, 503)):
+                await self.give_up(job)
+                return
             await asyncio.sleep(0.5)
         job.refused_only = all(a in (429, 503) for a in answers)
 
@@ -252,10 +256,22 @@
         await self.watch(job)
 
     async def cancel(self, job, vm=None):
+        """A 410 acknowledges it as well: the job never runs."""
         job.asked_to_cancel = True
         answer = await self.ask("DELETE", job, vm=vm)
-        if answer and answer[0] == 200:
+        if answer and answer[0] in (200, 410):
             job.cancelled = time.monotonic()
+        if answer and answer[0] == 410 and job.accepted:
+            job.seen["unknown"] = time.monotonic()
+        return answer[0] if answer else None
+
+    async def give_up(self, job):
+        """A submission without an answer, which may be stored later; it is cancelled at any VM."""
+        for _ in range(10):
+            await self.cancel(job)
+            if job.cancelled:
+                return
+            await asyncio.sleep(0.3)
 
     async def watch(self, job):
         if job.accepted and job.is_cancelled:
@@ -689,6 +705,52 @@
     site.expected.append(("all cancellations are acknowledged, %d were" % cancelled, cancelled == len(jobs)))
 
 
+async def cancelled_before_its_late_submission(site):
+    """A cancel was answered 410 while a transaction of the submission was on its way; the job ran seconds later."""
+    site.faults += ["late store", "kill"]
+    jobs, first, second = [site.add_job() for _ in range(8)], site.vms[0], site.vms[1]
+    for job in jobs:
+        job.count, job.steps, job.gpu, job.is_cancelled, job.route = 1, 1, 0, False, "urgent"
+        job.spec, site.pool.needs[job.id] = {"ms": 20000, "gang": 0, "fail": 0}, 0
+    site.store.late = 1.0
+    answers = await asyncio.gather(*[site.ask("POST", job, vm=first, timeout=0.6) for job in jobs])
+    site.store.late = 0.0
+    site.expected.append(("no submission has an answer, %s" % answers, not any(answers)))
+    told = [await site.cancel(job, second) for job in jobs]
+    site.expected.append(("jobs are cancelled before they are stored, %s" % told, 410 in told))
+    never = site.add_job()
+    answers = [await site.ask(method, never) for method in ("DELETE", "GET", "DELETE")]
+    site.expected.append(("a job that nobody handed in is not shown", [a and a[0] for a in answers] == [410] * 3))
+    await site.kill(site.leader())
+    await asyncio.sleep(4)
+    again = [await site.ask("POST", job) for job in jobs]
+    site.expected.append(("one sent again is known, %s" % again, all(a and a[0] == 200 for a in again)))
+    await asyncio.sleep(1)
+    states = [answer[2] for answer in [await site.ask("GET", job) for job in jobs] if answer]
+    site.expected.append(("and cancelled, %s" % states, states == [{"state": "cancelled"}] * len(jobs)))
+    unstored = {task for job, answer in zip(jobs, told) if answer == 410 for task in job.tasks()}
+    started = unstored & {run.task for run in site.pool.runs}
+    site.expected.append(("none starts that was answered 410, %s did" % started, not started))
+
+
+async def unknown_ids_are_cancelled(site):
+    """Each leaves a row, so that the leader's memory and the store grow if they are not removed as fast."""
+    rows, count = [], 1000
+    ids = ["%016x" % (0xabc << 48 | i) for i in range(count)]
+
+    def left():
+        return len([key for table, _, key in site.store.rows if table == "jobs" and key in ids])
+    for i in range(0, count, 20):
+        await asyncio.gather(*[site.ask("DELETE", None, "/batch/" + name) for name in ids[i:i + 20]])
+    rows.append(left())
+    for _ in range(50):
+        await asyncio.sleep(1)
+        if not left():
+            break
+    rows.append(left())
+    site.expected.append(("a row for each id, then none: %s" % rows, rows == [count, 0]))
+
+
 async def submit_waiting(site, count, ms):
     """A job whose tasks need whole servers."""
     job = site.add_job()
@@ -1511,6 +1573,7 @@
 
 # the first leader takes over while answers name the versions of the rows written
 OWN_VERSIONS_FIRST = [cancelled_while_the_store_is_slow]
+SHORT_STATUS = [unknown_ids_are_cancelled]
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
@@ -1522,6 +1585,7 @@
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
+    cancelled_before_its_late_submission,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
@@ -1532,6 +1596,7 @@
     configuration_outgrows_small_links, configuration_changes_with_another_row]
 # too long to be played with the others
 BY_NAME = [
+    unknown_ids_are_cancelled,
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
     planned_stops_after_servers_were_cut_off, third_leader_falls_silent_after_servers_died]
 
@@ -1552,6 +1617,7 @@
 
 async def play(seed, seconds, scenario, directory, per_second):
     site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
+    site.status_s = 1 if scenario in SHORT_STATUS else site.status_s
     site.store.names_newest = scenario not in OWN_VERSIONS_FIRST and draw_reading(seed, scenario)
     try:
         await site.start()
