Reads: a feed that follows a read misses no change

A new leader could take servers that had begun to drain for ready ones, and a VM could keep an old configuration, if a row changed while the answer to a read was under way.

Cause: the feed began at the version in the answer to the read. That is the store's newest, maybe of a later moment than the rows.

Fix: the feed begins at the newest version that any answer had named before the read was sent. The store's reads are linearizable, so they show what was written up to that version. A process without an answer reads an empty range first.

--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -4,13 +4,16 @@
 
 #include "mtimer/mtimer.h"
 
+/* after all keys, so that a range from here on is empty */
+#define NO_KEY "~"
+
 enum table_mode { TABLE_READ, TABLE_FOLLOW };
 
 /**
  * struct table - a read or a feed, owned by the source's owner
  * @call: call in flight, or NULL
  * @from: for a read, the key at which the next page starts, or NULL
- * @version: for a read, the version of the store at the first page, 0 before that;
+ * @version: for a read, the newest version known before it was sent, -1 while none is known;
  *           for a feed, the version up to which changes have been received
  * @wait_ms: for a feed, how long one call waits for a change, in ms
  * @is_failing: the last call failed
@@ -68,8 +71,6 @@
 /* sets where the next page starts; returns false when there is no further page */
 static bool advance_page(struct table *t, const struct store_result *r)
 {
-	if (!t->version)
-		t->version = r->newest;
 	if (t->key || !r->has_more || !r->count)
 		return false;
 	/* the range includes its first key: the next page repeats this row */
@@ -125,6 +126,11 @@
 	}
 	if (!is_requested(t, r))
 		page.count = 0;
+	if (t->version < 0) {
+		/* the answer to a call that only asks for the version */
+		send_call(t);
+		goto out;
+	}
 	has_next_call = t->mode == TABLE_FOLLOW || advance_page(t, r);
 	if (t->mode == TABLE_FOLLOW)
 		t->version = MAX(t->version, r->newest);
@@ -153,6 +159,10 @@
 	call->table = t;
 	call->sent_at = base_now_ns();
 	t->call = call;
+	if (t->version < 0)
+		t->version = store_newest(t->store);
+	if (t->version < 0)
+		range.from = NO_KEY;
 	if (t->mode == TABLE_READ) {
 		call->store_call =
 			store_read(t->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS),
@@ -207,6 +217,7 @@
 	struct table *t = table_new(source, TABLE_READ, on_rows, data);
 
 	t->on_end = on_end;
+	t->version = -1;
 	send_call(t);
 	return t;
 }
--- a/src/sited_table.h
+++ b/src/sited_table.h
@@ -54,7 +54,8 @@
 typedef void table_rows_fn(const struct table_page *page, void *data);
 /**
  * table_read_done_fn() - the read is complete and has been freed
- * @version: newest version of the store when it answered with the first page
+ * @version: a feed after this version reports all changes that the read does not show: the newest
+ *	version known when the read began. That in its answer may be newer than its rows
  */
 typedef void table_read_done_fn(int64_t version, void *data);
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1489,6 +1489,31 @@
     site.expected.append(("the change is in force everywhere, on %s it was not" % behind, not behind))
 
 
+async def servers_change_as_a_leader_reads_them(site):
+    """The version in the answer to a read was newer than its rows, so that the feed left out the changes in between."""
+    site.store.names_newest = True
+    site.faults += ["slow store", "kill"]
+    began, site.store.slow = time.time() * 1e6, 150
+    site.leader().send(signal.SIGKILL)
+    for _ in range(200):
+        await asyncio.sleep(0.02)
+        if any(e["time_us"] > began for e in site.events("lead_won")):
+            break
+    for server in site.pool.servers:  # within the time that the read of the list takes
+        await asyncio.sleep(0.025)
+        server.draining = True
+        await server.announce()
+    await asyncio.sleep(2)
+    site.store.slow = 1
+    listed = {e["server"]: e["presence"] for e in sorted(site.events("server_listed"), key=lambda e: e["time_us"])}
+    missed = [server.name for server in site.pool.servers if listed[server.name] != "draining"]
+    site.expected.append(("the leader sees that servers drain, of %s it does not" % missed, not missed))
+    for server in site.pool.servers:
+        server.draining = False
+    for vm in site.vms:
+        vm.start()
+
+
 async def tasks_crash_their_servers(site):
     """Nothing counted the servers that crashed under a task, which was started on one after another, for ever."""
     deadly = []
@@ -1593,7 +1618,7 @@
     a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
-    configuration_outgrows_small_links, configuration_changes_with_another_row]
+    configuration_outgrows_small_links, servers_change_as_a_leader_reads_them, configuration_changes_with_another_row]
 # too long to be played with the others
 BY_NAME = [
     unknown_ids_are_cancelled,
