Leader: a task stopped on a server's new life is not released before its lease is over

Cause: the end of the leases is computed from the server's clock in its last answer. A new life that has not answered has no clock, and the sum lay in the past, so that two missed polls released the task.

Fix: such a task waits until its stop is answered or until a start on its way can have no effect any more, the bound that a takeover uses. The hand-over of the lead and the release now share one function.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -334,6 +334,7 @@
 	t->unanswered_starts = 0;
 	t->started_at = 0;
 	t->stopped_at = 0;
+	t->state_deadline = 0;
 	t->percent = 0;
 	t->first_percent = -1;
 	mark_task_changed(t);
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -163,8 +163,10 @@
 
 /*
  * Both incarnations have the same id, and the new one may have accepted a start
- * that was in flight. The attempt is therefore stopped there, after which the server
- * rejects it.
+ * that was in flight, or may still accept it. The attempt is therefore stopped there, after
+ * which the server rejects it. Until the stop is answered, the task may run there for as long as
+ * a lease that was granted as late as such a start can arrive, even if the server has never
+ * answered.
  */
 void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv)
 {
@@ -181,6 +183,7 @@
 		if (t->state == TASK_STARTING || t->state == TASK_STOPPING) {
 			work_task_change_incarnation(t, sv);
 			t->state = TASK_STARTING;
+			t->state_deadline = sited_now_ms() + lead_leases_wait_ms(l);
 			lead_task_stop(l, t, "its server was started again");
 		} else {
 			lead_task_release(l, t, "its server was started again");
@@ -583,6 +586,19 @@
 	return MIN(over_at, handover_over_at(l, t->server));
 }
 
+/* when the task, of which a start was sent, has certainly ended if its server is not polled any
+ * more */
+static int64_t task_over_at(const struct lead *l, const struct server_io *io,
+			    const struct work_task *t)
+{
+	int64_t over_at = io->clock_at ? leases_over_at(io) : 0;
+
+	if (t->state == TASK_UNCONFIRMED)
+		return lead_unconfirmed_over_at(l, t);
+	return t->state == TASK_STOPPING && !t->stopped_at ? MAX(over_at, t->state_deadline)
+							   : over_at;
+}
+
 /* when all tasks on the server have certainly ended if it is not polled any more */
 static int64_t tasks_over_at(struct lead *l, struct fleet_server *sv)
 {
@@ -593,11 +609,8 @@
 		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
 
 		/* no start was sent in the other states */
-		if (t->state == TASK_UNCONFIRMED)
-			until = MAX(until, lead_unconfirmed_over_at(l, t));
-		else if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
-			until = MAX(until, io->clock_at ? leases_over_at(io)
-							: sited_now_ms() + lead_leases_wait_ms(l));
+		if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
+			until = MAX(until, task_over_at(l, io, t));
 	}
 	return until;
 }
@@ -641,9 +654,8 @@
 	tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
-		bool over = t->state == TASK_UNCONFIRMED
-				    ? lead_unconfirmed_over_at(l, t) <= now
-				    : io->missed_polls && leases_over_at(io) <= now;
+		bool over = (t->state == TASK_UNCONFIRMED || io->missed_polls) &&
+			    task_over_at(l, io, t) <= now;
 
 		if (t->server == sv && work_task_is_placed(t) && over)
 			lead_task_release(l, t, "its lease has expired");
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -490,6 +490,7 @@
 	work_task_set_snapshot(t, run->snapshot);
 	if (t->state == TASK_UNCONFIRMED) {
 		t->state = TASK_RUNNING;
+		t->state_deadline = 0;
 		t->started_at = sited_now_ms();
 		t->progress_at = t->started_at;
 		log_task_event("task_adopted", t, sv, "an earlier leader started it");
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -58,6 +58,7 @@
         self.late = 0.0         # share of orders carried out seconds later, unanswered
         self.lose = 0.0         # share of orders carried out and not answered
         self.loses_starts = False  # they are neither carried out nor answered
+        self.restarts_at_start = False  # it starts again under its id, takes the start, and falls silent
         self.hang = False       # tasks make no progress
         self.refuse = False     # turns starts away, as an unhealthy server does
         self.draining = False
@@ -143,6 +144,15 @@
         if self.loses_starts and order == self.start:
             await asyncio.sleep(2)
             raise Drop
+        if self.restarts_at_start and order == self.start:
+            self.restarts_at_start = False
+            self.reborn()
+            self.silent = True
+            order(document)
+            entry = json.dumps(self.entry())
+            await self.pool.store.put("servers", self.name, base64.b64encode(entry.encode()).decode())
+            self.http.reset_connections()
+            raise Drop
         if self.pool.rng.random() < self.late:
             born = self.born
             asyncio.get_running_loop().call_later(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -751,6 +751,22 @@
     site.expected.append(("a row for each id, then none: %s" % rows, rows == [count, 0]))
 
 
+async def servers_restart_with_a_start_in_flight(site):
+    """The new incarnation ran the task and fell silent; nobody waited for its lease, as it had never answered."""
+    servers = site.pool.servers[::2]
+    for server in servers:
+        server.restarts_at_start = True
+    site.faults += ["server crash"] * len(servers)
+    for _ in range(60):
+        await asyncio.sleep(0.1)
+        if all(server.silent for server in servers):
+            break
+    site.expected.append(("servers restart as they start a task", any(server.silent for server in servers)))
+    await asyncio.sleep(4)
+    for server in servers:
+        server.restarts_at_start = server.silent = False
+
+
 async def submit_waiting(site, count, ms):
     """A job whose tasks need whole servers."""
     job = site.add_job()
@@ -1610,7 +1626,7 @@
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
-    cancelled_before_its_late_submission,
+    cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
