Election: log a wrong version only where the store's row has a lower one

lead_version_wrong was also logged for a row that is newer than the expected one, which is how each lost contention ends. A read whose answer names no version asks for it once and not again and again.

--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -212,13 +212,13 @@
 /* ---- contending ---- */
 
 /*
- * Takes the row that the store holds in place of the version that the contention expected. A
- * peer may have reported a version above that of any row; without this, no row would count as
- * newer, and all contentions would conflict.
+ * Applies the row in the store's answer to a contention. It also replaces a row of a higher
+ * version, if that is the one that the contention expected: a peer may have reported a version
+ * that no row has, and no row would count as newer.
  */
-static void replace_expected_row(struct sited *d, const struct store_row *row)
+static void apply_contended_row(struct sited *d, const struct store_row *row)
 {
-	if (d->leader.version == d->contended_version && row->version != d->contended_version) {
+	if (d->leader.version == d->contended_version && row->version < d->contended_version) {
 		log_event("lead_version_wrong", "{sI sI}", "expected",
 			  (json_int_t)d->contended_version, "row_version",
 			  (json_int_t)row->version);
@@ -250,7 +250,7 @@
 		return;
 	}
 	if (!is_own_win(d, row)) {
-		replace_expected_row(d, row);
+		apply_contended_row(d, row);
 		return;
 	}
 	/* A peer may have reported a newer row before this answer arrived. */
@@ -284,7 +284,7 @@
 		d->leader.version = -1;
 		return;
 	}
-	replace_expected_row(d, &r->rows[0]);
+	apply_contended_row(d, &r->rows[0]);
 }
 
 static void send_contention(struct sited *d)
@@ -337,7 +337,7 @@
 	struct sited *d = data;
 
 	if (r->status == STORE_OK && !d->lead)
-		replace_expected_row(d, leader_row_of(r));
+		apply_contended_row(d, leader_row_of(r));
 	if (r->status != STORE_OK || is_contention_obsolete(d)) {
 		d->is_contending = false;
 		return;
--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -128,6 +128,7 @@
 		page.count = 0;
 	if (t->version < 0) {
 		/* the answer to a call that only asks for the version */
+		t->version = MAX(store_newest(t->store), 0);
 		send_call(t);
 		goto out;
 	}
