Soak: the stand-in's servers end no task early and know when a lease lapsed

domains_lose_their_vms: a run was credited with the whole tick in which it began, so tasks of 1 s ended after 0.98 s, and their second attempts fell into the second for which the check counts starts. A run is now credited from its beginning.

Ends as done are counted as before.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -73,6 +73,7 @@
         self.born = int(time.time() * 1000)
         self.barred = {}        # task -> highest attempt that may not start any more
         self.ends = []
+        self.lapsed_end = 0     # number of the last end that was listed as the lease lapsed
         self.next_end = 1
         self.fence = 0
         self.lease = 0
@@ -223,7 +224,7 @@
             return self.reply(409, reason="fence")
         for end in self.ends:
             if end[0] <= document["last-seen"]:
-                self.pool.noted(end[1], end[2], end[3])
+                self.pool.noted(end[1], end[2], end[3], end[0] <= self.lapsed_end)
         self.ends = [e for e in self.ends if e[0] > document["last-seen"]]
         if "deadline-ms" in document:
             self.extend(document["deadline-ms"])
@@ -241,6 +242,7 @@
 
     def step(self, passed):
         if self.clock() > self.lease:
+            self.lapsed_end = self.next_end - 1
             for run in list(self.runs.values()):
                 self.end(run, "lapsed")
         for run in list(self.runs.values()):
@@ -295,10 +297,11 @@
                 if not other.ended and other.server.runs.get(other.task) is other and not other.server.silent:
                     other.server.end(other, "broken")
 
-    def noted(self, task, attempt, how):
+    def noted(self, task, attempt, how, has_lapsed):
+        """A failure counts unless the server's lease lapsed between the end and its acknowledgement."""
         if how == "done":
             self.done_noted.setdefault(task, time.monotonic())
-        elif how == "failed":
+        elif how == "failed" and not has_lapsed:
             self.failed_noted.add((task, attempt))
 
     def work(self, run, passed):
@@ -307,7 +310,7 @@
             if time.monotonic() - run.began > GANG_WAIT_S:
                 run.server.end(run, "alone")
             return
-        run.worked += passed
+        run.worked += min(passed, time.monotonic() - run.began)  # it may have begun within the tick
         if run.worked * 1000 < run.spec["ms"]:
             return
         if run.attempt <= run.spec["fail"]:
