--- a/tools/check.py
+++ b/tools/check.py
@@ -60,7 +60,7 @@
              ("soak: scenarios and seeds that once failed",
               [sys.executable, "tools/soak.py", "--scenario", "all", "--regressions", "--seconds", "12", "--jobs", "4",
                "--keep", KEPT_LOGS],
-              400),
+              600),
              ("soak: three seeds", [sys.executable, "tools/soak.py", "--seed", "7", "--seeds", "3", "--seconds", "12",
                                     "--jobs", "3", "--keep", KEPT_LOGS], 240),
              ("faults --seed 1", [sys.executable, "tools/faults.py", "--seed", "1", "--seconds", "45"], 240),
