--- a/tools/soak.py
+++ b/tools/soak.py
@@ -720,7 +720,8 @@
     site.expected.append(("jobs are cancelled before they are stored, %s" % told, 410 in told))
     never = site.add_job()
     answers = [await site.ask(method, never) for method in ("DELETE", "GET", "DELETE")]
-    site.expected.append(("a job that nobody handed in is not shown", [a and a[0] for a in answers] == [410] * 3))
+    answers = [answer and answer[0] for answer in answers]
+    site.expected.append(("a job that nobody handed in is not shown, %s" % answers, answers == [410] * 3))
     await site.kill(site.leader())
     await asyncio.sleep(4)
     again = [await site.ask("POST", job) for job in jobs]
