review: case 8, a task on a worker that started again is never run again

review/8/run.sh: an idle worker starts again under its id, takes a task and is lost for good a second later. Its lease is reckoned with the clocks of both lives, so the task is held there for about as long as the worker had been up. The stand-ins' workers have been up for an hour from now on.

--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -29,6 +29,7 @@
 
 COMMAND = [os.path.join(ROOT, "target", "currantlane-sited"), "--metrics-port", "9464"]
 VMS = 8
+UP_BEFORE_MS = 3600 * 1000  # the workers have been up for an hour
 ZONES = ["z0", "z1", "z2"]
 SERVERS = 12
 PER_RACK = 4
@@ -160,6 +161,7 @@
         self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
         for server in self.pool.servers:
             server.__class__ = Worker
+            server.born -= UP_BEFORE_MS
         self.vms = [Vm(self, i) for i in range(VMS)]
         self.processes = []
         self.began = time.monotonic()
