review: the scripts end by themselves after 116 s

A run could wait at its end for calls of the stand-ins, seen once in about 60 runs of a script that submits odd jobs; it then ended with neither 0, 1 nor 2.

--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -34,6 +34,7 @@
 SERVERS = 12
 PER_RACK = 4
 PR_SET_PDEATHSIG = 1
+TIME_MAX_S = 116  # of a run
 site_servers.STOP_S = 0.3  # a stop takes at most stop-timeout-ms, 0.4 s
 
 SETTINGS = """node = "{name}"
@@ -307,29 +308,31 @@
     """Runs play(site, trouble), which returns the violations; writes record.txt and ends with the case's status."""
     folder = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    site = None
-    try:
-        site = Site(os.path.basename(folder))
-
-        async def run():
-            await site.start()
-            return await play(site, trouble)
-        violations = asyncio.run(run())
-        status = 1 if violations else 0
-    except Exception as error:  # the case could not run
-        violations, status = ["could not run: %r" % error], 2
-    finally:
-        if site:
-            site.stop()
-    lines = site.lines if site else []
-    lines += ["violation: " + v if status != 2 else v for v in violations] or ["the rule held"]
-    lines.append("trouble %s, exit %d" % ("on" if trouble else "off", status))
-    with open(os.path.join(folder, "record.txt"), "w") as f:
-        f.write("\n".join(lines) + "\n")
-    print("\n".join(lines))
-    if site:
+    site = Site(os.path.basename(folder))
+
+    def finish(violations, status):
+        site.stop()
+        lines = site.lines + (["violation: " + v for v in violations] if status == 1 else violations)
+        if status == 0:
+            lines.append("the rule held")
+        lines.append("trouble %s, exit %d" % ("on" if trouble else "off", status))
+        with open(os.path.join(folder, "record.txt"), "w") as f:
+            f.write("\n".join(lines) + "\n")
+        print("\n".join(lines), flush=True)
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(site.dir, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         shutil.rmtree(site.dir, ignore_errors=True)
-    sys.stdout.flush()
-    os._exit(status)  # calls of the stand-ins may still wait
+        os._exit(status)  # calls of the stand-ins may still wait
+
+    async def run():
+        await site.start()
+        return await play(site, trouble)
+
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: finish(["could not run: it was ended, or took over %d s" % TIME_MAX_S], 2))
+    signal.alarm(TIME_MAX_S)
+    try:
+        violations = asyncio.new_event_loop().run_until_complete(run())
+    except Exception as error:
+        finish(["could not run: %r" % error], 2)
+    finish(violations, 1 if violations else 0)
