--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,56 +1,63 @@
-"""A worker falls silent just before eight jobs are given to it, while all others are busy; callers ask how many jobs wait."""
+"""The leader is stopped as planned while twenty jobs wait for busy workers; callers ask how many jobs wait."""
 
 import asyncio
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from stand_in_2 import SERVERS, main  # noqa: E402
 
-JOBS = 8
-VISIBLE_S = 3.0       # visible_ms
-COUNT_AGE_S = 2.0     # "visible_ms + 2 s"
-BUSY_MS = 40000
-WATCH_S = 6.0
+JOBS = 20
+AGE_S = 5.0      # visible_ms + 2 s
+BUSY_MS = 80000
+STOPS = 3
+EVERY_S = 0.02
+WATCH_S = 4.0
+STORE_SLOW = 4   # 4 ms an answer, 8 ms a transaction
+
+
+async def ask_all(site, vm, jobs, seen, end):
+    """Counts that one entry VM gives."""
+    while asyncio.get_running_loop().time() < end:
+        waiting = [job for job in jobs if not site.runs_of(job)]
+        status, body = await site.ask("GET", "batch", "", vm=vm, quiet=True)
+        if status == 200 and len(waiting) == len(jobs):
+            seen.setdefault((vm.name, body["pending"]), []).append(asyncio.get_running_loop().time())
+        await asyncio.sleep(EVERY_S)
 
 
 async def play(site, trouble):
+    site.store.slow = STORE_SLOW
     whole = {"cpu": 1000, "mem-mb": 100, "gpu": 8, "estimate-ms": BUSY_MS}
-    filler = await site.submit("urgent", {"ms": BUSY_MS}, dict(whole, count=SERVERS - 1))
-    if not await site.until(lambda: len(site.open_runs(filler)) == SERVERS - 1, 10):
+    filler = await site.submit("urgent", {"ms": BUSY_MS}, dict(whole, count=SERVERS))
+    if not await site.until(lambda: len(site.open_runs(filler)) == SERVERS, 10):
         raise TimeoutError("the workers are not busy")
-    idle = next(s for s in site.pool.servers if not s.runs)
-    if trouble:
-        await asyncio.sleep(2.5)
-        idle.silent = True
-        idle.http.reset_connections()
-        site.note("worker %s, which is idle, falls silent" % idle.name)
-    else:
-        # no worker falls silent; the last one is busy too, so that the jobs wait
-        last = await site.submit("urgent", {"ms": BUSY_MS}, dict(whole, count=1))
-        await site.until(lambda: site.open_runs(last), 10)
-        await asyncio.sleep(2.5)
-    jobs = [await site.submit("batch", {"ms": 2000}, {
-        "count": 1, "cpu": 1000, "mem-mb": 100, "gpu": 1, "estimate-ms": 2000}) for _ in range(JOBS)]
-    await asyncio.sleep(VISIBLE_S + COUNT_AGE_S + 0.2)
-    counts, violations = 0, []
-    for _ in range(int(WATCH_S)):
-        for vm in site.vms:
-            waiting = [job for job in jobs if not site.runs_of(job)]
-            status, body = await site.ask("GET", "batch", "", vm=vm)
-            still = [job for job in waiting if not site.runs_of(job)]
-            if status == 200 and still:
-                counts += 1
-                if body["pending"] * 2 < len(still):
-                    violations.append("MIXED: %s gives %d jobs as pending; %d accepted over %.0f s before have not begun" % (
-                        vm.name, body["pending"], len(still), VISIBLE_S + COUNT_AGE_S))
-        await asyncio.sleep(1)
-    for job in jobs:
-        await site.ask("GET", "batch", job)
-    site.note("%d counts were asked for while jobs waited" % counts)
+    jobs = [await site.submit("batch", {"ms": 2000}, dict(whole, count=1)) for _ in range(JOBS)]
+    await asyncio.sleep(AGE_S + 0.5)
+    violations = []
+    for _ in range(STOPS):
+        leader = site.leader()
+        seen, now = {}, asyncio.get_running_loop().time()
+        others = [vm for vm in site.vms if vm is not leader]
+        asking = [asyncio.ensure_future(ask_all(site, vm, jobs, seen, now + WATCH_S)) for vm in others]
+        await asyncio.sleep(0.3)
+        if trouble:
+            leader.send(signal.SIGTERM)
+            site.note("SIGTERM to %s, which leads" % leader.name)
+        await asyncio.gather(*asking)
+        for (name, count), times in sorted(seen.items()):
+            site.note("%s gives %d as pending, %d times, from %.2f s to %.2f s after the SIGTERM" % (
+                name, count, len(times), times[0] - now - 0.3, times[-1] - now - 0.3))
+            if count * 2 < JOBS:
+                violations.append("MIXED: %s gives %d as pending, %d times; %d jobs accepted over %.0f s before have not "
+                                  "begun" % (name, count, len(times), JOBS, AGE_S))
+        if trouble:
+            await site.until(lambda: leader.process.poll() is not None, 8)
+            site.note("%s has ended; it starts again" % leader.name)
+            leader.start()
+            await asyncio.sleep(4.5)  # contact-ms, and its start
     site.note_runs([filler] + jobs)
-    if not counts:
-        raise TimeoutError("no job waited")
     return violations
 
 
--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -153,13 +153,13 @@
 
 
 class Site:
-    def __init__(self, case, seed=1):
+    def __init__(self, case, servers, seed=1):
         self.case = case
         self.dir = tempfile.mkdtemp(prefix="currantlane-review-")
         self.rng = random.Random(seed)
         self.net = free_net()
         self.store = Store(self.rng)
-        self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
+        self.pool = Pool(self.rng, self.store, servers, PER_RACK)
         for server in self.pool.servers:
             server.__class__ = Worker
             server.born -= UP_BEFORE_MS
@@ -195,7 +195,7 @@
         else:
             raise TimeoutError("the VMs are not ready")
         await asyncio.sleep(1.5)
-        self.note("%d entry VMs are ready, %s leads; %d workers" % (VMS, self.leader().name, SERVERS))
+        self.note("%d entry VMs are ready, %s leads; %d workers" % (VMS, self.leader().name, len(self.pool.servers)))
 
     async def http(self, vm, port, method, path, document=None, timeout=3.0):
         headers = {"Host": "jobs.example", "Authorization": "Bearer k", "Content-Type": "application/json"}
@@ -304,11 +304,11 @@
         return None
 
 
-def main(case_file, play):
+def main(case_file, play, servers=SERVERS):
     """Runs play(site, trouble), which returns the violations; writes record.txt and ends with the case's status."""
     folder = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    site = Site(os.path.basename(folder))
+    site = Site(os.path.basename(folder), servers)
 
     def finish(violations, status):
         site.stop()
