--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,64 +1,84 @@
-"""The leader is stopped as planned while twenty jobs wait for busy workers; callers ask how many jobs wait."""
+"""A worker starts again under its id, takes a task, and is lost for good before its first entry; the task never runs again."""
 
 import asyncio
 import os
-import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 from stand_in_2 import SERVERS, main  # noqa: E402
 
-JOBS = 20
-AGE_S = 5.0      # visible_ms + 2 s
-BUSY_MS = 80000
-STOPS = 3
-EVERY_S = 0.02
-WATCH_S = 4.0
-STORE_SLOW = 4   # 4 ms an answer, 8 ms a transaction
+RESTART_S = 0.3             # the worker is gone for so long
+SECOND_LIFE_S = 1.0         # and lost so long after it has taken a task; its first beat was due within 1.5 s
+HEARTBEAT_S = 1.5
+FINISH_S = 14.0             # finish_s
+IDLE_S = 3.0
+WATCH_S = 40.0
+RESTARTS = os.environ.get("RESTARTS", "1") != "0"  # 0: the worker is lost for good, and did not start again before
 
 
-async def ask_all(site, vm, jobs, seen, end):
-    """Counts that one entry VM gives."""
-    while asyncio.get_running_loop().time() < end:
-        waiting = [job for job in jobs if not site.runs_of(job)]
-        status, body = await site.ask("GET", "batch", "", vm=vm, quiet=True)
-        if status == 200 and len(waiting) == len(jobs):
-            seen.setdefault((vm.name, body["pending"]), []).append(asyncio.get_running_loop().time())
-        await asyncio.sleep(EVERY_S)
+async def lose(site, server):
+    server.silent = True
+    server.http.reset_connections()
+    server.http.stop()
+    server.reborn()
+    site.note("worker %s is lost for good" % server.name)
+    await asyncio.sleep(3 * HEARTBEAT_S)
+    await site.store.apply([("servers", "", server.name, None)])
+    site.note("the entry of worker %s is removed after three heartbeats of silence" % server.name)
+
+
+async def restart(site, server):
+    """The entry of its former life stays until its first beat, which it does not live to see."""
+    former = dict(server.entry())
+    port = server.http.port
+    server.http.stop()
+    site.note("worker %s goes down; it ran %d tasks, and its clock was at %d ms" % (
+        server.name, len(server.runs), server.clock()))
+    await asyncio.sleep(RESTART_S)
+    server.reborn()
+    server.entry = lambda: former
+    await server.http.start(port)
+    site.note("worker %s is up again under its id; its clock is at %d ms" % (server.name, server.clock()))
 
 
 async def play(site, trouble):
-    site.store.slow = STORE_SLOW
-    whole = {"cpu": 1000, "mem-mb": 100, "gpu": 8, "estimate-ms": BUSY_MS}
-    filler = await site.submit("urgent", {"ms": BUSY_MS}, dict(whole, count=SERVERS))
-    if not await site.until(lambda: len(site.open_runs(filler)) == SERVERS, 10):
-        raise TimeoutError("the workers are not busy")
-    jobs = [await site.submit("batch", {"ms": 2000}, dict(whole, count=1)) for _ in range(JOBS)]
-    await asyncio.sleep(AGE_S + 0.5)
-    violations = []
-    for _ in range(STOPS):
-        leader = site.leader()
-        seen, now = {}, asyncio.get_running_loop().time()
-        others = [vm for vm in site.vms if vm is not leader]
-        asking = [asyncio.ensure_future(ask_all(site, vm, jobs, seen, now + WATCH_S)) for vm in others]
+    server = site.pool.servers[1]
+    if trouble and RESTARTS:
+        await restart(site, server)
+    job = await site.submit("urgent", {"ms": 2500}, {
+        "count": SERVERS, "cpu": 1000, "mem-mb": 100, "gpu": 8, "estimate-ms": 2500})
+    if not await site.until(lambda: len(site.open_runs(job)) == SERVERS, 10):
+        raise TimeoutError("not all tasks run")
+    if trouble:
+        await asyncio.sleep(SECOND_LIFE_S)
+        pending = asyncio.ensure_future(lose(site, server))
+    end = time.monotonic() + WATCH_S
+    finish = time.monotonic() + FINISH_S
+    idle_since, longest, state = None, 0.0, None
+    while time.monotonic() < end:
         await asyncio.sleep(0.3)
-        if trouble:
-            leader.send(signal.SIGTERM)
-            site.note("SIGTERM to %s, which leads" % leader.name)
-        await asyncio.gather(*asking)
-        for (name, count), times in sorted(seen.items()):
-            site.note("%s gives %d as pending, %d times, from %.2f s to %.2f s after the SIGTERM" % (
-                name, count, len(times), times[0] - now - 0.3, times[-1] - now - 0.3))
-            if count * 2 < JOBS:
-                violations.append("MIXED: %s gives %d as pending, %d times; %d jobs accepted over %.0f s before have not "
-                                  "begun" % (name, count, len(times), JOBS, AGE_S))
-        if trouble:
-            await site.until(lambda: leader.process.poll() is not None, 8)
-            site.note("%s has ended; it starts again" % leader.name)
-            leader.start()
-            await asyncio.sleep(4.5)  # contact-ms, and its start
-    site.note_runs([filler] + jobs)
-    return violations
+        status, body = await site.ask("GET", "urgent", job, quiet=True)
+        if body and body.get("state") != state:
+            state = body["state"]
+            site.note("GET: %s %s" % (status, body))
+        if state in ("complete", "failed", "cancelled"):
+            break
+        now = time.monotonic()
+        running = [r for r in site.open_runs(job) if not r.server.silent]
+        idle_since = (idle_since or now) if not running else None
+        if idle_since:
+            longest = max(longest, now - max(idle_since, finish))
+    if trouble:
+        await pending
+    site.note("nothing of the job ran for the last %.1f s; %d workers are up and free" % (
+        time.monotonic() - idle_since if idle_since else 0.0,
+        len([s for s in site.pool.servers if not s.silent and not s.runs])))
+    site.note_runs([job])
+    if longest > IDLE_S:
+        return ["LOST: %.0f s after the end of the traffic the job had nothing running for %.1f s, while a task's turn had "
+                "come and all other workers were free" % (FINISH_S, longest)]
+    return [] if state == "complete" else ["LOST: the job isn't complete: %s" % state]
 
 
 main(__file__, play)
