--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -18,6 +18,17 @@
 import sys
 import tempfile
 import time
+import traceback
+
+
+def could_not_run(*error):
+    """An error that nothing handles, such as a record that can't be written, says nothing of the rule."""
+    traceback.print_exception(*error)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = could_not_run
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "tools"))
