A started task is known to run in an incarnation only once that has listed it

An idle server starts again under its id, takes a start before its entry changes, and the task is released and started elsewhere while it runs there.

Cause: answers to starts do not name the incarnation. A task whose start was answered counted as a run of the incarnation that the start was sent to, and was released when that had ended.

Now a task that no list has shown moves to the new incarnation, which is polled at once, and runs on if that lists it; it is stopped there first when a start without an answer may still arrive. The same for tasks of an earlier leader, and for rows that name an older incarnation. While a task is not listed, polls acknowledge no ends, since a new incarnation numbers its own from 1. Points of blame wait for the list too.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -335,6 +335,8 @@
 	t->started_at = 0;
 	t->stopped_at = 0;
 	t->state_deadline = 0;
+	t->crash_points_unless_listed = 0;
+	t->last_poll = 0;
 	t->percent = 0;
 	t->first_percent = -1;
 	mark_task_changed(t);
@@ -368,6 +370,7 @@
 
 	detach_from_server(t);
 	attach_to_server(t, sv, state);
+	t->last_poll = 0;
 	mark_task_changed(t);
 }
 
@@ -689,40 +692,47 @@
 	return text;
 }
 
-/* An incarnation that has been replaced is polled no more, so its tasks wait again here. */
-static void release_unconfirmed(const struct fleet_server *sv)
+static void await_list_of(struct work_task *t, bool is_replaced)
 {
-	GPtrArray *tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+	if (is_replaced)
+		t->crash_points_unless_listed = WORK_CRASH_UNSEEN_POINTS;
+}
+
+/* An incarnation that has been replaced is polled no more. */
+static void move_unconfirmed(const struct fleet_server *old, struct fleet_server *sv)
+{
+	GPtrArray *tasks = g_ptr_array_copy(old->tasks, NULL, NULL);
 
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 
 		if (t->state != TASK_UNCONFIRMED)
 			continue;
-		work_task_release(t);
-		work_task_record_crash(t, WORK_CRASH_UNSEEN_POINTS);
+		work_task_change_incarnation(t, sv);
+		await_list_of(t, true);
 	}
 	g_ptr_array_free(tasks, TRUE);
 }
 
+/* Returns the newest incarnation of the server that @entry names, NULL when it names none. */
 static struct fleet_server *decode_server(struct fleet *fleet, const json_t *entry,
 					  bool *is_replaced)
 {
 	const char *id = json_string_value(json_array_get(entry, 0));
 	const char *address = json_string_value(json_array_get(entry, 2));
 	int64_t born = json_integer_value(json_array_get(entry, 1));
-	struct fleet_server *sv = id ? fleet_find(fleet, id) : NULL;
+	struct fleet_server *known = id ? fleet_find(fleet, id) : NULL;
+	struct fleet_server *sv;
 
-	if (!id || (sv && sv->born > born)) {
-		*is_replaced = id != NULL;
-		return NULL; /* a newer incarnation does not have the task */
-	}
-	if (!sv || sv->born != born) {
-		if (sv)
-			release_unconfirmed(sv);
-		sv = fleet_add(fleet, id, born);
-		sv->address = talloc_strdup(sv, address ? address : "");
-	}
+	if (!id)
+		return NULL;
+	*is_replaced = known && known->born > born;
+	if (known && known->born >= born)
+		return known;
+	sv = fleet_add(fleet, id, born);
+	sv->address = talloc_strdup(sv, address ? address : "");
+	if (known)
+		move_unconfirmed(known, sv);
 	return sv;
 }
 
@@ -752,11 +762,11 @@
 	work_task_set_snapshot(t, str_from(json_string_value(json_array_get(row, 5))));
 	if (server_at >= 0)
 		sv = decode_server(fleet, json_array_get(servers, (size_t)server_at), &is_replaced);
-	if (is_replaced && t->state == TASK_WAITING)
-		work_task_record_crash(t, WORK_CRASH_UNSEEN_POINTS);
 	if (sv && t->state == TASK_WAITING) {
 		attach_to_server(t, sv, TASK_UNCONFIRMED);
+		await_list_of(t, is_replaced);
 		t->state_deadline = state_deadline;
+		t->last_poll = 0;
 		t->first_percent = -1;
 	}
 }
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -127,20 +127,23 @@
  * @failures: number of failed attempts
  * @crash_points: points of blame for crashes of servers that started it, see blame.h
  * @crash_attempt: latest attempt that got such points
+ * @crash_points_unless_listed: points for the end of an earlier incarnation of its server, given
+ *	if the present one does not list it
  * @has_run_well: an attempt has run for a while, see blame.h, so the task does not crash servers
  *	as it starts; not stored
  * @server: server that it is on, NULL when waiting or done
  * @snapshot: latest checkpoint, or NULL
  * @started_at: when the latest start was confirmed, monotonic ms; 0 before
  * @stopped_at: when its stop was confirmed, monotonic ms; 0 before
- * @last_poll: number of the latest poll of the server that listed the task
+ * @last_poll: number of the latest poll of the server that listed the task; 0 until its
+ *	incarnation of the server has listed it
  * @percent: progress last reported, in percent
  * @progress_at: when the progress last changed, monotonic ms
  * @first_percent: first progress reported for the latest attempt, -1 before
  * @first_percent_at: when @first_percent was reported, monotonic ms
  * @state_deadline: monotonic ms; in TASK_UNCONFIRMED the time from which a task on a server
  *	that doesn't answer can no longer be running, in TASK_AWAITING_PREEMPTION the time
- *	limit for its victims to stop, in TASK_STOPPING that from which a start sent to an
+ *	limit for its victims to stop, in other states that from which a start sent to an
  *	earlier incarnation of its server has no effect on this one, 0 without such a start
  * @assigned_change: value of @changes of the task's row that must be stored before the start
  *	is sent
@@ -155,6 +158,7 @@
 	uint32_t failures;
 	unsigned int crash_points;
 	uint32_t crash_attempt;
+	unsigned int crash_points_unless_listed;
 	bool has_run_well;
 	struct fleet_server *server;
 	char *snapshot;
@@ -409,8 +413,9 @@
  *
  * Ends, failures and higher attempts that are only in the row are taken over.
  * A waiting task that the row places on a server becomes TASK_UNCONFIRMED; an
- * unknown server is added to the fleet as unlisted. A server of which a newer incarnation is
- * known has crashed under the task. Row 0 of an earlier version may hold all
+ * unknown server is added to the fleet as unlisted. The newest incarnation of the server may have
+ * carried out the start, and answered it; if it does not list the task, an earlier one has crashed
+ * under it. Row 0 of an earlier version may hold all
  * tasks of the group; all other rows are then marked as changed.
  * Return: false when the row is invalid; the group is then unchanged.
  */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -23,7 +23,8 @@
 #define PROBES_MAX 64	    /* polls in flight for each VM that sends them */
 #define MISSES_MAX 2	    /* unanswered polls in a row after which a server gets no new work */
 #define RENEW_EVERY_MS 1500 /* between polls without a wait, while ends can't be stored */
-#define ACK_DELAY_MS 1500   /* delay of the acknowledgement to a server that runs nothing more */
+#define UNLISTED_POLL_EVERY_MS 100 /* between polls without a wait, until tasks are listed */
+#define ACK_DELAY_MS 1500 /* delay of the acknowledgement to a server that runs nothing more */
 #define LEASE_MARGIN_MS 60
 /* a busy server answers at least this often */
 #define POLL_PERIOD_MAX_MS (ORDERS_POLL_WAIT_MAX_MS + POLL_MARGIN_MS)
@@ -162,12 +163,59 @@
 }
 
 /*
- * Both incarnations have the same id, and the new one may have accepted a start
- * that was in flight, or may still accept it. The attempt is therefore stopped there, after
- * which the server rejects it. Until the stop is answered, the task may run there for as long as
- * a lease that was granted as late as such a start can arrive, even if the server has never
- * answered.
+ * Answers to starts and stops do not name the incarnation that answers, and all incarnations have
+ * the same id. So only a list of runs shows which of them has carried out a start. One that was
+ * sent again after a call without an answer may be carried out by either.
  */
+static bool may_be_in_next_incarnation(const struct work_task *t)
+{
+	switch (t->state) {
+	case TASK_STARTING:
+	case TASK_RUNNING:
+	case TASK_STOPPING:
+	case TASK_UNCONFIRMED:
+	case TASK_ENDING:
+		return !t->last_poll || t->unanswered_starts;
+	case TASK_WAITING:
+	case TASK_AWAITING_PREEMPTION:
+	case TASK_ASSIGNED:
+	case TASK_DONE:
+		break;
+	}
+	return false;
+}
+
+/* a start may still be on its way, or a stop was answered by the incarnation that has ended */
+static bool must_be_stopped_in_next_incarnation(const struct work_task *t)
+{
+	if (t->state == TASK_UNCONFIRMED || t->state == TASK_ENDING)
+		return false;
+	return t->state != TASK_RUNNING || t->unanswered_starts;
+}
+
+/*
+ * The next incarnation lists the task if it runs there. If a start may still arrive, the attempt
+ * is stopped there, after which the server rejects it. Until then, the task may run there for as
+ * long as a lease that was granted as late as such a start can arrive, even if the server never
+ * answers.
+ */
+static void follow_to_next_incarnation(struct lead *l, struct work_task *t, struct fleet_server *sv,
+				       unsigned int crash_points)
+{
+	work_task_change_incarnation(t, sv);
+	t->crash_points_unless_listed = crash_points;
+	if (t->state != TASK_UNCONFIRMED)
+		t->state_deadline = sited_now_ms() + lead_leases_wait_ms(l);
+	log_event("task_followed", "{ss si si si sI ss ss sI}", "id", t->group->job->id,
+		  "occurrence", (int)t->group->occurrence, "step", (int)t->group->step_index,
+		  "task", (int)t->index, "attempt", (json_int_t)t->attempt, "state",
+		  work_task_state_name(t->state), "server", sv->id, "born", (json_int_t)sv->born);
+	if (must_be_stopped_in_next_incarnation(t)) {
+		t->state = TASK_STARTING;
+		lead_task_stop(l, t, "its server was started again");
+	}
+}
+
 void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv)
 {
 	struct suspects *suspects = suspects_new(l, old);
@@ -180,16 +228,15 @@
 
 		if (t->server != old)
 			continue;
-		if (t->state == TASK_STARTING || t->state == TASK_STOPPING) {
-			work_task_change_incarnation(t, sv);
-			t->state = TASK_STARTING;
-			t->state_deadline = sited_now_ms() + lead_leases_wait_ms(l);
-			lead_task_stop(l, t, "its server was started again");
+		if (may_be_in_next_incarnation(t)) {
+			follow_to_next_incarnation(l, t, sv, suspects->points[i]);
+			suspects->points[i] = 0;
 		} else {
 			lead_task_release(l, t, "its server was started again");
 		}
 	}
 	suspects_blame(l, suspects, old);
+	lead_server_poll(l, sv);
 	lead_request_round(l);
 }
 
@@ -205,7 +252,8 @@
 	if (r->status == ORDER_OTHER_SERVER) {
 		lead_server_lost(l, sv, "another server answers at its address");
 	} else if (r->born && r->born > sv->born) {
-		lead_server_replaced(l, sv, fleet_find_or_add(l->fleet, sv, r->born));
+		if (sv->presence != FLEET_REPLACED)
+			lead_server_replaced(l, sv, fleet_find_or_add(l->fleet, sv, r->born));
 	} else if (r->clock_ms) {
 		if (!io->clock_at)
 			io->lease_until = r->clock_ms + l->d->site->lease_max_ms;
@@ -264,6 +312,18 @@
 
 /* ---- polling ---- */
 
+/* a start was sent to the server, and it has not listed the task since */
+static bool has_unlisted_task(const struct fleet_server *sv)
+{
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		if (work_task_is_placed(t) && t->state != TASK_ASSIGNED && !t->last_poll)
+			return true;
+	}
+	return false;
+}
+
 static bool is_busy(const struct fleet_server *sv)
 {
 	if (sv->unclaimed.cpu || sv->unclaimed.memory_mb || sv->unclaimed.accelerators)
@@ -277,6 +337,14 @@
 	return false;
 }
 
+static void release_gone(struct lead *l, struct fleet_server *sv, struct work_task *t)
+{
+	unsigned int crash_points = t->crash_points_unless_listed;
+
+	lead_task_release(l, t, "the server does not list it");
+	lead_task_crashed(l, t, sv, crash_points);
+}
+
 /* releases the tasks that the server would list if they still ran there */
 static void release_unlisted(struct lead *l, struct fleet_server *sv, const struct poll_call *call,
 			     uint64_t number)
@@ -309,7 +377,7 @@
 			break;
 		}
 		if (gone)
-			lead_task_release(l, t, "the server does not list it");
+			release_gone(l, sv, t);
 	}
 	g_ptr_array_free(tasks, TRUE);
 }
@@ -500,7 +568,9 @@
 {
 	struct server_io *io = lead_server_io(l, sv);
 	struct poll_call *call = talloc_zero(l->d, struct poll_call);
-	struct order_poll order = {.acknowledged = io->acknowledged,
+	struct order_poll order = {/* a new incarnation that has carried out the start numbers its
+				    * ends from 1 and would forget some that nobody has seen */
+				   .acknowledged = has_unlisted_task(sv) ? 0 : io->acknowledged,
 				   /* a lost poll may be carried out late and must not
 				    * extend the leases there */
 				   .lease_until = io->missed_polls || !lead_may_grant_leases(l)
@@ -517,7 +587,7 @@
 	call->serial = l->serial;
 	call->sv = sv;
 	call->sent_at = sited_now_ms();
-	call->acknowledged = io->acknowledged;
+	call->acknowledged = order.acknowledged;
 	io->poll_in_flight = true;
 	io->last_poll_at = call->sent_at;
 	sited_count(&l->d->metrics, COUNT_POLLS);
@@ -557,6 +627,9 @@
 	} else if (busy && io->acknowledged < io->processed_end) {
 		/* the server would answer at once with the same ends: wait until they are stored */
 		poll_not_before(l, sv, io->last_poll_at + RENEW_EVERY_MS);
+	} else if (busy && io->dropped_end < io->acknowledged && has_unlisted_task(sv)) {
+		/* it answers at once, with ends that are not acknowledged yet */
+		poll_not_before(l, sv, io->last_poll_at + UNLISTED_POLL_EVERY_MS);
 	} else if (busy) {
 		send_poll(l, sv, ORDERS_POLL_WAIT_MAX_MS);
 	} else if (io->dropped_end < io->acknowledged) {
@@ -595,8 +668,7 @@
 
 	if (t->state == TASK_UNCONFIRMED)
 		return lead_unconfirmed_over_at(l, t);
-	return t->state == TASK_STOPPING && !t->stopped_at ? MAX(over_at, t->state_deadline)
-							   : over_at;
+	return t->last_poll ? over_at : MAX(over_at, t->state_deadline);
 }
 
 /* when all tasks on the server have certainly ended if it is not polled any more */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -485,6 +485,7 @@
 		return;
 	}
 	t->last_poll = poll_number;
+	t->crash_points_unless_listed = 0;
 	if (t->state == TASK_ENDING)
 		return;
 	work_task_set_snapshot(t, run->snapshot);
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -55,6 +55,7 @@
         self.shrunk_at, self.capacity_before = 0.0, CAPACITY
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
+        self.listed_from = 0.0  # its entry in the store does not change before
         self.late = 0.0         # share of orders carried out seconds later, unanswered
         self.lose = 0.0         # share of orders carried out and not answered
         self.loses_starts = False  # they are neither carried out nor answered
@@ -94,6 +95,16 @@
         if as_another:
             await self.pool.store.apply([("servers", "", former, None)])
 
+    async def start_again(self, down_s, entry_s):
+        """Under its id, after so long; the entry of its former life stays for so long after that."""
+        port = self.http.port
+        self.listed_from = float("inf")
+        self.http.stop()
+        await asyncio.sleep(down_s)
+        self.reborn()
+        await self.http.start(port)
+        self.listed_from = time.monotonic() + entry_s
+
     async def leave_for_good(self, is_unlisted, runs_on):
         """It crashes, or runs on as long as its leases last; its entry is removed after three beats, or stays."""
         self.silent = True
@@ -124,6 +135,8 @@
         return self.capacity["gpu"]
 
     async def announce(self):
+        if time.monotonic() < self.listed_from:
+            return
         entry = json.dumps(self.entry())
         if entry != self.listed:
             self.listed = entry
@@ -166,7 +179,9 @@
         return answer
 
     def reply(self, status, **more):
-        return status, dict(more, **{"clock-ms": self.clock(), "born": self.born})
+        """Only lists of runs name the life that answers."""
+        life = {"born": self.born} if "running" in more else {}
+        return status, dict(more, **{"clock-ms": self.clock()}, **life)
 
     def is_fenced_off(self, document):
         if document["fence"] < self.fence:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -768,6 +768,40 @@
         server.restarts_at_start = server.silent = False
 
 
+async def until(condition, seconds):
+    for _ in range(int(seconds / SAMPLE_S)):
+        if condition():
+            return True
+        await asyncio.sleep(SAMPLE_S)
+    return False
+
+
+async def servers_start_again_before_a_start(site):
+    """A restarted server took a start before its entry changed; that run was forgotten, and the task ran elsewhere too."""
+    site.stopping, watched = True, []
+    await pool_is_idle(site)
+    for change in (None, None, site.kill, site.terminate):
+        servers = site.rng.sample(site.pool.servers, 2)
+        down, entry = site.rng.uniform(0.1, 1.2), site.rng.uniform(0.4, 1.45)
+        site.faults += ["server crash"] * 2
+        await asyncio.gather(*[server.start_again(down, entry) for server in servers])
+        job = await submit_waiting(site, SERVERS - 1, 2500)
+        watched.append(asyncio.ensure_future(site.watch(job)))
+        if change:
+            await asyncio.sleep(site.rng.uniform(0.1, 0.6))
+            await change(site.leader())
+        ended = await until(lambda: done_tasks(site, job) == set(job.tasks()), 15)
+        site.expected.append(("a job ends although servers start again under their ids", ended))
+        runs = [r for r in site.pool.runs if r.task[:16] == job.id]
+        site.expected.append(("%d tasks run once each, in %d runs" % (job.count, len(runs)), len(runs) == job.count))
+        await asyncio.sleep(1.5)
+    await asyncio.wait(watched, timeout=SETTLE_S)
+
+
+def done_tasks(site, job):
+    return {r.task for r in site.pool.runs if r.task[:16] == job.id and r.how == "done"}
+
+
 async def submit_waiting(site, count, ms):
     """A job whose tasks need whole servers."""
     job = site.add_job()
@@ -1627,7 +1661,7 @@
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
-    cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight,
+    cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
