Leases are counted on clocks that are known to be those of the incarnation that granted them

The task was held for as long as the server had been up before.

Cause: the answer to a start names no incarnation, but set the server's clock to that of the new one, while the end of the leases stayed on the former one's.

Now only lists of runs carry a clock, by the type of the answer. A task that no list has shown is waited for on the leader's own clock: the longest lease after the last order that may have granted one, in whichever incarnation. The same bound covers a start without an answer on a server that was idle for long (3 % of that time were added). An agent drops a renewal limit on another incarnation's clock. The first poll after a start on an idle server neither waits nor renews.

--- a/lib/renewal/renewal.c
+++ b/lib/renewal/renewal.c
@@ -14,8 +14,11 @@
 	r->leader_active_at = now;
 }
 
-void renewal_set_server_clock(struct renewal *r, int64_t clock_ms, int64_t now)
+void renewal_set_server_clock(struct renewal *r, int64_t clock_ms, int64_t lease_max_ms,
+			      int64_t now)
 {
+	if (r->limit > clock_ms + RENEWAL_GRANTS_MAX_MS + lease_max_ms)
+		r->limit = 0;
 	r->clock_ms = clock_ms;
 	r->clock_at = now;
 }
--- a/lib/renewal/renewal.h
+++ b/lib/renewal/renewal.h
@@ -39,11 +39,21 @@
 
 /* a working leader sends the next poll within 1.5 s of an answer */
 #define RENEWAL_LEADER_TIMEOUT_MS 2000
+/* a leader that the store has not confirmed for so long grants no leases, nor does an agent for it
+ */
+#define RENEWAL_GRANTS_MAX_MS 4000
 
 /** renewal_set_limit() - record the limit of a poll; an order of an older term is ignored */
 void renewal_set_limit(struct renewal *r, int64_t term, int64_t limit, int64_t now);
-/** renewal_set_server_clock() - record the clock in an answer to a poll of any origin */
-void renewal_set_server_clock(struct renewal *r, int64_t clock_ms, int64_t now);
+/**
+ * renewal_set_server_clock() - record the clock in an answer to a poll of any origin
+ * @lease_max_ms: longest lease that a server grants
+ *
+ * The leader may have set the limit on the clock of an earlier incarnation of the server. A limit
+ * that is further ahead of @clock_ms than it can set one is dropped.
+ */
+void renewal_set_server_clock(struct renewal *r, int64_t clock_ms, int64_t lease_max_ms,
+			      int64_t now);
 /** renewal_is_over() - no further lease can be requested until the leader sets a new limit */
 bool renewal_is_over(const struct renewal *r, int64_t newest_term, int64_t now);
 /**
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -143,8 +143,7 @@
  * @first_percent_at: when @first_percent was reported, monotonic ms
  * @state_deadline: monotonic ms; in TASK_UNCONFIRMED the time from which a task on a server
  *	that doesn't answer can no longer be running, in TASK_AWAITING_PREEMPTION the time
- *	limit for its victims to stop, in other states that from which a start sent to an
- *	earlier incarnation of its server has no effect on this one, 0 without such a start
+ *	limit for its victims to stop
  * @assigned_change: value of @changes of the task's row that must be stored before the start
  *	is sent
  * @unanswered_starts: number of starts sent without an answer
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -99,18 +99,23 @@
  * Applies the answer to a poll, sent for the leader or by this VM alone. Renewal ends when no
  * task runs on the server.
  */
-static void apply_poll_answer(struct renewed_server *rs, const struct order_result *r)
+static void apply_poll_answer(const struct sited *d, struct renewed_server *rs,
+			      const struct order_result *r)
 {
+	const struct order_list *list = r->list;
 	int64_t now = sited_now_ms();
 
 	rs->renewal.polls_in_flight--;
 	rs->renewal.leader_active_at = now;
-	if (r->born && r->born != rs->born) {
-		rs->born = r->born;
+	if (list && list->born && list->born != rs->born) {
+		/* times on the clock of another incarnation mean nothing on this one's */
 		rs->renewal.requested_until = 0;
+		if (rs->born)
+			rs->renewal.limit = 0;
+		rs->born = list->born;
 	}
-	if (r->status == ORDER_DONE && r->clock_ms && r->run_count)
-		renewal_set_server_clock(&rs->renewal, r->clock_ms, now);
+	if (list && list->clock_ms && list->run_count)
+		renewal_set_server_clock(&rs->renewal, list->clock_ms, d->site->lease_max_ms, now);
 	else
 		rs->renewal.limit = 0;
 }
@@ -123,7 +128,7 @@
 
 	if (!rs)
 		return;
-	apply_poll_answer(rs, r);
+	apply_poll_answer(c->d, rs, r);
 	res->renews = rs->renewal.limit != 0;
 	res->renewed_until = rs->renewal.requested_until;
 }
@@ -140,12 +145,12 @@
 
 	log_event("lease_renewed_alone", "{ss ss sI si}", "server", ctx->server, "outcome",
 		  order_status_name(r->status), "term", (json_int_t)(rs ? rs->renewal.term : 0),
-		  "running", (int)r->run_count);
+		  "running", (int)(r->list ? r->list->run_count : 0));
 	if (rs && r->status == ORDER_UNKNOWN) {
 		/* on_renewal_tick() retries until the limit has passed */
 		rs->renewal.polls_in_flight--;
 	} else if (rs) {
-		apply_poll_answer(rs, r);
+		apply_poll_answer(ctx->d, rs, r);
 		/* An answer to this VM's own poll doesn't show that the leader is active. */
 		rs->renewal.leader_active_at -= RENEWAL_LEADER_TIMEOUT_MS;
 	}
@@ -208,30 +213,37 @@
 
 /* ---- orders ---- */
 
+static void encode_list(TALLOC_CTX *ctx, const struct order_list *list, cl_order_res *res)
+{
+	res->clock_ms = list->clock_ms;
+	res->born = list->born;
+	res->runs.runs_val = talloc_zero_array(ctx, cl_run, list->run_count);
+	res->runs.runs_len = list->run_count;
+	for (unsigned int i = 0; i < list->run_count; i++)
+		res->runs.runs_val[i] =
+			(cl_run){str_dup(ctx, list->runs[i].task), list->runs[i].attempt,
+				 str_dup(ctx, list->runs[i].snapshot), list->runs[i].percent};
+	res->ended.ended_val = talloc_zero_array(ctx, cl_ended, list->ended_count);
+	res->ended.ended_len = list->ended_count;
+	for (unsigned int i = 0; i < list->ended_count; i++)
+		res->ended.ended_val[i] =
+			(cl_ended){list->ended[i].number, str_dup(ctx, list->ended[i].task),
+				   list->ended[i].attempt, (int)list->ended[i].how,
+				   str_dup(ctx, list->ended[i].snapshot)};
+}
+
 static void on_order_done(const struct order_result *r, void *data)
 {
 	struct carried_order *c = data;
-	cl_order_res res = {.status = (int)r->status, .clock_ms = r->clock_ms, .born = r->born};
+	cl_order_res res = {.status = (int)r->status};
 
 	if (c->server)
 		report_renewals(c, r, &res);
-
-	res.runs.runs_val = talloc_zero_array(c, cl_run, r->run_count);
-	res.runs.runs_len = r->run_count;
-	for (unsigned int i = 0; i < r->run_count; i++)
-		res.runs.runs_val[i] =
-			(cl_run){str_dup(c, r->runs[i].task), r->runs[i].attempt,
-				 str_dup(c, r->runs[i].snapshot), r->runs[i].percent};
-	res.ended.ended_val = talloc_zero_array(c, cl_ended, r->ended_count);
-	res.ended.ended_len = r->ended_count;
-	for (unsigned int i = 0; i < r->ended_count; i++)
-		res.ended.ended_val[i] = (cl_ended){
-			r->ended[i].number, str_dup(c, r->ended[i].task), r->ended[i].attempt,
-			(int)r->ended[i].how, str_dup(c, r->ended[i].snapshot)};
+	if (r->list)
+		encode_list(c, r->list, &res);
 	onc_reply(c->req, &res);
 	talloc_free(c);
 }
-
 /* The id becomes an HTTP header of the call to the server, so it must be one printable word. */
 static bool is_printable_word(const char *text)
 {
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -220,36 +220,42 @@
 	void *data;
 };
 
-static bool decode_result(TALLOC_CTX *ctx, const cl_order_res *res, struct order_result *r)
+static const struct order_list *decode_list(TALLOC_CTX *ctx, const cl_order_res *res)
 {
 	struct order_run *runs = talloc_zero_array(ctx, struct order_run, res->runs.runs_len);
 	struct order_ended *ended =
 		talloc_zero_array(ctx, struct order_ended, res->ended.ended_len);
+	struct order_list *list = talloc_zero(ctx, struct order_list);
 
-	if (res->status < ORDER_DONE || res->status > ORDER_UNKNOWN)
-		return false;
-	*r = (struct order_result){(enum order_status)res->status,
-				   res->clock_ms,
-				   res->born,
-				   runs,
-				   res->runs.runs_len,
-				   ended,
-				   res->ended.ended_len};
-	for (unsigned int i = 0; i < r->run_count; i++) {
+	*list = (struct order_list){res->clock_ms,	res->born, runs,
+				    res->runs.runs_len, ended,	   res->ended.ended_len};
+	for (unsigned int i = 0; i < list->run_count; i++) {
 		const cl_run *run = &res->runs.runs_val[i];
 
 		runs[i] = (struct order_run){str_from(run->task), run->attempt,
 					     str_from(run->snapshot), run->percent};
 	}
-	for (unsigned int i = 0; i < r->ended_count; i++) {
+	for (unsigned int i = 0; i < list->ended_count; i++) {
 		const cl_ended *e = &res->ended.ended_val[i];
 
 		if (e->how < END_DONE || e->how > END_OTHER)
-			return false;
+			return NULL;
 		ended[i] = (struct order_ended){e->number, str_from(e->task), e->attempt,
 						(enum order_end)e->how, str_from(e->snapshot)};
 	}
-	return true;
+	return list;
+}
+
+/* Returns whether all values are within their range. */
+static bool decode_result(struct agent_call *call, const cl_order_res *res, struct order_result *r)
+{
+	bool has_list = call->proc == SITED_PROC_POLL && res->status == ORDER_DONE;
+
+	if (res->status < ORDER_DONE || res->status > ORDER_UNKNOWN)
+		return false;
+	r->status = (enum order_status)res->status;
+	r->list = has_list ? decode_list(call, res) : NULL;
+	return r->list || !has_list;
 }
 
 static uint64_t vm_name_hash(const char *vm)
@@ -273,7 +279,9 @@
 {
 	struct server_io *io = lead_server_io(l, call->sv);
 
-	io->lease_until = MAX(io->lease_until, res->renewed_until);
+	/* a time on the clock of the incarnation that answers */
+	if (res->born <= call->sv->born)
+		io->lease_until = MAX(io->lease_until, res->renewed_until);
 	if (!res->renews && io->renewer == vm_name_hash(call->vm))
 		io->lease_limit = 0;
 }
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -5,13 +5,14 @@
 #define SITED_LEAD_H
 
 #include "blame/blame.h"
+#include "renewal/renewal.h"
 #include "sited.h"
 
 /*
  * A leader that the store has not confirmed for this long starts nothing and renews no
  * leases, so that the next leader knows when leases on unreachable servers have expired.
  */
-#define LEAD_UNCONFIRMED_MAX_MS 4000
+#define LEAD_UNCONFIRMED_MAX_MS RENEWAL_GRANTS_MAX_MS
 
 /* in 103 ms of local time a server's clock, which may run 2 % slow, advances by at least 100 ms */
 #define LEAD_CLOCK_MARGIN_PERCENT 103
@@ -128,13 +129,22 @@
 
 /**
  * struct server_io - polls, orders and leases of one backend server
- * @clock_ms: the server's clock in its last answer, ms
+ * @clock_ms: the server's clock in its last list of runs, ms
  * @clock_at: local time of that answer, monotonic ms; 0 before
+ * @clock_boot_ms: the same on base_boottime_ns()'s clock, which counts the time for which this VM
+ *                 was suspended
+ * @must_list: it gets no work until it has listed its runs, as its clock is not what was expected
+ * @heard_at: when it last answered any call, monotonic ms; 0 before
  * @lease_until: latest lease end that this leader has requested, or that an earlier one can
  *               have requested, ms on the server's clock
  * @lease_limit: latest lease end that an agent may request without the leader, ms on the
  *               server's clock; or 0
  * @renewer: hash of that agent's name
+ * @grants_in_flight: orders in flight that may grant a lease
+ * @grant_sent_at: when the latest of them was sent, monotonic ms
+ * @grants_over_at: when all leases have ended that other orders may have granted, in whichever
+ *                  incarnation, monotonic ms; 0 when there were none
+ * @former_over_at: the same for orders that were sent before this incarnation was known
  * @processed_end: number of the last end that was processed
  * @acknowledged: number of the last end that may be acknowledged: its consequences, and
  *                those of all earlier ends, are stored
@@ -160,9 +170,16 @@
 	struct fleet_server *sv;
 	int64_t clock_ms;
 	int64_t clock_at;
+	int64_t clock_boot_ms;
+	bool must_list;
+	int64_t heard_at;
 	int64_t lease_until;
 	int64_t lease_limit;
 	uint64_t renewer;
+	unsigned int grants_in_flight;
+	int64_t grant_sent_at;
+	int64_t grants_over_at;
+	int64_t former_over_at;
 	int64_t processed_end;
 	int64_t acknowledged;
 	int64_t dropped_end;
@@ -275,6 +292,16 @@
 struct server_io *lead_server_io(struct lead *l, struct fleet_server *sv);
 /** lead_server_poll() - poll the server now if a poll is due */
 void lead_server_poll(struct lead *l, struct fleet_server *sv);
+/** lead_server_grant_sent() - an order is sent that may grant a lease on the server */
+void lead_server_grant_sent(struct lead *l, struct fleet_server *sv);
+/**
+ * lead_server_grant_over() - that order was answered, or the wait for the answer has ended
+ * @sent_at: when it was sent, monotonic ms
+ */
+void lead_server_grant_over(struct lead *l, struct fleet_server *sv, enum order_status status,
+			    int64_t sent_at);
+/** lead_server_must_list() - poll the server before it gets work again */
+void lead_server_must_list(struct lead *l, struct fleet_server *sv);
 /**
  * lead_server_handle_answer() - apply the term, incarnation and clock of any answer
  * Return: false when a newer term was seen; this VM no longer leads, and @l has been freed.
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -48,6 +48,7 @@
 	struct fleet_server *sv;
 	int64_t sent_at;
 	int64_t acknowledged;
+	bool may_grant;
 };
 
 struct server_io *lead_server_io(struct lead *l, struct fleet_server *sv)
@@ -66,9 +67,14 @@
 
 /* ---- clock and leases ---- */
 
+static int64_t boottime_ms(void)
+{
+	return base_boottime_ns() / BASE_NS_PER_MS;
+}
+
 static int64_t server_clock(const struct server_io *io)
 {
-	return io->clock_ms + sited_now_ms() - io->clock_at;
+	return io->clock_ms + boottime_ms() - io->clock_boot_ms;
 }
 
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv)
@@ -93,11 +99,15 @@
 	 * The agent may renew as long as this leader would. The clock of a server that was idle
 	 * for long may be behind the extrapolated one.
 	 */
-	return io->clock_ms + (sited_now_ms() - io->clock_at) * 100 / LEAD_CLOCK_MARGIN_PERCENT +
+	return io->clock_ms +
+	       (boottime_ms() - io->clock_boot_ms) * 100 / LEAD_CLOCK_MARGIN_PERCENT +
 	       lead_grants_end_ms(l) + l->d->site->lease_max_ms;
 }
 
-/* when every lease on the server has certainly ended, in ms on this VM's clock */
+/*
+ * When every lease of the incarnation has certainly ended, in ms on this VM's clock; only for
+ * tasks that it has listed.
+ */
 static int64_t leases_over_at(const struct server_io *io)
 {
 	int64_t until = MAX(io->lease_until, io->lease_limit);
@@ -106,6 +116,64 @@
 	       LEASE_MARGIN_MS;
 }
 
+/*
+ * A lease ends no later than lease_max_ms after it was granted, in whichever incarnation, while
+ * the time that an order names is on the clock of one of them only.
+ */
+static int64_t grants_over_at(const struct lead *l, const struct server_io *io)
+{
+	int64_t over_at = MAX(io->grants_over_at, io->former_over_at);
+
+	if (!io->grants_in_flight)
+		return over_at;
+	return MAX(over_at, io->grant_sent_at + POLL_PERIOD_MAX_MS + lead_leases_wait_ms(l));
+}
+
+void lead_server_grant_sent(struct lead *l, struct fleet_server *sv)
+{
+	struct server_io *io = lead_server_io(l, sv);
+
+	io->grants_in_flight++;
+	io->grant_sent_at = sited_now_ms();
+}
+
+void lead_server_grant_over(struct lead *l, struct fleet_server *sv, enum order_status status,
+			    int64_t sent_at)
+{
+	struct server_io *io = lead_server_io(l, sv);
+	int64_t now = sited_now_ms();
+	int64_t over_at;
+
+	io->grants_in_flight--;
+	if (io->lease_limit > server_clock(io)) /* an agent may go on renewing by itself */
+		over_at = now + lead_leases_wait_ms(l);
+	else if (status == ORDER_UNKNOWN)
+		over_at = sent_at + lead_leases_wait_ms(l);
+	else
+		over_at = now + l->d->site->lease_max_ms * LEAD_CLOCK_MARGIN_PERCENT / 100 +
+			  LEASE_MARGIN_MS;
+	io->grants_over_at = MAX(io->grants_over_at, over_at);
+}
+
+static void record_clock(struct lead *l, struct server_io *io, int64_t clock_ms)
+{
+	int64_t lease_max = l->d->site->lease_max_ms;
+
+	if (!io->clock_at)
+		io->lease_until = clock_ms + lease_max;
+	/* an order may have named a time that the server's clock does not reach for long */
+	io->lease_until = MIN(io->lease_until, clock_ms + LEAD_UNCONFIRMED_MAX_MS + lease_max);
+	io->clock_ms = clock_ms;
+	io->clock_at = sited_now_ms();
+	io->clock_boot_ms = boottime_ms();
+}
+
+void lead_server_must_list(struct lead *l, struct fleet_server *sv)
+{
+	lead_server_io(l, sv)->must_list = true;
+	lead_server_poll(l, sv);
+}
+
 /* "silent_ms": since the first poll without an answer; 0 when all were answered */
 static void log_server_lost(const struct fleet_server *sv, const char *why)
 {
@@ -195,17 +263,13 @@
 
 /*
  * The next incarnation lists the task if it runs there. If a start may still arrive, the attempt
- * is stopped there, after which the server rejects it. Until then, the task may run there for as
- * long as a lease that was granted as late as such a start can arrive, even if the server never
- * answers.
+ * is stopped there, after which the server rejects it.
  */
 static void follow_to_next_incarnation(struct lead *l, struct work_task *t, struct fleet_server *sv,
 				       unsigned int crash_points)
 {
 	work_task_change_incarnation(t, sv);
 	t->crash_points_unless_listed = crash_points;
-	if (t->state != TASK_UNCONFIRMED)
-		t->state_deadline = sited_now_ms() + lead_leases_wait_ms(l);
 	log_event("task_followed", "{ss si si si sI ss ss sI}", "id", t->group->job->id,
 		  "occurrence", (int)t->group->occurrence, "step", (int)t->group->step_index,
 		  "task", (int)t->index, "attempt", (json_int_t)t->attempt, "state",
@@ -223,6 +287,7 @@
 
 	log_server_lost(old, "it was started again");
 	old->presence = FLEET_REPLACED;
+	lead_server_io(l, sv)->former_over_at = grants_over_at(l, lead_server_io(l, old));
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
 
@@ -244,22 +309,23 @@
 			       const struct order_result *r)
 {
 	struct server_io *io = lead_server_io(l, sv);
+	const struct order_list *list = r->list;
 
 	if (r->status == ORDER_FENCED) {
 		sited_step_down(l->d, "a backend server has seen a newer term");
 		return false;
 	}
+	if (r->status != ORDER_UNKNOWN) {
+		io->heard_at = sited_now_ms();
+		io->is_doubted = false;
+	}
 	if (r->status == ORDER_OTHER_SERVER) {
 		lead_server_lost(l, sv, "another server answers at its address");
-	} else if (r->born && r->born > sv->born) {
+	} else if (list && list->born > sv->born) {
 		if (sv->presence != FLEET_REPLACED)
-			lead_server_replaced(l, sv, fleet_find_or_add(l->fleet, sv, r->born));
-	} else if (r->clock_ms) {
-		if (!io->clock_at)
-			io->lease_until = r->clock_ms + l->d->site->lease_max_ms;
-		io->clock_ms = r->clock_ms;
-		io->clock_at = sited_now_ms();
-		io->is_doubted = false;
+			lead_server_replaced(l, sv, fleet_find_or_add(l->fleet, sv, list->born));
+	} else if (list && list->clock_ms) {
+		record_clock(l, io, list->clock_ms);
 	}
 	return true;
 }
@@ -290,12 +356,12 @@
 	}
 }
 
-static void apply_ends(struct lead *l, struct fleet_server *sv, const struct order_result *r)
+static void apply_ends(struct lead *l, struct fleet_server *sv, const struct order_list *list)
 {
 	struct server_io *io = lead_server_io(l, sv);
 
-	for (unsigned int i = 0; i < r->ended_count; i++) {
-		const struct order_ended *e = &r->ended[i];
+	for (unsigned int i = 0; i < list->ended_count; i++) {
+		const struct order_ended *e = &list->ended[i];
 		struct end_note *n;
 
 		if (e->number <= io->processed_end)
@@ -310,6 +376,54 @@
 	advance_acknowledged(io);
 }
 
+/* ---- end of the tasks on servers that do not answer ---- */
+
+/* when tasks on the server have certainly ended, as the former leader that handed over knew */
+static int64_t handover_over_at(const struct lead *l, const struct fleet_server *sv)
+{
+	const json_t *entry = json_object_get(json_object_get(l->handover, "servers"), sv->id);
+	const json_t *ms =
+		entry ? json_array_get(entry, 1) : json_object_get(l->handover, "others_ms");
+
+	if (!json_is_integer(ms) || json_integer_value(ms) < 0 ||
+	    (entry && json_integer_value(json_array_get(entry, 0)) != sv->born))
+		return INT64_MAX;
+	return l->handover_read_at + json_integer_value(ms);
+}
+
+int64_t lead_unconfirmed_over_at(const struct lead *l, const struct work_task *t)
+{
+	int64_t over_at = MIN(t->state_deadline, l->grant.former_over_at);
+
+	return MIN(over_at, handover_over_at(l, t->server));
+}
+
+/* when the task, of which a start was sent, has certainly ended if its server is not polled any
+ * more */
+static int64_t task_over_at(const struct lead *l, const struct server_io *io,
+			    const struct work_task *t)
+{
+	if (t->state == TASK_UNCONFIRMED)
+		return lead_unconfirmed_over_at(l, t);
+	return t->last_poll ? MAX(leases_over_at(io), io->former_over_at) : grants_over_at(l, io);
+}
+
+/* when all tasks on the server have certainly ended if it is not polled any more */
+static int64_t tasks_over_at(struct lead *l, struct fleet_server *sv)
+{
+	const struct server_io *io = lead_server_io(l, sv);
+	int64_t until = 0;
+
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		/* no start was sent in the other states */
+		if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
+			until = MAX(until, task_over_at(l, io, t));
+	}
+	return until;
+}
+
 /* ---- polling ---- */
 
 /* a start was sent to the server, and it has not listed the task since */
@@ -324,6 +438,27 @@
 	return false;
 }
 
+static bool has_listed_task(const struct fleet_server *sv)
+{
+	for (guint i = 0; i < sv->tasks->len; i++) {
+		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
+
+		if (work_task_is_placed(t) && t->last_poll)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Tasks were started on an idle server: until it has listed them, the incarnation that runs them
+ * is not known. The poll for that list renews no lease, so that a lost one does not prolong the
+ * wait for the leases of an incarnation that answers no more.
+ */
+static bool is_first_list(const struct fleet_server *sv)
+{
+	return has_unlisted_task(sv) && !has_listed_task(sv);
+}
+
 static bool is_busy(const struct fleet_server *sv)
 {
 	if (sv->unclaimed.cpu || sv->unclaimed.memory_mb || sv->unclaimed.accelerators)
@@ -414,7 +549,7 @@
 }
 
 static void on_poll_answered(struct lead *l, const struct poll_call *call,
-			     const struct order_result *r)
+			     const struct order_list *list)
 {
 	struct fleet_server *sv = call->sv;
 	struct server_io *io = lead_server_io(l, sv);
@@ -422,19 +557,19 @@
 
 	if (!sv->is_fenced || !sv->is_reachable)
 		log_event("server_reached", "{ss sI si si sI}", "server", sv->id, "term",
-			  (json_int_t)l->term, "running", (int)r->run_count, "ended",
-			  (int)r->ended_count, "misses", (json_int_t)io->missed_polls);
+			  (json_int_t)l->term, "running", (int)list->run_count, "ended",
+			  (int)list->ended_count, "misses", (json_int_t)io->missed_polls);
 	sv->is_fenced = true;
 	sv->is_reachable = true;
 	io->missed_polls = 0;
-	io->is_doubted = false;
+	io->must_list = false;
 	exclude_silence(io, sited_now_ms());
 	io->dropped_end = MAX(io->dropped_end, call->acknowledged);
-	apply_ends(l, sv, r);
+	apply_ends(l, sv, list);
 	memset(&sv->unclaimed, 0, sizeof(sv->unclaimed));
-	for (unsigned int i = 0; i < r->run_count; i++)
-		lead_task_listed(l, sv, &r->runs[i], number);
-	if (r->ended_count < 500)
+	for (unsigned int i = 0; i < list->run_count; i++)
+		lead_task_listed(l, sv, &list->runs[i], number);
+	if (list->ended_count < 500)
 		release_unlisted(l, sv, call, number);
 	io->next_poll_at = lead_may_grant_leases(l) ? 0 : sited_now_ms() + POLL_RETRY_MS;
 	lead_request_round(l);
@@ -451,9 +586,10 @@
 	io->next_poll_at = sited_now_ms() + (io->missed_polls > 1 ? POLL_RETRY_MS : 0);
 	if (io->missed_polls >= MISSES_MAX && sv->is_reachable) {
 		sv->is_reachable = false;
-		log_event("server_unreachable", "{ss ss si si}", "server", sv->id, "status",
+		log_event("server_unreachable", "{ss ss si si sI}", "server", sv->id, "status",
 			  order_status_name(status), "misses", (int)io->missed_polls, "tasks",
-			  (int)sv->tasks->len);
+			  (int)sv->tasks->len, "tasks_over_in_ms",
+			  (json_int_t)MAX(tasks_over_at(l, sv) - sited_now_ms(), 0));
 	}
 }
 
@@ -461,7 +597,7 @@
 {
 	const struct server_io *io = lead_server_io(l, sv);
 
-	return !sv->is_fenced || io->missed_polls || io->is_doubted;
+	return !sv->is_fenced || io->missed_polls || io->is_doubted || io->must_list;
 }
 
 static unsigned int probes_max(const struct lead *l)
@@ -477,7 +613,7 @@
 {
 	const struct server_io *io = lead_server_io(l, sv);
 
-	if (io->is_doubted && sv->is_fenced && !io->missed_polls) {
+	if (io->is_doubted && sv->is_fenced && !io->missed_polls && !io->must_list) {
 		*max = PROBES_MAX;
 		return &l->doubt_probes;
 	}
@@ -533,11 +669,13 @@
 	if (!l)
 		goto out;
 	was_probe = on_poll_over(lead_server_io(l, sv));
+	if (call->may_grant)
+		lead_server_grant_over(l, sv, r->status, call->sent_at);
 	if (!lead_server_handle_answer(l, sv, r))
 		goto out;
 	if (sv->presence != FLEET_REPLACED) {
-		if (r->status == ORDER_DONE)
-			on_poll_answered(l, call, r);
+		if (r->list)
+			on_poll_answered(l, call, r->list);
 		else
 			on_poll_missed(l, sv, r->status);
 		lead_server_poll(l, sv);
@@ -568,14 +706,13 @@
 {
 	struct server_io *io = lead_server_io(l, sv);
 	struct poll_call *call = talloc_zero(l->d, struct poll_call);
+	bool renews = !io->missed_polls && lead_may_grant_leases(l) && !is_first_list(sv);
 	struct order_poll order = {/* a new incarnation that has carried out the start numbers its
 				    * ends from 1 and would forget some that nobody has seen */
 				   .acknowledged = has_unlisted_task(sv) ? 0 : io->acknowledged,
 				   /* a lost poll may be carried out late and must not
 				    * extend the leases there */
-				   .lease_until = io->missed_polls || !lead_may_grant_leases(l)
-							  ? 0
-							  : lead_server_lease(l, sv),
+				   .lease_until = renews ? lead_server_lease(l, sv) : 0,
 				   .wait_ms = wait_ms};
 	struct lead_order_target to = {.sv = sv,
 				       .deadline = base_deadline_in(wait_ms + POLL_MARGIN_MS),
@@ -588,6 +725,9 @@
 	call->sv = sv;
 	call->sent_at = sited_now_ms();
 	call->acknowledged = order.acknowledged;
+	call->may_grant = order.lease_until != 0;
+	if (call->may_grant)
+		lead_server_grant_sent(l, sv);
 	io->poll_in_flight = true;
 	io->last_poll_at = call->sent_at;
 	sited_count(&l->d->metrics, COUNT_POLLS);
@@ -627,8 +767,9 @@
 	} else if (busy && io->acknowledged < io->processed_end) {
 		/* the server would answer at once with the same ends: wait until they are stored */
 		poll_not_before(l, sv, io->last_poll_at + RENEW_EVERY_MS);
-	} else if (busy && io->dropped_end < io->acknowledged && has_unlisted_task(sv)) {
-		/* it answers at once, with ends that are not acknowledged yet */
+	} else if (busy && (is_first_list(sv) ||
+			    (io->dropped_end < io->acknowledged && has_unlisted_task(sv)))) {
+		/* with ends that are not acknowledged, the server answers at once */
 		poll_not_before(l, sv, io->last_poll_at + UNLISTED_POLL_EVERY_MS);
 	} else if (busy) {
 		send_poll(l, sv, ORDERS_POLL_WAIT_MAX_MS);
@@ -637,55 +778,7 @@
 	}
 }
 
-/* ---- end of the tasks on servers that do not answer ---- */
-
-/* when tasks on the server have certainly ended, as the former leader that handed over knew */
-static int64_t handover_over_at(const struct lead *l, const struct fleet_server *sv)
-{
-	const json_t *entry = json_object_get(json_object_get(l->handover, "servers"), sv->id);
-	const json_t *ms =
-		entry ? json_array_get(entry, 1) : json_object_get(l->handover, "others_ms");
-
-	if (!json_is_integer(ms) || json_integer_value(ms) < 0 ||
-	    (entry && json_integer_value(json_array_get(entry, 0)) != sv->born))
-		return INT64_MAX;
-	return l->handover_read_at + json_integer_value(ms);
-}
-
-int64_t lead_unconfirmed_over_at(const struct lead *l, const struct work_task *t)
-{
-	int64_t over_at = MIN(t->state_deadline, l->grant.former_over_at);
-
-	return MIN(over_at, handover_over_at(l, t->server));
-}
-
-/* when the task, of which a start was sent, has certainly ended if its server is not polled any
- * more */
-static int64_t task_over_at(const struct lead *l, const struct server_io *io,
-			    const struct work_task *t)
-{
-	int64_t over_at = io->clock_at ? leases_over_at(io) : 0;
-
-	if (t->state == TASK_UNCONFIRMED)
-		return lead_unconfirmed_over_at(l, t);
-	return t->last_poll ? over_at : MAX(over_at, t->state_deadline);
-}
-
-/* when all tasks on the server have certainly ended if it is not polled any more */
-static int64_t tasks_over_at(struct lead *l, struct fleet_server *sv)
-{
-	const struct server_io *io = lead_server_io(l, sv);
-	int64_t until = 0;
-
-	for (guint i = 0; i < sv->tasks->len; i++) {
-		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
-
-		/* no start was sent in the other states */
-		if (work_task_is_placed(t) && t->state != TASK_ASSIGNED)
-			until = MAX(until, task_over_at(l, io, t));
-	}
-	return until;
-}
+/* ---- hand-over ---- */
 
 json_t *lead_servers_encode_leases(struct lead *l)
 {
@@ -796,7 +889,7 @@
 	struct server_io *io = lead_server_io(l, sv);
 	int64_t since = domain_silent_since(known, l->d, sv->failure_domain);
 
-	io->is_doubted = since && io->clock_at <= since;
+	io->is_doubted = since && io->heard_at <= since;
 	if (io->is_doubted)
 		sv->suspect_until = MAX(sv->suspect_until, now + SILENT_SUSPECT_MS);
 }
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -133,6 +133,7 @@
 				    .lease_until = lead_server_lease(l, o->sv)};
 
 	o->sent_at = sited_now_ms();
+	lead_server_grant_sent(l, o->sv);
 	lead_send_start(l, &to, &start, on_started, o);
 }
 
@@ -237,6 +238,11 @@
 	if (status == ORDER_NO_CAPACITY)
 		o->sv->suspect_until =
 			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
+	if (status == ORDER_EXPIRED) {
+		o->sv->suspect_until =
+			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
+		lead_server_must_list(l, o->sv);
+	}
 	if (status == ORDER_INVALID && work_task_record_failure(t)) {
 		work_job_set_state(t->group->job, WORK_FAILED, sited_wall_ms());
 		lead_job_stop(l, t->group->job, "the server does not accept the task");
@@ -258,6 +264,8 @@
 	struct order *o = data;
 	struct lead *l = lead_current(o->d, o->serial);
 
+	if (l)
+		lead_server_grant_over(l, o->sv, r->status, o->sent_at);
 	if (!l || !lead_server_handle_answer(l, o->sv, r) || !is_current(o))
 		goto out;
 	if (r->status == ORDER_DONE) {
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -21,7 +21,9 @@
 	struct work_group *group;
 	bool is_done;
 	enum order_status result;
+	bool has_list;
 	int64_t clock_ms;
+	int64_t born;
 	unsigned int runs;
 	unsigned int ended;
 	enum order_end how;
@@ -48,10 +50,12 @@
 
 	f->is_done = true;
 	f->result = r->status;
-	f->clock_ms = r->clock_ms;
-	f->runs = r->run_count;
-	f->ended = r->ended_count;
-	f->how = r->ended_count ? r->ended[0].how : END_OTHER;
+	f->has_list = r->list;
+	f->clock_ms = r->list ? r->list->clock_ms : 0;
+	f->born = r->list ? r->list->born : 0;
+	f->runs = r->list ? r->list->run_count : 0;
+	f->ended = r->list ? r->list->ended_count : 0;
+	f->how = f->ended ? r->list->ended[0].how : END_OTHER;
 }
 
 static struct order_target target(struct fixture *f)
@@ -86,7 +90,7 @@
 
 	start(f);
 	ck_assert_int_eq(f->result, ORDER_DONE);
-	ck_assert_int_eq(f->clock_ms, 482113);
+	ck_assert(!f->has_list);
 	ck_assert_ptr_nonnull(strstr(f->http->asked, "/-/run-start s0 "));
 	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"task\":\"00000000000000ab.0.0.1\""));
 	ck_assert_ptr_nonnull(strstr(f->http->asked, "\"attempt\":1"));
@@ -133,14 +137,17 @@
 START_TEST(a_poll_lists_runs_and_ends)
 {
 	struct fixture *f = fixture_new(
-		200, "{\"clock-ms\":5,\"running\":[[\"00000000000000ab.0.0.1\",2,\"s\",41]],"
-		     "\"ended\":[[58,\"00000000000000ab.0.0.0\",1,\"lapsed\",\"\"]]}");
+		200,
+		"{\"clock-ms\":5,\"born\":7,\"running\":[[\"00000000000000ab.0.0.1\",2,\"s\",41]],"
+		"\"ended\":[[58,\"00000000000000ab.0.0.0\",1,\"lapsed\",\"\"]]}");
 	struct order_target to = target(f);
 	struct order_poll poll = {.acknowledged = 57, .lease_until = 9, .wait_ms = 100};
 
 	orders_poll(f->orders, &to, &poll, on_done, f);
 	while (!f->is_done)
 		tevent_loop_once(f->ev);
+	ck_assert_int_eq(f->clock_ms, 5);
+	ck_assert_int_eq(f->born, 7);
 	ck_assert_uint_eq(f->runs, 1);
 	ck_assert_uint_eq(f->ended, 1);
 	ck_assert_int_eq(f->how, END_LEASE_EXPIRED);
--- a/tests/test_renewal.c
+++ b/tests/test_renewal.c
@@ -16,7 +16,7 @@
 	struct renewal r = {0};
 
 	renewal_set_limit(&r, TERM, LIMIT, 1000);
-	renewal_set_server_clock(&r, 20100, 1100);
+	renewal_set_server_clock(&r, 20100, LEASE_MS, 1100);
 	r.leader_active_at = 1100;
 	return r;
 }
@@ -55,6 +55,26 @@
 }
 END_TEST
 
+/*
+ * Guards against leases renewed for an hour: the server had been up for so long when it started
+ * again, and the leader set its limit on the former clock.
+ */
+START_TEST(a_limit_on_the_clock_of_an_earlier_incarnation_is_dropped)
+{
+	struct renewal r = {0};
+
+	renewal_set_limit(&r, TERM, 3600000 + LIMIT, 1000);
+	renewal_set_server_clock(&r, 50, LEASE_MS, 1100);
+	ck_assert_int_eq(renewal_next_lease_until(&r, TERM, LEASE_MS, 1100 + 3000), 0);
+	ck_assert(renewal_is_over(&r, TERM, 1100));
+	renewal_set_limit(&r, TERM, 50 + RENEWAL_GRANTS_MAX_MS + LEASE_MS, 1200);
+	renewal_set_server_clock(&r, 200, LEASE_MS, 1250);
+	r.leader_active_at = 1250;
+	ck_assert_int_eq(renewal_next_lease_until(&r, TERM, LEASE_MS, 1250 + 3000),
+			 200 + 3000 + LEASE_MS);
+}
+END_TEST
+
 /* paused for a minute that its clock may not have counted; the limit is on the server's clock */
 START_TEST(a_vm_that_resumes_late_requests_no_more)
 {
@@ -91,6 +111,7 @@
 	tcase_add_test(t, no_lease_is_renewed_while_the_leader_polls);
 	tcase_add_test(t, leases_are_renewed_while_the_leader_is_silent);
 	tcase_add_test(t, no_lease_exceeds_the_limit);
+	tcase_add_test(t, a_limit_on_the_clock_of_an_earlier_incarnation_is_dropped);
 	tcase_add_test(t, a_vm_that_resumes_late_requests_no_more);
 	tcase_add_test(t, a_newer_leader_ends_renewal);
 	tcase_add_test(t, nothing_is_renewed_without_a_limit);
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -21,6 +21,7 @@
 CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
 ZONES = 3
+UP_BEFORE_MS = 3600 * 1000  # half of the servers have been up for so long
 SLOW_CLOCK = 0.98  # rate of the clock of some servers
 CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpu": 8}
 
@@ -281,6 +282,8 @@
         self.rng, self.store = rng, store
         self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack), "z%d" % (i % ZONES),
                                       SLOW_CLOCK if i % 4 == 0 else 1.0) for i in range(count)]
+        for server in self.servers[1::2]:
+            server.born -= UP_BEFORE_MS
         self.runs = []          # every Run ever begun
         self.open = {}          # (group, attempt) -> runs under way
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -776,8 +776,18 @@
     return False
 
 
+async def fail_one(site):
+    """So that a scenario with few jobs asks for the promise on attempts too."""
+    job = site.add_job()
+    job.count, job.steps, job.gpu, job.is_cancelled = 1, 1, 0, False
+    job.spec, site.pool.needs[job.id] = {"ms": 300, "gang": 0, "fail": 1}, 0
+    await site.submit(job)
+    site.following.append(asyncio.ensure_future(site.watch(job)))
+
+
 async def servers_start_again_before_a_start(site):
     """A restarted server took a start before its entry changed; that run was forgotten, and the task ran elsewhere too."""
+    await fail_one(site)
     site.stopping, watched = True, []
     await pool_is_idle(site)
     for change in (None, None, site.kill, site.terminate):
@@ -798,6 +808,30 @@
     await asyncio.wait(watched, timeout=SETTLE_S)
 
 
+async def servers_start_again_and_are_lost(site):
+    """A lease counted by the clock of a server's former life, so that its task waited for as long as that had lasted."""
+    await fail_one(site)
+    site.stopping, watched, left, lost_with_task = True, [], list(site.pool.servers[1::2]), 0
+    await pool_is_idle(site)
+    for change, runs_on in ((None, False), (None, True), (site.kill, True), (site.terminate, False)):
+        server = left.pop(site.rng.randrange(len(left)))
+        site.faults += ["server crash", "server lost"]
+        await server.start_again(site.rng.uniform(0.1, 1.2), float("inf"))
+        job = await submit_waiting(site, len(site.pool.live()), 2500)
+        watched.append(asyncio.ensure_future(site.watch(job)))
+        await until(lambda: server.runs, 1)
+        await asyncio.sleep(site.rng.uniform(0.0, 1.3))
+        lost_with_task += bool(server.runs)
+        lost = asyncio.ensure_future(server.leave_for_good(True, runs_on))
+        if change:
+            await change(site.leader())
+        ended = await until(lambda: "complete" in job.seen, IDLE_FROM_S + IDLE_MAX_S + 2.5)
+        site.expected.append(("a task of a server that started again and was lost runs again in time", ended))
+        await lost
+    site.expected.append(("servers are lost with a task, %d were" % lost_with_task, lost_with_task))
+    await asyncio.wait(watched, timeout=SETTLE_S)
+
+
 def done_tasks(site, job):
     return {r.task for r in site.pool.runs if r.task[:16] == job.id and r.how == "done"}
 
@@ -1662,6 +1696,7 @@
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
+    servers_start_again_and_are_lost,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
