A start that was not sent is neither stopped nor blamed for a crash

Three idle servers were down; the job's start was given to each in turn.

Cause: an order to a port that refuses connections had the status of one without an answer. The task was stopped, waited for the stop's answer, and got two points of blame when the server was back: six for three servers, and five give a job up.

Now it has a status of its own, also through an agent: the task goes elsewhere at once, and the server gets work again when it answers a poll. A start without an answer gives points only if the server had accepted a connection for it; one that was sent after the server fell silent gives none. A job is given up only if two servers have crashed that certainly ran its task; the row holds the number. A start answered with 400 uses up no attempt, as only ends listed as failed do.

--- a/lib/blame/blame.c
+++ b/lib/blame/blame.c
@@ -76,15 +76,18 @@
 }
 
 /*
- * A start may have been carried out, so the task may have run when the server crashed. A start
- * that no call has lost the answer of was answered by the next incarnation, if at all.
+ * A start without an answer may have been carried out if the server had accepted a connection for
+ * it; on an older connection it may have been sent to a server that had crashed before. A server
+ * that did not answer before a start was sent did not crash because of it.
  */
-static bool may_have_run(const struct work_task *t)
+static bool may_have_run(const struct work_task *t, int64_t crashed_at)
 {
+	if (!t->last_poll && t->start_sent_at && crashed_at <= t->start_sent_at)
+		return false;
 	switch (t->state) {
 	case TASK_STARTING:
 	case TASK_STOPPING:
-		return t->started_at || t->unanswered_starts;
+		return t->started_at || t->is_start_received;
 	case TASK_RUNNING:
 	case TASK_UNCONFIRMED:
 		return true;
@@ -99,21 +102,22 @@
 }
 
 /* a task of an earlier leader is not: it is not known when it started */
-static bool is_new(const struct work_task *t, int64_t seen_at)
+static bool is_new(const struct work_task *t, int64_t seen_at, int64_t crashed_at)
 {
-	return may_have_run(t) && t->state != TASK_UNCONFIRMED &&
+	return may_have_run(t, crashed_at) && t->state != TASK_UNCONFIRMED &&
 	       (t->first_percent < 0 || seen_at - t->started_at < BLAME_NEW_MS);
 }
 
 /* Returns the number of jobs with new tasks that have never run well, 2 for more than one. */
-static unsigned int count_suspect_jobs(const struct fleet_server *sv, int64_t seen_at)
+static unsigned int count_suspect_jobs(const struct fleet_server *sv, int64_t seen_at,
+				       int64_t crashed_at)
 {
 	const struct work_job *job = NULL;
 
 	for (guint i = 0; i < sv->tasks->len; i++) {
 		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
 
-		if (!is_new(t, seen_at) || t->has_run_well)
+		if (!is_new(t, seen_at, crashed_at) || t->has_run_well)
 			continue;
 		if (job && t->group->job != job)
 			return 2;
@@ -125,7 +129,7 @@
 void blame_crash(struct blame *b, const struct fleet_server *sv, int64_t seen_at,
 		 int64_t crashed_at, unsigned int *points)
 {
-	unsigned int suspects = count_suspect_jobs(sv, seen_at);
+	unsigned int suspects = count_suspect_jobs(sv, seen_at, crashed_at);
 	bool is_together = fell_silent_together(b, sv, crashed_at);
 	bool is_clear = suspects == 1 && !is_together && !has_crashed_before(b, sv, crashed_at);
 
@@ -136,9 +140,9 @@
 	for (guint i = 0; i < sv->tasks->len; i++) {
 		const struct work_task *t = g_ptr_array_index(sv->tasks, i);
 
-		if (!may_have_run(t))
+		if (!may_have_run(t, crashed_at))
 			continue;
-		if (is_new(t, seen_at) && !t->has_run_well)
+		if (is_new(t, seen_at, crashed_at) && !t->has_run_well)
 			points[i] = is_clear ? BLAME_CLEAR : BLAME_UNCLEAR;
 		else if (t->state == TASK_UNCONFIRMED || (!suspects && !is_together))
 			points[i] = BLAME_UNCLEAR;
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -432,14 +432,16 @@
 
 bool work_task_is_given_up(const struct work_task *t)
 {
-	return t->crash_points >= WORK_CRASH_POINTS_MAX && !t->group->step->is_endless;
+	return t->crash_points >= WORK_CRASH_POINTS_MAX && t->crashes >= WORK_CRASHES_MIN &&
+	       !t->group->step->is_endless;
 }
 
-bool work_task_record_crash(struct work_task *t, unsigned int points)
+bool work_task_record_crash(struct work_task *t, unsigned int points, bool is_certain)
 {
 	if (!points || t->crash_attempt >= t->attempt)
 		return false;
 	t->crash_points += points;
+	t->crashes += is_certain;
 	t->crash_attempt = t->attempt;
 	mark_task_changed(t);
 	return work_task_is_given_up(t);
@@ -631,6 +633,7 @@
 	uint32_t attempt;
 	uint32_t failures;
 	unsigned int crash_points;
+	unsigned int crashes;
 	bool is_done;
 	const struct fleet_server *server;
 	const char *snapshot;
@@ -645,6 +648,7 @@
 	return (struct row_entry){t->attempt,
 				  t->failures,
 				  t->crash_points,
+				  t->crashes,
 				  false,
 				  work_task_is_placed(t) ? t->server : NULL,
 				  t->snapshot && with_snapshot ? t->snapshot : ""};
@@ -653,8 +657,9 @@
 static bool is_same_entry(const struct row_entry *a, const struct row_entry *b)
 {
 	return a->attempt == b->attempt && a->failures == b->failures &&
-	       a->crash_points == b->crash_points && a->is_done == b->is_done &&
-	       a->server == b->server && !strcmp(a->snapshot, b->snapshot);
+	       a->crash_points == b->crash_points && a->crashes == b->crashes &&
+	       a->is_done == b->is_done && a->server == b->server &&
+	       !strcmp(a->snapshot, b->snapshot);
 }
 
 /*
@@ -679,10 +684,11 @@
 		while (is_same_entry(&e, &first) && i + ++n < end)
 			e = task_entry(&group->task[i + n], with_snapshots);
 		json_array_append_new(
-			tasks, json_pack("[IIIIIsI]", (json_int_t)n, (json_int_t)first.attempt,
-					 (json_int_t)first.failures, (json_int_t)first.is_done,
-					 server_index(servers, first.server), first.snapshot,
-					 (json_int_t)first.crash_points));
+			tasks,
+			json_pack("[IIIIIsII]", (json_int_t)n, (json_int_t)first.attempt,
+				  (json_int_t)first.failures, (json_int_t)first.is_done,
+				  server_index(servers, first.server), first.snapshot,
+				  (json_int_t)first.crash_points, (json_int_t)first.crashes));
 		i += n;
 	}
 	v = json_pack("{sososI}", "servers", servers, "tasks", tasks, "failed_attempt",
@@ -744,11 +750,13 @@
 	json_int_t server_at = json_integer_value(json_array_get(row, 4));
 	/* missing in rows of earlier versions */
 	unsigned int crash_points = (unsigned int)json_integer_value(json_array_get(row, 6));
+	unsigned int crashes = (unsigned int)json_integer_value(json_array_get(row, 7));
 	struct fleet_server *sv = NULL;
 	bool is_replaced = false;
 
 	t->failures = MAX(t->failures, failures);
 	t->crash_points = MAX(t->crash_points, crash_points);
+	t->crashes = MAX(t->crashes, crashes);
 	if (json_integer_value(json_array_get(row, 3))) {
 		work_task_set_ending(t);
 		return;
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -126,6 +126,7 @@
  * @attempt: number of the latest assignment to a server, 0 before the first
  * @failures: number of failed attempts
  * @crash_points: points of blame for crashes of servers that started it, see blame.h
+ * @crashes: number of servers that have crashed while they certainly ran it
  * @crash_attempt: latest attempt that got such points
  * @crash_points_unless_listed: points for the end of an earlier incarnation of its server, given
  *	if the present one does not list it
@@ -147,6 +148,9 @@
  * @assigned_change: value of @changes of the task's row that must be stored before the start
  *	is sent
  * @unanswered_starts: number of starts sent without an answer
+ * @start_sent_at: when the start was first sent, monotonic ms; 0 before
+ * @is_start_received: the server had accepted a connection for a start without an answer
+ * @has_lost_start: a start of this or of an earlier attempt had no answer; not stored
  * @failed_server_id: id of the server where it failed last, or NULL
  */
 struct work_task {
@@ -156,6 +160,7 @@
 	uint32_t attempt;
 	uint32_t failures;
 	unsigned int crash_points;
+	unsigned int crashes;
 	uint32_t crash_attempt;
 	unsigned int crash_points_unless_listed;
 	bool has_run_well;
@@ -171,6 +176,9 @@
 	int64_t state_deadline;
 	uint64_t assigned_change;
 	unsigned int unanswered_starts;
+	int64_t start_sent_at;
+	bool is_start_received;
+	bool has_lost_start;
 	char *failed_server_id;
 };
 
@@ -179,6 +187,7 @@
  * @occurrence: 0 for a job that isn't timed
  * @ready_since: when its first task could have started, monotonic ms; 0 before
  * @waiting_since: since when it has had a task to place, monotonic ms; 0 when it has none
+ * @start_not_before: earliest time of its next placement, monotonic ms; not stored
  * @wait_logged_at: when a log line last reported that it waits, monotonic ms; 0 before
  * @done: number of tasks done
  * @failed_attempt: latest attempt of the gang that was counted as failed
@@ -201,6 +210,7 @@
 	double earlier_pace;
 	int64_t ready_since;
 	int64_t waiting_since;
+	int64_t start_not_before;
 	int64_t wait_logged_at;
 	uint64_t changes;
 	int64_t store_by;
@@ -360,14 +370,16 @@
 /*
  * A task with so many points is given up: a crash counts for two where it was clearly the
  * task's, else for one. The rules allow it from two crashes on, and at most two starts after the
- * third.
+ * third. A crash that no leader saw may not have been under the task.
  */
 #define WORK_CRASH_POINTS_MAX 5
+#define WORK_CRASHES_MIN 2 /* under which the task has certainly run, before it is given up */
 #define WORK_CRASH_SUSPECT_POINTS 2 /* from so many on it starts on a server with few others */
 #define WORK_CRASH_UNSEEN_POINTS 1  /* for a crash that no leader saw, only a stored row shows */
 /**
  * work_task_record_crash() - record that the current attempt's server has crashed
  * @points: 0 changes nothing
+ * @is_certain: the task has certainly run there
  *
  * An attempt counts once: a stop follows the task to the server's next incarnation, which may
  * crash as well, and a row may be read twice. Each member of a gang has points of its own, as
@@ -375,7 +387,7 @@
  *
  * Return: true if the task must be given up; never for an endless step.
  */
-bool work_task_record_crash(struct work_task *t, unsigned int points);
+bool work_task_record_crash(struct work_task *t, unsigned int points, bool is_certain);
 /** work_task_is_given_up() - it has so many points that it must not start again */
 bool work_task_is_given_up(const struct work_task *t);
 /** work_task_set_snapshot() - set the latest checkpoint; an empty string is ignored */
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -146,7 +146,7 @@
 	log_event("lease_renewed_alone", "{ss ss sI si}", "server", ctx->server, "outcome",
 		  order_status_name(r->status), "term", (json_int_t)(rs ? rs->renewal.term : 0),
 		  "running", (int)(r->list ? r->list->run_count : 0));
-	if (rs && r->status == ORDER_UNKNOWN) {
+	if (rs && !order_was_answered(r->status)) {
 		/* on_renewal_tick() retries until the limit has passed */
 		rs->renewal.polls_in_flight--;
 	} else if (rs) {
@@ -311,7 +311,7 @@
 	if (!admit(d, req, &args->to))
 		return;
 	if (!start.payload)
-		reply_status(req, ORDER_UNKNOWN); /* the leader then sends the start itself */
+		reply_status(req, ORDER_NOT_RELAYED); /* the leader then sends the start itself */
 	else if (is_utf8(args->task) && is_utf8(start.payload) && is_utf8(args->snapshot))
 		orders_start(d->orders, &to, &start, on_order_done, carried_order_new(d, req));
 	else
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -10,7 +10,8 @@
  *
  * An order may be carried out twice or late, whoever sends it, because it names
  * its term, attempt and incarnation, and has deadlines on the server's own clock.
- * An order that an agent does not answer counts as unanswered by the server.
+ * An order that an agent does not answer counts as unanswered by the server. An agent of an
+ * earlier version answers so also when it has sent nothing.
  */
 #include "sited_lead.h"
 
@@ -251,7 +252,7 @@
 {
 	bool has_list = call->proc == SITED_PROC_POLL && res->status == ORDER_DONE;
 
-	if (res->status < ORDER_DONE || res->status > ORDER_UNKNOWN)
+	if (res->status < ORDER_DONE || res->status > ORDER_STATUS_MAX)
 		return false;
 	r->status = (enum order_status)res->status;
 	r->list = has_list ? decode_list(call, res) : NULL;
@@ -298,7 +299,8 @@
 {
 	struct agent_call *call = data;
 	struct lead *l = lead_current(call->d, call->serial);
-	struct order_result r = {.status = ORDER_UNKNOWN};
+	struct order_result r = {.status = result == ONC_NOT_SENT ? ORDER_NOT_RELAYED
+								  : ORDER_UNKNOWN};
 
 	if (result == ONC_OK && !decode_result(call, res, &r)) {
 		log_warn("agent_answer_invalid", "VM %s answers an order with values out of range",
@@ -308,7 +310,7 @@
 	if (result == ONC_OK && l && call->proc == SITED_PROC_POLL)
 		record_renewals(l, call, res);
 	/* A restarted agent has lost its payloads. */
-	if (call->proc == SITED_PROC_START && r.status == ORDER_UNKNOWN && l)
+	if (call->proc == SITED_PROC_START && !order_was_answered(r.status) && l)
 		forget_payloads(l, call->vm);
 	if (result != ONC_OK && l)
 		avoid_agent(l, call->vm, result);
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -348,7 +348,7 @@
 		for (guint k = 0; k < job->groups->len; k++) {
 			struct ranked r = {.group = g_ptr_array_index(job->groups, k)};
 
-			if (!work_group_is_ready(r.group))
+			if (!work_group_is_ready(r.group) || r.group->start_not_before > at->now)
 				continue;
 			if (!r.group->ready_since)
 				record_ready(l, r.group, at->now);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -302,6 +302,8 @@
 			    int64_t sent_at);
 /** lead_server_must_list() - poll the server before it gets work again */
 void lead_server_must_list(struct lead *l, struct fleet_server *sv);
+/** lead_server_refused() - it accepts no connection; it gets work again once it answers a poll */
+void lead_server_refused(struct lead *l, struct fleet_server *sv);
 /**
  * lead_server_handle_answer() - apply the term, incarnation and clock of any answer
  * Return: false when a newer term was seen; this VM no longer leads, and @l has been freed.
@@ -337,7 +339,8 @@
 /**
  * struct lead_order_target - recipient of an order
  * @deadline: when the wait for the server's answer ends, on base_now_ns()'s clock
- * @earlier_sends: earlier transmissions of this order without an answer
+ * @earlier_sends: earlier transmissions of this order without an answer; every second one is sent
+ *	without an agent, and all but the first on a new connection
  * @renewal_limit: for a poll, latest lease end that an agent may request without the leader,
  *                 ms on the server's clock
  */
@@ -357,7 +360,7 @@
  * lead_send_start(), lead_send_stop(), lead_send_poll() - send an order to a server
  *
  * The order goes directly or through an agent. @done gets the answer, with status
- * ORDER_UNKNOWN when there is none.
+ * ORDER_UNKNOWN, ORDER_NOT_SENT or ORDER_NOT_RELAYED when there is none.
  */
 void lead_send_start(struct lead *l, const struct lead_order_target *to,
 		     const struct order_start *start, order_done *done, void *data);
@@ -377,9 +380,12 @@
 void lead_task_start(struct lead *l, struct work_task *t);
 /** lead_task_stop() - stop a task; it waits again once it has certainly stopped */
 void lead_task_stop(struct lead *l, struct work_task *t, const char *why);
-/** lead_task_crashed() - the task got points of blame for the crash of @sv; may give up its job */
+/**
+ * lead_task_crashed() - the task got points of blame for the crash of @sv; may give up its job
+ * @is_certain: the task has certainly run there
+ */
 void lead_task_crashed(struct lead *l, struct work_task *t, const struct fleet_server *sv,
-		       unsigned int points);
+		       unsigned int points, bool is_certain);
 /** lead_task_release() - handle a task that certainly no longer runs; @why is logged */
 void lead_task_release(struct lead *l, struct work_task *t, const char *why);
 void lead_group_stop(struct lead *l, struct work_group *g, const char *why);
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -145,6 +145,8 @@
 	int64_t over_at;
 
 	io->grants_in_flight--;
+	if (status == ORDER_NOT_SENT || status == ORDER_NOT_RELAYED)
+		return;
 	if (io->lease_limit > server_clock(io)) /* an agent may go on renewing by itself */
 		over_at = now + lead_leases_wait_ms(l);
 	else if (status == ORDER_UNKNOWN)
@@ -189,10 +191,12 @@
  * struct suspects - tasks on a server that has crashed
  * @task: borrowed
  * @points: points of blame of each
+ * @is_certain: whether each has certainly run there
  */
 struct suspects {
 	GPtrArray *task;
 	unsigned int *points;
+	bool *is_certain;
 };
 
 /* must be called before the tasks are released */
@@ -203,6 +207,12 @@
 
 	s->task = g_ptr_array_copy(sv->tasks, NULL, NULL);
 	s->points = talloc_zero_array(s, unsigned int, s->task->len + 1);
+	s->is_certain = talloc_zero_array(s, bool, s->task->len + 1);
+	for (guint i = 0; i < s->task->len; i++) {
+		const struct work_task *t = g_ptr_array_index(s->task, i);
+
+		s->is_certain[i] = t->state != TASK_UNCONFIRMED;
+	}
 	if (s->task->len)
 		blame_crash(l->blame, sv, io ? io->answered_at : 0,
 			    io && io->missed_polls ? io->missed_since : sited_now_ms(), s->points);
@@ -213,7 +223,8 @@
 static void suspects_blame(struct lead *l, struct suspects *s, const struct fleet_server *sv)
 {
 	for (guint i = 0; i < s->task->len; i++)
-		lead_task_crashed(l, g_ptr_array_index(s->task, i), sv, s->points[i]);
+		lead_task_crashed(l, g_ptr_array_index(s->task, i), sv, s->points[i],
+				  s->is_certain[i]);
 	g_ptr_array_free(s->task, TRUE);
 	talloc_free(s);
 }
@@ -315,7 +326,7 @@
 		sited_step_down(l->d, "a backend server has seen a newer term");
 		return false;
 	}
-	if (r->status != ORDER_UNKNOWN) {
+	if (order_was_answered(r->status)) {
 		io->heard_at = sited_now_ms();
 		io->is_doubted = false;
 	}
@@ -475,9 +486,10 @@
 static void release_gone(struct lead *l, struct fleet_server *sv, struct work_task *t)
 {
 	unsigned int crash_points = t->crash_points_unless_listed;
+	bool is_certain = t->state != TASK_UNCONFIRMED;
 
 	lead_task_release(l, t, "the server does not list it");
-	lead_task_crashed(l, t, sv, crash_points);
+	lead_task_crashed(l, t, sv, crash_points, is_certain);
 }
 
 /* releases the tasks that the server would list if they still ran there */
@@ -575,6 +587,23 @@
 	lead_request_round(l);
 }
 
+static void set_unreachable(struct lead *l, struct fleet_server *sv, enum order_status status)
+{
+	if (!sv->is_reachable)
+		return;
+	sv->is_reachable = false;
+	log_event("server_unreachable", "{ss ss sI si sI}", "server", sv->id, "status",
+		  order_status_name(status), "misses",
+		  (json_int_t)lead_server_io(l, sv)->missed_polls, "tasks", (int)sv->tasks->len,
+		  "tasks_over_in_ms", (json_int_t)MAX(tasks_over_at(l, sv) - sited_now_ms(), 0));
+}
+
+void lead_server_refused(struct lead *l, struct fleet_server *sv)
+{
+	set_unreachable(l, sv, ORDER_NOT_SENT);
+	lead_server_must_list(l, sv);
+}
+
 static void on_poll_missed(struct lead *l, struct fleet_server *sv, enum order_status status)
 {
 	struct server_io *io = lead_server_io(l, sv);
@@ -584,13 +613,8 @@
 		blame_note_silence(l->blame, sv, io->missed_since);
 	}
 	io->next_poll_at = sited_now_ms() + (io->missed_polls > 1 ? POLL_RETRY_MS : 0);
-	if (io->missed_polls >= MISSES_MAX && sv->is_reachable) {
-		sv->is_reachable = false;
-		log_event("server_unreachable", "{ss ss si si sI}", "server", sv->id, "status",
-			  order_status_name(status), "misses", (int)io->missed_polls, "tasks",
-			  (int)sv->tasks->len, "tasks_over_in_ms",
-			  (json_int_t)MAX(tasks_over_at(l, sv) - sited_now_ms(), 0));
-	}
+	if (io->missed_polls >= MISSES_MAX)
+		set_unreachable(l, sv, status);
 }
 
 static bool needs_probe(struct lead *l, struct fleet_server *sv)
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -15,6 +15,7 @@
 /* The network round trip takes at most 3 ms; the remaining time is for slow servers. */
 #define START_TIMEOUT_MS 400
 #define START_SENDS_MAX 3
+#define INVALID_START_RETRY_MS 5000 /* until a step is placed again after a server rejected it */
 #define STOP_TIMEOUT_MS 400
 #define STOP_RETRY_MS 150
 /* A server that reports too little free capacity gets no new work for this long. */
@@ -122,10 +123,10 @@
 static void send_start(struct order *o)
 {
 	struct lead *l = lead_current(o->d, o->serial);
-	const struct work_task *t = o->task;
+	struct work_task *t = o->task;
 	struct lead_order_target to = {.sv = o->sv,
 				       .deadline = base_deadline_in(START_TIMEOUT_MS),
-				       .earlier_sends = t->unanswered_starts};
+				       .earlier_sends = o->sends++};
 	struct order_start start = {.task = orders_task_name(o, t),
 				    .attempt = t->attempt,
 				    .payload = t->group->job->payload,
@@ -133,6 +134,8 @@
 				    .lease_until = lead_server_lease(l, o->sv)};
 
 	o->sent_at = sited_now_ms();
+	if (!t->start_sent_at)
+		t->start_sent_at = o->sent_at;
 	lead_server_grant_sent(l, o->sv);
 	lead_send_start(l, &to, &start, on_started, o);
 }
@@ -150,17 +153,18 @@
 }
 
 void lead_task_crashed(struct lead *l, struct work_task *t, const struct fleet_server *sv,
-		       unsigned int points)
+		       unsigned int points, bool is_certain)
 {
 	bool is_final;
 
 	if (!points || work_job_has_ended(t->group->job))
 		return;
-	is_final = work_task_record_crash(t, points);
-	log_event("task_blamed", "{ss si si si sI ss sI sI}", "id", t->group->job->id, "occurrence",
-		  (int)t->group->occurrence, "step", (int)t->group->step_index, "task",
-		  (int)t->index, "attempt", (json_int_t)t->attempt, "server", sv->id, "points",
-		  (json_int_t)points, "points_of_task", (json_int_t)t->crash_points);
+	is_final = work_task_record_crash(t, points, is_certain);
+	log_event("task_blamed", "{ss si si si sI ss sI sI sI}", "id", t->group->job->id,
+		  "occurrence", (int)t->group->occurrence, "step", (int)t->group->step_index,
+		  "task", (int)t->index, "attempt", (json_int_t)t->attempt, "server", sv->id,
+		  "points", (json_int_t)points, "points_of_task", (json_int_t)t->crash_points,
+		  "certain_crashes", (json_int_t)t->crashes);
 	if (is_final)
 		give_up(l, t);
 }
@@ -177,6 +181,7 @@
 void lead_task_start(struct lead *l, struct work_task *t)
 {
 	struct fleet_server *sv = t->server;
+	struct order *o;
 
 	/* a leader that died may have stored the points, but not the end of the job */
 	if (work_task_is_given_up(t) && !work_job_has_ended(t->group->job)) {
@@ -200,11 +205,17 @@
 	}
 	t->state = TASK_STARTING;
 	t->unanswered_starts = 0;
+	t->is_start_received = false;
+	t->start_sent_at = 0;
 	/* should the server crash again, no other task is new there */
 	if (t->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		sv->suspect_until = MAX(sv->suspect_until, sited_now_ms() + BLAME_NEW_MS);
 	sited_count(&l->d->metrics, COUNT_STARTS);
-	send_start(order_new(l, sv, t));
+	o = order_new(l, sv, t);
+	/* On a new connection, so that a start without an answer shows whether the server was up.
+	 */
+	o->sends = t->has_lost_start;
+	send_start(o);
 	log_task_event("task_start", t, sv, t->attempt == 1 ? "first start" : "started again");
 }
 
@@ -233,8 +244,13 @@
 
 	if (status == ORDER_REFUSED)
 		fleet_note_refusal(o->sv, sited_now_ms());
-	if (status == ORDER_INVALID)
-		fleet_suspect(o->sv, sited_now_ms());
+	if (status == ORDER_NOT_SENT)
+		lead_server_refused(l, o->sv);
+	if (status == ORDER_INVALID) {
+		/* no run has failed, so this uses up no attempt */
+		fleet_note_failure(o->sv, t->group->job->id, sited_now_ms());
+		t->group->start_not_before = sited_now_ms() + INVALID_START_RETRY_MS;
+	}
 	if (status == ORDER_NO_CAPACITY)
 		o->sv->suspect_until =
 			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
@@ -243,11 +259,6 @@
 			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
 		lead_server_must_list(l, o->sv);
 	}
-	if (status == ORDER_INVALID && work_task_record_failure(t)) {
-		work_job_set_state(t->group->job, WORK_FAILED, sited_wall_ms());
-		lead_job_stop(l, t->group->job, "the server does not accept the task");
-		return;
-	}
 	if (is_certain)
 		lead_task_release(l, t, order_status_name(status));
 	else
@@ -259,6 +270,15 @@
 	sv->suspect_until = MAX(sv->suspect_until, sited_now_ms() + UNANSWERED_SUSPECT_MS);
 }
 
+/* the second transmission is sent without an agent, on a connection that the server has accepted */
+static void note_unanswered_start(struct order *o)
+{
+	suspect_unanswered(o->sv);
+	o->task->unanswered_starts++;
+	o->task->has_lost_start = true;
+	o->task->is_start_received |= o->sends == 2;
+}
+
 static void on_started(const struct order_result *r, void *data)
 {
 	struct order *o = data;
@@ -275,12 +295,12 @@
 	log_task_event("task_start_failed", o->task, o->sv, order_status_name(r->status));
 	if (o->task->state != TASK_STARTING)
 		goto out;
-	if (r->status == ORDER_UNKNOWN) {
-		suspect_unanswered(o->sv);
-		if (++o->task->unanswered_starts < START_SENDS_MAX && lead_may_grant_leases(l)) {
-			send_start(o);
-			return;
-		}
+	if (r->status == ORDER_UNKNOWN)
+		note_unanswered_start(o);
+	if ((r->status == ORDER_UNKNOWN || r->status == ORDER_NOT_RELAYED) &&
+	    o->sends < START_SENDS_MAX && lead_may_grant_leases(l)) {
+		send_start(o);
+		return;
 	}
 	handle_start_failure(l, o, r->status);
 out:
@@ -308,6 +328,8 @@
 		goto out;
 	switch (r->status) {
 	case ORDER_UNKNOWN:
+	case ORDER_NOT_SENT:
+	case ORDER_NOT_RELAYED:
 	case ORDER_REFUSED:
 		suspect_unanswered(o->sv);
 		mtimer_add(o, l->d->ev, base_deadline_in(STOP_RETRY_MS), on_stop_timer, o);
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -134,6 +134,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a start that counts as lost though nothing was sent: its task waited for leases,
+ * and was blamed for the crash of a server that never heard of it.
+ */
+START_TEST(an_order_to_a_server_that_refuses_connections_is_not_sent)
+{
+	struct fixture *f = fixture_new(200, "{}");
+
+	talloc_free(f->http->server);
+	start(f);
+	ck_assert_int_eq(f->result, ORDER_NOT_SENT);
+	ck_assert(!order_was_answered(f->result));
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(a_poll_lists_runs_and_ends)
 {
 	struct fixture *f = fixture_new(
@@ -204,6 +220,7 @@
 {
 	tcase_add_test(t, a_start_sends_task_attempt_fence_and_server);
 	tcase_add_test(t, rejections_are_distinguished);
+	tcase_add_test(t, an_order_to_a_server_that_refuses_connections_is_not_sent);
 	tcase_add_test(t, a_poll_lists_runs_and_ends);
 	tcase_add_test(t, answers_with_wrong_types_are_tolerated);
 	tcase_add_test(t, task_names_are_parsed_or_rejected);
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -106,6 +106,23 @@
         await self.http.start(port)
         self.listed_from = time.monotonic() + entry_s
 
+    async def go_down(self, down_s, is_dark, as_another):
+        """It refuses connections, or is dark; then it is back, idle, and its entry follows at once."""
+        port, former = self.http.port, self.name
+        self.silent = is_dark
+        self.http.stop() if not is_dark else self.http.reset_connections()
+        self.listed_from = float("inf")
+        await asyncio.sleep(down_s)
+        self.reborn()
+        if as_another:
+            self.name = "%s-%d" % (self.first_name, self.life)
+        if not is_dark:
+            await self.http.start(port)
+        self.silent, self.listed, self.listed_from = False, None, 0.0
+        await self.announce()
+        if as_another:
+            await self.pool.store.apply([("servers", "", former, None)])
+
     async def leave_for_good(self, is_unlisted, runs_on):
         """It crashes, or runs on as long as its leases last; its entry is removed after three beats, or stays."""
         self.silent = True
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -41,6 +41,7 @@
 IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
 IDLE_MAX_S = 3.0        # for so long
 SAMPLE_S = 0.1
+BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
 VMS_DOWN_S = 9.0        # longer than any lease granted before
 RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
 WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
@@ -832,6 +833,35 @@
     await asyncio.wait(watched, timeout=SETTLE_S)
 
 
+async def idle_servers_are_down_as_a_job_comes(site):
+    """Its starts counted as carried out by servers that had crashed before, and the job was given up."""
+    await fail_one(site)
+    site.stopping, watched = True, []
+    await pool_is_idle(site)
+    for is_dark, as_another in ((False, True), (False, False), (True, True)):
+        filler = await submit_waiting(site, SERVERS, 12000)
+        await until(lambda: len(runs_of(site, filler)) == SERVERS, 10)
+        idle = sorted(site.rng.sample(site.pool.servers, 3), key=lambda s: s.first_name)  # in the order of placement
+        for server in idle:
+            for run in list(server.runs.values()):
+                server.end(run, "done")
+        await asyncio.sleep(2.5)
+        site.faults += ["server crash"] * 3
+        down_s = site.rng.uniform(0.6, 1.2)
+        for i, server in enumerate(idle):
+            asyncio.ensure_future(server.go_down(down_s * (i + 1), is_dark, as_another))
+        await asyncio.sleep(site.rng.uniform(0.0, 0.4))
+        job, since = await submit_waiting(site, 1, 2000), time.monotonic()
+        watched += [asyncio.ensure_future(site.watch(j)) for j in (filler, job)]
+        await until(lambda: job.seen.keys() & {"complete", "failed"}, IDLE_FROM_S + IDLE_MAX_S + 2)
+        began = [r.began - since for r in site.pool.runs if r.task[:16] == job.id]
+        site.expected.append(("a job that no server has begun is not shown as failed", "failed" not in job.seen))
+        site.expected.append(("it begins once, in time, %s" % began, len(began) == 1 and began[0] < (
+            IDLE_FROM_S + IDLE_MAX_S if is_dark else BACK_TO_START_S + 1.2)))
+        await until(lambda: "complete" in filler.seen, 30)
+    await asyncio.wait(watched, timeout=SETTLE_S)
+
+
 def done_tasks(site, job):
     return {r.task for r in site.pool.runs if r.task[:16] == job.id and r.how == "done"}
 
@@ -1696,7 +1726,7 @@
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
-    servers_start_again_and_are_lost,
+    servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
