Only a leader that has read all jobs counts the pending ones

Cause: the next leader counted before it had read the jobs, and passed that on in its answers to pings, where no count and none pending look the same.

Now counts have a time (lib/pending). The gauges of a leader that has not read all rows are left out.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -121,6 +121,7 @@
 	bool is_large;
 };
 
+/* the entry with an empty name holds the age of the counts in ms, -1 when they are not known */
 struct cl_queue_pending {
 	string queue<CL_ID_MAX>;
 	hyper pending;
--- a/src/sited.c
+++ b/src/sited.c
@@ -171,6 +171,7 @@
 	sited_metrics_init(&d->metrics);
 	d->store_http = httpc_new(d, ev, 0, 0);
 	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX, server_connections_max(d));
+	d->pending = pending_new(d);
 	d->unsettled_submits = recent_new(d, UNSETTLED_SUBMITS_MAX);
 	d->store = store_new(d, d->store_http, &d->site->store);
 	d->orders = orders_new(d, d->server_http);
--- a/src/sited.h
+++ b/src/sited.h
@@ -11,6 +11,7 @@
  *   sited_relay.c    passes callers' requests between entry VMs
  *   sited_peers.c    calls between the entry VMs
  *   sited_config.c   the operator's configuration
+ *   sited_pending.c  tells how many jobs are pending
  *   sited_elect.c    leader election
  *   sited_lead.c     the leader's scheduling rounds: due work, placement, preemption
  *   sited_grant.c    stores the time up to which a leader grants leases
@@ -27,6 +28,7 @@
 #define SITED_H
 
 #include "onc/onc.h"
+#include "pending/pending.h"
 #include "plan/plan.h"
 #include "proto/proto.h"
 #include "queues/queues.h"
@@ -71,7 +73,6 @@
  * @unanswered: pings sent since the leader's last answer; one is usual while a ping is in flight
  * @refusals: unanswered pings for which no process accepted the connection
  * @silent_since: when the first unanswered ping was sent, on base_now_ns()'s clock
- * @pending: jobs not started by queue, in the leader's last answer; name to int64_t
  * @changes: consecutive changes of leader, each within LEAD_CHANGES_MS of the one before
  */
 struct sited_leader {
@@ -86,7 +87,6 @@
 	unsigned int unanswered;
 	unsigned int refusals;
 	int64_t silent_since;
-	GHashTable *pending;
 	unsigned int changes;
 };
 
@@ -117,6 +117,7 @@
  * @started_at: when the process started, on base_now_ns()'s clock
  * @lead: the leader's state, NULL unless this VM leads
  * @lead_serial: number of terms that this process has ended; identifies late answers
+ * @pending: pending jobs, counted by this VM as the leader, or by the leader that it asked
  * @is_contending: this VM contends for leadership or is handing it over
  * @contended_version: version of the row that the contention would replace
  * @contended_term: term in the row that the contention would write
@@ -151,6 +152,7 @@
 	struct lead *lead;
 	uint64_t lead_serial;
 	struct sited_leader leader;
+	struct pending *pending;
 	bool is_contending;
 	int64_t contended_version;
 	int64_t contended_term;
@@ -206,6 +208,16 @@
 /** sited_on_relay() - handle a caller's request that another entry VM passed on */
 void sited_on_relay(struct onc_request *req);
 
+/* ---- sited_pending.c ---- */
+
+/** sited_pending_encode() - put the counts into the answer to a ping; owned by @ctx */
+void sited_pending_encode(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res);
+/**
+ * sited_pending_received() - take over the counts in the leader's answer to a ping
+ * @asked_at: when the ping was sent, monotonic ms
+ */
+void sited_pending_received(struct sited *d, const cl_lead_ping_res *res, int64_t asked_at);
+
 /* ---- sited_agent.c ---- */
 
 /* a job's payload is kept for at least this long after the last start that used it */
@@ -224,9 +236,12 @@
 void sited_elect_start(struct sited *d);
 /** sited_leader_is_responsive() - another VM leads and answers pings */
 bool sited_leader_is_responsive(const struct sited *d);
-/** sited_leader_ping_done() - process the outcome of a ping to the leader */
-void sited_leader_ping_done(struct sited *d, enum onc_result result,
-			    const cl_lead_ping_res *answer);
+/**
+ * sited_leader_ping_done() - process the outcome of a ping to the leader
+ * @asked_at: when the ping was sent, monotonic ms
+ */
+void sited_leader_ping_done(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer,
+			    int64_t asked_at);
 /** sited_leader_reported() - apply a leader row that a peer reports, unless it is outdated */
 void sited_leader_reported(struct sited *d, const struct sited_leader_row *row, const char *source);
 /** sited_contend_if_vacant() - contend at once if the leader's row names no leader */
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -455,21 +455,6 @@
 
 /* ---- following ---- */
 
-static void replace_pending_counts(struct sited *d, const cl_lead_ping_res *res)
-{
-	if (d->leader.pending)
-		g_hash_table_remove_all(d->leader.pending);
-	else
-		d->leader.pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (unsigned int i = 0; i < res->pending.pending_len; i++) {
-		int64_t *n = g_new(int64_t, 1);
-
-		*n = res->pending.pending_val[i].pending;
-		g_hash_table_insert(d->leader.pending, g_strdup(res->pending.pending_val[i].queue),
-				    n);
-	}
-}
-
 bool sited_leader_is_responsive(const struct sited *d)
 {
 	/* One ping may be in flight. */
@@ -523,7 +508,8 @@
 		sited_ping_leader(d);
 }
 
-void sited_leader_ping_done(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer)
+void sited_leader_ping_done(struct sited *d, enum onc_result result, const cl_lead_ping_res *answer,
+			    int64_t asked_at)
 {
 	if (result != ONC_OK) {
 		handle_leader_silence(d, result);
@@ -540,7 +526,7 @@
 		contend(d, "the VM that should lead does not");
 		return;
 	}
-	replace_pending_counts(d, answer);
+	sited_pending_received(d, answer, asked_at);
 	if (answer->store_failing_ms > LEADER_STORE_FAILING_MAX_MS &&
 	    store_serving_ms(d->store) > SERVING_MIN_MS)
 		contend(d, "the leader is cut off from the store");
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -55,7 +55,7 @@
 	return c;
 }
 
-static void close_if_stopping(struct sited *d, struct httpd_request *req)
+void front_close_if_stopping(struct sited *d, struct httpd_request *req)
 {
 	if (d->stop_at)
 		httpd_reply_header(req, "Connection", "close");
@@ -84,7 +84,7 @@
 	c->req = NULL;
 	if (!req)
 		goto out;
-	close_if_stopping(c->d, req);
+	front_close_if_stopping(c->d, req);
 	if (state != WORK_STATE_COUNT)
 		callers_reply_state(req, state);
 	else if (status == 200)
@@ -139,29 +139,16 @@
 
 /* ---- dispatch ---- */
 
-static void reply_now(struct sited *d, struct httpd_request *req, unsigned int status,
-		      const char *reason)
+void front_reply_now(struct sited *d, struct httpd_request *req, unsigned int status,
+		     const char *reason)
 {
 	log_event("request_refused", "{ss ss sI ss sI}", "method", req->method, "path", req->path,
 		  "status", (json_int_t)status, "reason", reason, "config",
 		  (json_int_t)(d->queues ? d->queues->version : 0));
-	close_if_stopping(d, req);
+	front_close_if_stopping(d, req);
 	callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
 }
 
-static void reply_pending(struct sited *d, struct httpd_request *req, const struct queue *queue)
-{
-	GHashTable *pending = d->lead ? lead_pending_jobs(d->lead) : d->leader.pending;
-	const int64_t *n = pending ? g_hash_table_lookup(pending, queue->name) : NULL;
-
-	if (!pending) {
-		reply_now(d, req, 503, "nobody leads yet, so nobody counts");
-		return;
-	}
-	close_if_stopping(d, req);
-	callers_reply_pending(req, n ? *n : 0);
-}
-
 static void submit(struct front_call *c, const struct queue *queue)
 {
 	const char *fault = NULL;
@@ -199,24 +186,24 @@
 	struct str id;
 
 	if (!d->queues) {
-		reply_now(d, req, 503, "no configuration yet");
+		front_reply_now(d, req, 503, "no configuration yet");
 		return;
 	}
 	queue = queues_match(d->queues, callers_host(req), str_from(req->path));
 	if (!queue) {
-		reply_now(d, req, 404, "no such queue");
+		front_reply_now(d, req, 404, "no such queue");
 		return;
 	}
 	workspace = queues_find_workspace(d->queues, callers_api_key(req));
 	if (!workspace && !queue->is_public) {
-		reply_now(d, req, 401, "no workspace holds this key");
+		front_reply_now(d, req, 401, "no workspace holds this key");
 		return;
 	}
 	id = str_from(req->path + strlen(queue->prefix));
 	if (!id.len && !strcmp(req->method, "GET"))
-		reply_pending(d, req, queue);
+		front_reply_pending(d, req, queue);
 	else if (!work_id_is_valid(id))
-		reply_now(d, req, 400, "the id of a job is 16 hexadecimal digits");
+		front_reply_now(d, req, 400, "the id of a job is 16 hexadecimal digits");
 	else if (!strcmp(req->method, "POST"))
 		start_call(d, req, queue, workspace ? workspace->name : "", id, FRONT_SUBMIT);
 	else if (!strcmp(req->method, "GET"))
@@ -224,7 +211,7 @@
 	else if (!strcmp(req->method, "DELETE"))
 		start_call(d, req, queue, workspace ? workspace->name : "", id, FRONT_CANCEL);
 	else
-		reply_now(d, req, 405, "jobs take POST, GET and DELETE");
+		front_reply_now(d, req, 405, "jobs take POST, GET and DELETE");
 }
 
 void sited_on_ready(struct httpd_request *req)
--- a/src/sited_front.h
+++ b/src/sited_front.h
@@ -68,6 +68,17 @@
 /** front_call_deadline() - deadline of a call that may take @ms, within the caller's deadline */
 int64_t front_call_deadline(const struct front_call *c, int64_t ms);
 
+/** front_reply_now() - answer a request that is not in progress, and log @reason */
+void front_reply_now(struct sited *d, struct httpd_request *req, unsigned int status,
+		     const char *reason);
+/** front_close_if_stopping() - the next answer closes the connection if this VM stops */
+void front_close_if_stopping(struct sited *d, struct httpd_request *req);
+
+/* ---- sited_pending.c ---- */
+
+/** front_reply_pending() - answer how many jobs of @queue are pending */
+void front_reply_pending(struct sited *d, struct httpd_request *req, const struct queue *queue);
+
 /* ---- sited_calls.c ---- */
 
 /** front_start() - start the requested operation; a submission has its job in c->job */
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -20,8 +20,6 @@
 #define STOP_TO_START_MS 300 /* from a stop's end until the next start there is stored */
 #define LOG_WAITING_INTERVAL_MS 3000
 #define SWEEP_INTERVAL_MS 5000
-/* each VM requests the counts 5 times a second; callers may get counts up to 2 s old */
-#define PENDING_CACHE_MS 100
 
 static void on_round(struct mtimer *timer, void *data);
 
@@ -43,7 +41,6 @@
 	g_hash_table_foreach_remove(l->jobs, free_job, NULL);
 	g_hash_table_destroy(l->jobs);
 	g_ptr_array_free(l->active, TRUE);
-	g_hash_table_destroy(l->pending);
 	json_decref(l->handover);
 	return 0;
 }
@@ -207,7 +204,6 @@
 	l->confirmed_at = sent_at;
 	l->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	l->active = g_ptr_array_new();
-	l->pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->blame = blame_new(l);
 	l->fleet = fleet_new(l);
 	l->scratch = plan_scratch_new(l);
@@ -232,28 +228,14 @@
 			      on_round, l);
 }
 
-GHashTable *lead_pending_jobs(struct lead *l)
+void lead_count_pending(const struct lead *l, struct pending *p)
 {
-	int64_t now = sited_now_ms();
-
-	if (now < l->pending_until)
-		return l->pending;
-	l->pending_until = now + PENDING_CACHE_MS;
-	g_hash_table_remove_all(l->pending);
 	for (guint i = 0; i < l->active->len; i++) {
 		const struct work_job *job = g_ptr_array_index(l->active, i);
-		int64_t *n;
 
-		if (job->state != WORK_QUEUED)
-			continue;
-		n = g_hash_table_lookup(l->pending, job->queue);
-		if (!n) {
-			n = g_new0(int64_t, 1);
-			g_hash_table_insert(l->pending, g_strdup(job->queue), n);
-		}
-		(*n)++;
+		if (job->state == WORK_QUEUED)
+			pending_add(p, job->queue, 1);
 	}
-	return l->pending;
 }
 
 enum work_state lead_job_state(const struct lead *l, const char *id, const char **workspace)
@@ -277,6 +259,9 @@
 	int64_t now = sited_now_ms();
 	int64_t headroom = 0;
 
+	/* until all rows have been read there is nothing to tell, which is not zero */
+	if (!l->is_loaded)
+		return text;
 	for (guint i = 0; i < l->fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(l->fleet->all, i);
 
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -59,8 +59,6 @@
  * @loads_in_flight: reads of rows that have not finished
  * @jobs: id to struct work_job, all stored jobs
  * @active: struct work_job that have not ended, or still hold servers or unstored changes
- * @pending: jobs not started, by queue; name to int64_t
- * @pending_until: @pending is recounted after this, monotonic ms
  * @claims: version of the row that claims each partition for this leader, 0 before the claim
  * @commits: transaction in flight of each partition, or NULL
  * @was_alone: the partition's latest transaction was of a job that is stored alone
@@ -99,8 +97,6 @@
 	unsigned int loads_in_flight;
 	GHashTable *jobs;
 	GPtrArray *active;
-	GHashTable *pending;
-	int64_t pending_until;
 	struct fleet *fleet;
 	struct plan_scratch *scratch;
 	struct plan_demand demand;
@@ -233,8 +229,8 @@
 void lead_request_round(struct lead *l);
 /** lead_append_gauges() - append the leader's metrics to @text, in Prometheus text format */
 char *lead_append_gauges(const struct lead *l, char *text);
-/** lead_pending_jobs() - jobs not started, queue name to int64_t; cached for 100 ms */
-GHashTable *lead_pending_jobs(struct lead *l);
+/** lead_count_pending() - add the jobs not started to @p; only once all rows have been read */
+void lead_count_pending(const struct lead *l, struct pending *p);
 /** lead_job_state() - state of a job that a caller may see, WORK_STATE_COUNT when unknown */
 enum work_state lead_job_state(const struct lead *l, const char *id, const char **workspace);
 
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -282,11 +282,13 @@
  * @address: of the receiver
  * @leader_version: version of the receiver's leader row; -1 for a ping that isn't to the leader
  * @vm: name of the receiver
+ * @sent_at: monotonic ms
  */
 struct ping {
 	struct sited *d;
 	struct address address;
 	int64_t leader_version;
+	int64_t sent_at;
 	char vm[64];
 };
 
@@ -326,7 +328,7 @@
 		sited_compare_config(d, &ping->address, answer->config_version);
 	}
 	if (ping->leader_version >= 0 && ping->leader_version == d->leader.version && !d->lead)
-		sited_leader_ping_done(d, result, answer);
+		sited_leader_ping_done(d, result, answer, ping->sent_at);
 	if (result == ONC_OK) {
 		row = decode_leader(&answer->leader);
 		sited_leader_reported(d, &row, "a peer");
@@ -348,6 +350,7 @@
 	ping->d = d;
 	ping->address = *address;
 	ping->leader_version = leader_version;
+	ping->sent_at = sited_now_ms();
 	g_strlcpy(ping->vm, vm, sizeof(ping->vm));
 	onc_call(client, &sited_procs[SITED_PROC_PING], &args, sizeof(cl_lead_ping_res),
 		 base_deadline_in(PING_ANSWER_MS), on_pinged, ping);
@@ -378,26 +381,6 @@
 	}
 }
 
-/* Only the leader counts pending jobs. The list is owned by @ctx. */
-static void encode_pending(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
-{
-	GHashTable *pending = d->lead ? lead_pending_jobs(d->lead) : NULL;
-	GHashTableIter it;
-	gpointer name;
-	gpointer n;
-
-	if (!pending)
-		return;
-	res->pending.pending_val = talloc_array(ctx, cl_queue_pending, g_hash_table_size(pending));
-	g_hash_table_iter_init(&it, pending);
-	while (g_hash_table_iter_next(&it, &name, &n)) {
-		cl_queue_pending *entry = &res->pending.pending_val[res->pending.pending_len++];
-
-		entry->queue = name;
-		entry->pending = *(int64_t *)n;
-	}
-}
-
 static void encode_vms(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
 {
 	unsigned int count = MIN(d->peers->len, VMS_IN_ANSWER_MAX);
@@ -428,7 +411,7 @@
 	res.is_leading = d->lead != NULL;
 	res.is_contending = d->is_contending;
 	encode_leader(d, &res.leader);
-	encode_pending(tmp, d, &res);
+	sited_pending_encode(tmp, d, &res);
 	if (args->wants_vms)
 		encode_vms(tmp, d, &res);
 	onc_reply(req, &res);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -41,6 +41,8 @@
 IDLE_FROM_S = 14.0      # after the last fault; from then on no job has nothing running, though it could,
 IDLE_MAX_S = 3.0        # for so long
 SAMPLE_S = 0.1
+PENDING_JOBS = 20
+PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
 BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
 VMS_DOWN_S = 9.0        # longer than any lease granted before
 RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
@@ -862,6 +864,39 @@
     await asyncio.wait(watched, timeout=SETTLE_S)
 
 
+async def jobs_wait_while_leaders_change(site):
+    """A leader that had not read the jobs told that none was pending, and others passed its count on."""
+    await fail_one(site)
+    site.stopping, told, watched = True, {}, []
+    await pool_is_idle(site)
+    filler = await submit_waiting(site, SERVERS, 30000)
+    await until(lambda: len(runs_of(site, filler)) == SERVERS, 10)
+    jobs = [await submit_waiting(site, 1, 100) for _ in range(PENDING_JOBS)]
+    watched += [asyncio.ensure_future(site.watch(job)) for job in [filler] + jobs]
+    site.store.slow = 4
+    await asyncio.sleep(PENDING_SHOWN_S)
+
+    async def ask(vm):
+        while not any(run.task[:16] == job.id for run in site.pool.runs for job in jobs):
+            answer = await site.ask("GET", jobs[0], path="/%s/" % jobs[0].route, vm=vm, timeout=1.0)
+            if answer and answer[0] == 200:
+                told.setdefault(vm.name, []).append(answer[2]["pending"])
+            await asyncio.sleep(0.02)
+
+    asking = [asyncio.ensure_future(ask(vm)) for vm in site.vms]
+    for change in (site.terminate, site.kill, site.terminate, site.kill):
+        await asyncio.sleep(site.rng.uniform(0.3, 1.0))
+        await change(site.leader())
+    await asyncio.sleep(2)
+    for task in asking:
+        task.cancel()
+    few = {name: min(counts) for name, counts in told.items() if min(counts) * 2 < PENDING_JOBS}
+    site.expected.append(("each VM tells that %d jobs are pending, %s" % (PENDING_JOBS, few), not few))
+    site.expected.append(("all VMs tell it, %d do" % len(told), len(told) == VMS))
+    site.store.slow = 1
+    await asyncio.wait(watched, timeout=SETTLE_S)
+
+
 def done_tasks(site, job):
     return {r.task for r in site.pool.runs if r.task[:16] == job.id and r.how == "done"}
 
@@ -1727,6 +1762,7 @@
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
     servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
+    jobs_wait_while_leaders_change,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
