A crash counts as certain only where the server is known to have been up

Now a start without an answer gives one point, and counts as a certain run only if the server had listed its runs within 20 ms before. So that tasks which crash their servers before they answer are given up all the same, the next server of a task that had a start without an answer is polled just before the start.

--- a/lib/blame/blame.c
+++ b/lib/blame/blame.c
@@ -76,8 +76,8 @@
 }
 
 /*
- * A start without an answer may have been carried out if the server had accepted a connection for
- * it; on an older connection it may have been sent to a server that had crashed before. A server
+ * A start may have been carried out, so the task may have run when the server crashed. A start
+ * that no call has lost the answer of was answered by the next incarnation, if at all. A server
  * that did not answer before a start was sent did not crash because of it.
  */
 static bool may_have_run(const struct work_task *t, int64_t crashed_at)
@@ -87,7 +87,7 @@
 	switch (t->state) {
 	case TASK_STARTING:
 	case TASK_STOPPING:
-		return t->started_at || t->is_start_received;
+		return t->started_at || t->unanswered_starts;
 	case TASK_RUNNING:
 	case TASK_UNCONFIRMED:
 		return true;
@@ -143,7 +143,7 @@
 		if (!may_have_run(t, crashed_at))
 			continue;
 		if (is_new(t, seen_at, crashed_at) && !t->has_run_well)
-			points[i] = is_clear ? BLAME_CLEAR : BLAME_UNCLEAR;
+			points[i] = is_clear && work_task_has_run(t) ? BLAME_CLEAR : BLAME_UNCLEAR;
 		else if (t->state == TASK_UNCONFIRMED || (!suspects && !is_together))
 			points[i] = BLAME_UNCLEAR;
 	}
--- a/lib/blame/blame.h
+++ b/lib/blame/blame.h
@@ -36,7 +36,8 @@
  * @points: room for as many as @sv has tasks, in their order
  *
  * A new task that has never run for BLAME_NEW_MS on any server gets BLAME_CLEAR when no other
- * job has such tasks there and the server has no other fault, else BLAME_UNCLEAR. So its points
+ * job has such tasks there, it has certainly run there and the server has no other fault, else
+ * BLAME_UNCLEAR. So its points
  * bound the number of crashes under it. All others get points only without a better
  * explanation: no such task there, and no servers that fell silent together. A server that was
  * leaving has not crashed.
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -336,6 +336,7 @@
 	t->stopped_at = 0;
 	t->state_deadline = 0;
 	t->crash_points_unless_listed = 0;
+	t->awaits_list = false;
 	t->last_poll = 0;
 	t->percent = 0;
 	t->first_percent = -1;
@@ -430,6 +431,14 @@
 	return t->failures >= g->job->attempts && !g->step->is_endless;
 }
 
+bool work_task_has_run(const struct work_task *t)
+{
+	if (t->state == TASK_UNCONFIRMED)
+		return false;
+	return t->state == TASK_RUNNING || t->last_poll || t->started_at ||
+	       (t->unanswered_starts && t->was_up_at_start);
+}
+
 bool work_task_is_given_up(const struct work_task *t)
 {
 	return t->crash_points >= WORK_CRASH_POINTS_MAX && t->crashes >= WORK_CRASHES_MIN &&
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -149,8 +149,9 @@
  *	is sent
  * @unanswered_starts: number of starts sent without an answer
  * @start_sent_at: when the start was first sent, monotonic ms; 0 before
- * @is_start_received: the server had accepted a connection for a start without an answer
+ * @was_up_at_start: its server had listed its runs just before the start was sent
  * @has_lost_start: a start of this or of an earlier attempt had no answer; not stored
+ * @awaits_list: in TASK_ASSIGNED, the start is sent once the server has listed its runs
  * @failed_server_id: id of the server where it failed last, or NULL
  */
 struct work_task {
@@ -177,8 +178,9 @@
 	uint64_t assigned_change;
 	unsigned int unanswered_starts;
 	int64_t start_sent_at;
-	bool is_start_received;
+	bool was_up_at_start;
 	bool has_lost_start;
+	bool awaits_list;
 	char *failed_server_id;
 };
 
@@ -388,6 +390,8 @@
  * Return: true if the task must be given up; never for an endless step.
  */
 bool work_task_record_crash(struct work_task *t, unsigned int points, bool is_certain);
+/** work_task_has_run() - it has certainly run on its server */
+bool work_task_has_run(const struct work_task *t);
 /** work_task_is_given_up() - it has so many points that it must not start again */
 bool work_task_is_given_up(const struct work_task *t);
 /** work_task_set_snapshot() - set the latest checkpoint; an empty string is ignored */
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -296,6 +296,10 @@
  */
 void lead_server_grant_over(struct lead *l, struct fleet_server *sv, enum order_status status,
 			    int64_t sent_at);
+/** lead_server_may_list() - no poll of it is in flight, so that one could be sent now */
+bool lead_server_may_list(struct lead *l, struct fleet_server *sv);
+/** lead_server_was_up() - it has listed its runs a moment ago */
+bool lead_server_was_up(struct lead *l, struct fleet_server *sv);
 /** lead_server_must_list() - poll the server before it gets work again */
 void lead_server_must_list(struct lead *l, struct fleet_server *sv);
 /** lead_server_refused() - it accepts no connection; it gets work again once it answers a poll */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -26,6 +26,8 @@
 #define UNLISTED_POLL_EVERY_MS 100 /* between polls without a wait, until tasks are listed */
 #define ACK_DELAY_MS 1500 /* delay of the acknowledgement to a server that runs nothing more */
 #define LEASE_MARGIN_MS 60
+#define UP_BEFORE_START_MS 20 /* a server that crashes within this after a list is a coincidence \
+			       */
 /* a busy server answers at least this often */
 #define POLL_PERIOD_MAX_MS (ORDERS_POLL_WAIT_MAX_MS + POLL_MARGIN_MS)
 #define LIST_AGE_MAX_MS 1000	 /* greatest age of an entry in the list of servers */
@@ -170,6 +172,18 @@
 	io->clock_boot_ms = boottime_ms();
 }
 
+bool lead_server_may_list(struct lead *l, struct fleet_server *sv)
+{
+	return !lead_server_io(l, sv)->poll_in_flight;
+}
+
+bool lead_server_was_up(struct lead *l, struct fleet_server *sv)
+{
+	const struct server_io *io = lead_server_io(l, sv);
+
+	return io->answered_at && sited_now_ms() - io->answered_at <= UP_BEFORE_START_MS;
+}
+
 void lead_server_must_list(struct lead *l, struct fleet_server *sv)
 {
 	lead_server_io(l, sv)->must_list = true;
@@ -211,7 +225,7 @@
 	for (guint i = 0; i < s->task->len; i++) {
 		const struct work_task *t = g_ptr_array_index(s->task, i);
 
-		s->is_certain[i] = t->state != TASK_UNCONFIRMED;
+		s->is_certain[i] = work_task_has_run(t);
 	}
 	if (s->task->len)
 		blame_crash(l->blame, sv, io ? io->answered_at : 0,
@@ -486,7 +500,7 @@
 static void release_gone(struct lead *l, struct fleet_server *sv, struct work_task *t)
 {
 	unsigned int crash_points = t->crash_points_unless_listed;
-	bool is_certain = t->state != TASK_UNCONFIRMED;
+	bool is_certain = work_task_has_run(t);
 
 	lead_task_release(l, t, "the server does not list it");
 	lead_task_crashed(l, t, sv, crash_points, is_certain);
@@ -560,6 +574,36 @@
 	       (io->answered_at && sited_now_ms() - io->answered_at > POLL_PERIOD_MAX_MS);
 }
 
+/* Calls @handle for the tasks whose start waits for a list of the server. */
+static void for_each_awaiting(struct lead *l, struct fleet_server *sv,
+			      void (*handle)(struct lead *l, struct work_task *t))
+{
+	GPtrArray *tasks = g_ptr_array_copy(sv->tasks, NULL, NULL);
+
+	for (guint i = 0; i < tasks->len; i++) {
+		struct work_task *t = g_ptr_array_index(tasks, i);
+
+		if (t->server == sv && t->state == TASK_ASSIGNED && t->awaits_list)
+			handle(l, t);
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
+static void start_awaiting(struct lead *l, struct fleet_server *sv)
+{
+	for_each_awaiting(l, sv, lead_task_start);
+}
+
+static void release_unstarted(struct lead *l, struct work_task *t)
+{
+	lead_task_release(l, t, "its server did not list its runs before the start");
+}
+
+static void release_awaiting(struct lead *l, struct fleet_server *sv)
+{
+	for_each_awaiting(l, sv, release_unstarted);
+}
+
 static void on_poll_answered(struct lead *l, const struct poll_call *call,
 			     const struct order_list *list)
 {
@@ -584,6 +628,7 @@
 	if (list->ended_count < 500)
 		release_unlisted(l, sv, call, number);
 	io->next_poll_at = lead_may_grant_leases(l) ? 0 : sited_now_ms() + POLL_RETRY_MS;
+	start_awaiting(l, sv);
 	lead_request_round(l);
 }
 
@@ -615,6 +660,7 @@
 	io->next_poll_at = sited_now_ms() + (io->missed_polls > 1 ? POLL_RETRY_MS : 0);
 	if (io->missed_polls >= MISSES_MAX)
 		set_unreachable(l, sv, status);
+	release_awaiting(l, sv);
 }
 
 static bool needs_probe(struct lead *l, struct fleet_server *sv)
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -134,8 +134,10 @@
 				    .lease_until = lead_server_lease(l, o->sv)};
 
 	o->sent_at = sited_now_ms();
-	if (!t->start_sent_at)
+	if (!t->start_sent_at) {
 		t->start_sent_at = o->sent_at;
+		t->was_up_at_start = lead_server_was_up(l, o->sv);
+	}
 	lead_server_grant_sent(l, o->sv);
 	lead_send_start(l, &to, &start, on_started, o);
 }
@@ -181,7 +183,6 @@
 void lead_task_start(struct lead *l, struct work_task *t)
 {
 	struct fleet_server *sv = t->server;
-	struct order *o;
 
 	/* a leader that died may have stored the points, but not the end of the job */
 	if (work_task_is_given_up(t) && !work_job_has_ended(t->group->job)) {
@@ -203,19 +204,25 @@
 		lead_task_release(l, t, "its server has too little capacity left");
 		return;
 	}
+	/*
+	 * Where a start got no answer, the server may have crashed before or because of it. The
+	 * next server is known to be up, so that a crash there counts.
+	 */
+	if (t->has_lost_start && !t->awaits_list && !lead_server_was_up(l, sv) &&
+	    lead_server_may_list(l, sv)) {
+		t->awaits_list = true;
+		lead_server_must_list(l, sv);
+		return;
+	}
+	t->awaits_list = false;
 	t->state = TASK_STARTING;
 	t->unanswered_starts = 0;
-	t->is_start_received = false;
 	t->start_sent_at = 0;
 	/* should the server crash again, no other task is new there */
 	if (t->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		sv->suspect_until = MAX(sv->suspect_until, sited_now_ms() + BLAME_NEW_MS);
 	sited_count(&l->d->metrics, COUNT_STARTS);
-	o = order_new(l, sv, t);
-	/* On a new connection, so that a start without an answer shows whether the server was up.
-	 */
-	o->sends = t->has_lost_start;
-	send_start(o);
+	send_start(order_new(l, sv, t));
 	log_task_event("task_start", t, sv, t->attempt == 1 ? "first start" : "started again");
 }
 
@@ -270,13 +277,11 @@
 	sv->suspect_until = MAX(sv->suspect_until, sited_now_ms() + UNANSWERED_SUSPECT_MS);
 }
 
-/* the second transmission is sent without an agent, on a connection that the server has accepted */
 static void note_unanswered_start(struct order *o)
 {
 	suspect_unanswered(o->sv);
 	o->task->unanswered_starts++;
 	o->task->has_lost_start = true;
-	o->task->is_start_received |= o->sends == 2;
 }
 
 static void on_started(const struct order_result *r, void *data)
