Texts are escaped in URLs, and a read that makes no progress is reported

Among the entries of the servers were some of another writer, with "&" in their keys, and the list filled more than one answer.

Cause: the key at which the next page begins went into the URL as it was, so that the store answered the first page again, and the new leader asked for it for ever, without a line in the log.

Now all texts in URLs are escaped, by one function that the product's own client uses too. Keys are counted strings: a NUL in one no longer makes the whole answer unreadable, and one in a value no longer makes its copy shorter than its length. A page that does not go beyond its first key is logged, counted and asked for again after 1 s. An id that no call can name is no server; agents accept the same ids as the leader.

--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -79,7 +79,23 @@
 
 char *str_dup(TALLOC_CTX *ctx, struct str s)
 {
-	return talloc_strndup(ctx, s.ptr ? s.ptr : "", s.len);
+	char *copy = talloc_array(ctx, char, s.len + 1);
+
+	if (s.len)
+		memcpy(copy, s.ptr, s.len);
+	copy[s.len] = 0;
+	return copy;
+}
+
+char *base_url_add(char *url, const char *name, struct str text)
+{
+	gchar *escaped =
+		g_uri_escape_bytes((const guint8 *)(text.ptr ? text.ptr : ""), text.len, NULL);
+	char *longer = talloc_asprintf_append_buffer(url, "%c%s=%s", strchr(url, '?') ? '&' : '?',
+						     name, escaped);
+
+	g_free(escaped);
+	return longer;
 }
 
 /* ---- time ---- */
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -78,8 +78,14 @@
 struct str str_from(const char *cstr);
 /** str_eq() - whether both have the same length and bytes */
 bool str_eq(struct str a, struct str b);
-/** str_dup() - NUL-terminated talloc copy owned by @ctx */
+/** str_dup() - NUL-terminated talloc copy owned by @ctx; it has all bytes, also NULs among them */
 char *str_dup(TALLOC_CTX *ctx, struct str s);
+/**
+ * base_url_add() - append a query parameter to a talloc'ed URL, whatever bytes @text holds
+ *
+ * Return: the longer URL, which replaces @url.
+ */
+char *base_url_add(char *url, const char *name, struct str text);
 
 /* ---- time: a deadline is a time in ns on the clock of base_now_ns() ---- */
 
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -94,20 +94,23 @@
 void platform_read(struct platform *p, const char *table, const char *key, int64_t deadline,
 		   platform_read_done *done, void *data)
 {
-	char *escaped = g_uri_escape_string(key, NULL, FALSE);
-	char *url = talloc_asprintf(NULL, "%s/v1/row?table=%s&key=%s", p->base_url, table, escaped);
+	char *url = talloc_asprintf(NULL, "%s/v1/row", p->base_url);
 
+	url = base_url_add(url, "table", str_from(table));
+	url = base_url_add(url, "key", str_from(key));
 	start_read(p, url, deadline, done, data);
 	talloc_free(url);
-	g_free(escaped);
 }
 
 void platform_scan(struct platform *p, const char *table, const char *prefix, const char *after,
 		   unsigned int limit, int64_t deadline, platform_read_done *done, void *data)
 {
-	char *url = talloc_asprintf(NULL, "%s/v1/scan?table=%s&prefix=%s&after=%s&limit=%u",
-				    p->base_url, table, prefix, after, limit);
+	char *url = talloc_asprintf(NULL, "%s/v1/scan", p->base_url);
 
+	url = base_url_add(url, "table", str_from(table));
+	url = base_url_add(url, "prefix", str_from(prefix));
+	url = base_url_add(url, "after", str_from(after));
+	url = talloc_asprintf_append_buffer(url, "&limit=%u", limit);
 	start_read(p, url, deadline, done, data);
 	talloc_free(url);
 }
--- a/src/sited.c
+++ b/src/sited.c
@@ -88,13 +88,14 @@
 	struct sited *d = req->server_data;
 	char *text = sited_metrics_text(d, &d->metrics);
 
-	text = talloc_asprintf_append_buffer(text,
-					     "currantlane_leading %d\ncurrantlane_term %" PRId64
-					     "\ncurrantlane_store_calls_total %" PRIu64
-					     "\ncurrantlane_config_version %" PRId64 "\n",
-					     d->lead != NULL, d->leader.term,
-					     store_call_count(d->store),
-					     d->queues ? d->queues->version : 0);
+	text = talloc_asprintf_append_buffer(
+		text,
+		"currantlane_leading %d\ncurrantlane_term %" PRId64
+		"\ncurrantlane_store_calls_total %" PRIu64
+		"\ncurrantlane_store_reads_stalled_total %" PRIu64
+		"\ncurrantlane_config_version %" PRId64 "\n",
+		d->lead != NULL, d->leader.term, store_call_count(d->store),
+		store_stalled_reads(d->store), d->queues ? d->queues->version : 0);
 	if (d->lead)
 		text = lead_append_gauges(d->lead, text);
 	httpd_reply(req, 200, str_from(text));
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -244,15 +244,6 @@
 	onc_reply(c->req, &res);
 	talloc_free(c);
 }
-/* The id becomes an HTTP header of the call to the server, so it must be one printable word. */
-static bool is_printable_word(const char *text)
-{
-	for (const char *p = text; *p; p++)
-		if (!g_ascii_isgraph(*p))
-			return false;
-	return *text;
-}
-
 /*
  * Returns whether the order may be carried out; if not, the order has been answered. A
  * leader that does not know that it was replaced is told here, before its order reaches a
@@ -262,7 +253,7 @@
 {
 	struct address address;
 
-	if (!is_printable_word(to->server) || !address_parse(to->address, &address)) {
+	if (!members_id_is_valid(to->server) || !address_parse(to->address, &address)) {
 		log_warn("order_unreadable", "a peer's order has an invalid server id or address");
 		reply_status(req, ORDER_INVALID);
 		return false;
--- a/src/sited_calls.c
+++ b/src/sited_calls.c
@@ -24,7 +24,7 @@
 /* Reads the row of the request's job. */
 static void read_row(struct front_call *c, store_done *done)
 {
-	struct store_range range = {SITED_JOBS_TABLE, sited_partition(c->id), c->id, 1};
+	struct store_range range = {SITED_JOBS_TABLE, sited_partition(c->id), str_from(c->id), 1};
 
 	store_read(c->d->store, &range, front_call_deadline(c, SITED_STORE_TIMEOUT_MS), done, c);
 }
@@ -167,7 +167,7 @@
 			front_finish(c, 503, "neither the leader nor the store answers");
 		return;
 	}
-	if (!r->count || strcmp(r->rows[0].key, c->id)) {
+	if (!r->count || strcmp(store_key_text(&r->rows[0]), c->id)) {
 		front_finish(c, 410, "no such job");
 		return;
 	}
@@ -285,7 +285,7 @@
 		retry_cancel(c, "the store does not answer");
 		return;
 	}
-	if (!r->count || strcmp(r->rows[0].key, c->id)) {
+	if (!r->count || strcmp(store_key_text(&r->rows[0]), c->id)) {
 		store_cancelled(
 			c,
 			work_job_new_unsubmitted(c, str_from(c->id), c->workspace, sited_wall_ms()),
--- a/src/sited_config.c
+++ b/src/sited_config.c
@@ -292,7 +292,8 @@
 
 	c->is_held = false;
 	for (unsigned int i = 0; i < page->count; i++)
-		if (!page->rows[i].removed && !strcmp(page->rows[i].key, OPERATOR_CONFIG_KEY))
+		if (!page->rows[i].removed &&
+		    !strcmp(store_key_text(&page->rows[i]), OPERATOR_CONFIG_KEY))
 			apply_document(c, &page->rows[i]);
 }
 
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -318,10 +318,13 @@
 	talloc_free(call);
 }
 
-/* Returns the agent for an order, or NULL: every second transmission goes without an agent. */
+/*
+ * Returns the agent for an order, or NULL: every second transmission goes without an agent, and
+ * so do orders to a server whose id is too long for a call between entry VMs.
+ */
 static struct agent *choose_agent(struct lead *l, const struct lead_order_target *to)
 {
-	return to->earlier_sends % 2 ? NULL : agent_of(l, to->sv);
+	return to->earlier_sends % 2 || strlen(to->sv->id) > CL_ID_MAX ? NULL : agent_of(l, to->sv);
 }
 
 static cl_order_target agent_target(struct lead *l, const struct lead_order_target *to)
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -145,7 +145,8 @@
 {
 	static const struct store_row none = {.removed = true};
 
-	return r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY) ? &r->rows[0] : &none;
+	return r->count && !strcmp(store_key_text(&r->rows[0]), SITED_LEAD_KEY) ? &r->rows[0]
+										: &none;
 }
 
 static void on_row(const struct store_result *r, void *data)
@@ -160,7 +161,8 @@
 		apply_leader_row(d, leader_row_of(r));
 }
 
-static const struct store_range lead_range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+static const struct store_range lead_range = {
+	SITED_LEAD_TABLE, "", {SITED_LEAD_KEY, sizeof(SITED_LEAD_KEY) - 1}, 1};
 
 static void read_row(struct sited *d)
 {
@@ -317,7 +319,7 @@
 
 	json_decref(d->handover);
 	d->handover = NULL;
-	if (!r->count || strcmp(r->rows[0].key, SITED_LEAD_KEY) ||
+	if (!r->count || strcmp(store_key_text(&r->rows[0]), SITED_LEAD_KEY) ||
 	    r->rows[0].version != d->contended_version)
 		return;
 	v = json_loadb(r->rows[0].value.ptr, r->rows[0].value.len, 0, NULL);
--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -103,7 +103,7 @@
 
 static void apply_row(struct lead *l, const struct store_result *r)
 {
-	bool found = r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY);
+	bool found = r->count && !strcmp(store_key_text(&r->rows[0]), SITED_LEAD_KEY);
 	json_t *v = found ? json_loadb(r->rows[0].value.ptr, r->rows[0].value.len, 0, NULL) : NULL;
 	int64_t term = base_json_int(v, "term", 0);
 
@@ -136,7 +136,7 @@
 
 static void read_row(struct lead *l)
 {
-	static const struct store_range range = {SITED_GRANT_TABLE, "", SITED_LEAD_KEY, 1};
+	const struct store_range range = {SITED_GRANT_TABLE, "", str_from(SITED_LEAD_KEY), 1};
 
 	store_read(l->d->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS), on_read,
 		   call_new(l));
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -57,7 +57,8 @@
 {
 	struct leadership_check *c = data;
 	struct lead *l = lead_current(c->d, c->serial);
-	bool found = r->status == STORE_OK && r->count && !strcmp(r->rows[0].key, SITED_LEAD_KEY);
+	bool found = r->status == STORE_OK && r->count &&
+		     !strcmp(store_key_text(&r->rows[0]), SITED_LEAD_KEY);
 
 	if (l && found && r->rows[0].version == l->row_version) {
 		l->confirmed_at = MAX(l->confirmed_at, c->sent_at);
@@ -73,7 +74,7 @@
 /* The feed also confirms the leadership, but it may take a second. */
 static void verify_leadership(struct lead *l)
 {
-	static const struct store_range range = {SITED_LEAD_TABLE, "", SITED_LEAD_KEY, 1};
+	const struct store_range range = {SITED_LEAD_TABLE, "", str_from(SITED_LEAD_KEY), 1};
 	struct leadership_check *c = talloc_zero(l->d, struct leadership_check);
 
 	c->d = l->d;
--- a/src/sited_list.c
+++ b/src/sited_list.c
@@ -33,7 +33,8 @@
 
 static void apply_entry(struct lead *l, const struct store_row *row)
 {
-	struct fleet_server *known = fleet_find(l->fleet, row->key);
+	const char *id = store_key_text(row);
+	struct fleet_server *known = fleet_find(l->fleet, id);
 	enum fleet_presence old_presence = known ? known->presence : FLEET_UNLISTED;
 	const char *fault = NULL;
 	struct fleet_server *sv;
@@ -45,9 +46,9 @@
 		}
 		return;
 	}
-	sv = members_apply(l->fleet, row->key, row->value, sited_now_ms(), sited_wall_ms(), &fault);
+	sv = members_apply(l->fleet, id, row->value, sited_now_ms(), sited_wall_ms(), &fault);
 	if (!sv) {
-		log_event("server_entry_unusable", "{ss ss sI}", "server", row->key, "fault", fault,
+		log_event("server_entry_unusable", "{ss ss sI}", "server", id, "fault", fault,
 			  "row_version", (json_int_t)row->version);
 		return;
 	}
@@ -88,7 +89,7 @@
 	struct list_read *list_read = data;
 
 	for (unsigned int i = 0; i < page->count; i++) {
-		g_hash_table_add(list_read->listed_ids, g_strdup(page->rows[i].key));
+		g_hash_table_add(list_read->listed_ids, g_strdup(store_key_text(&page->rows[i])));
 		apply_entry(list_read->lead, &page->rows[i]);
 	}
 }
--- a/src/sited_load.c
+++ b/src/sited_load.c
@@ -24,11 +24,11 @@
 
 static struct work_job *add_job(struct lead *l, const struct store_row *row)
 {
-	struct work_job *job = work_job_decode(l, str_from(row->key), row->value);
+	struct work_job *job = work_job_decode(l, row->key, row->value);
 
 	if (!job) {
 		log_warn("row_unreadable",
-			 "row %s at version %" PRId64 " can't be decoded as a job", row->key,
+			 "row %s at version %" PRId64 " can't be decoded as a job", row->key.ptr,
 			 row->version);
 		return NULL;
 	}
@@ -71,7 +71,7 @@
 	job->row.awaits_version = false;
 	if (row->version == job->row.version)
 		return;
-	read = work_job_decode(l, str_from(row->key), row->value);
+	read = work_job_decode(l, row->key, row->value);
 	if (!read)
 		return;
 	job->row.version = row->version;
@@ -82,7 +82,7 @@
 
 void lead_apply_job_row(struct lead *l, const struct store_row *row)
 {
-	struct work_job *job = g_hash_table_lookup(l->jobs, row->key);
+	struct work_job *job = g_hash_table_lookup(l->jobs, store_key_text(row));
 
 	if (row->removed)
 		return;
@@ -94,7 +94,7 @@
 
 void lead_apply_reported_job(struct lead *l, const char *id, const char *value)
 {
-	struct store_row row = {.key = id, .value = str_from(value)};
+	struct store_row row = {.key = str_from(id), .value = str_from(value)};
 	struct work_job *job = g_hash_table_lookup(l->jobs, id);
 	struct work_job *read;
 
@@ -140,7 +140,7 @@
 	struct job_read *read = data;
 	struct lead *l = lead_current(read->d, read->serial);
 	struct work_job *job = l ? g_hash_table_lookup(l->jobs, read->id) : NULL;
-	bool found = r->count && !strcmp(r->rows[0].key, read->id);
+	bool found = r->count && !strcmp(store_key_text(&r->rows[0]), read->id);
 
 	if (!job || r->status != STORE_OK)
 		goto out;
@@ -155,7 +155,8 @@
 
 void lead_job_read_row(struct lead *l, struct work_job *job)
 {
-	struct store_range range = {SITED_JOBS_TABLE, sited_partition(job->id), job->id, 1};
+	struct store_range range = {SITED_JOBS_TABLE, sited_partition(job->id), str_from(job->id),
+				    1};
 	struct job_read *read = talloc_zero(l->d, struct job_read);
 
 	job->row.read_at = sited_now_ms() + SITED_STORE_TIMEOUT_MS;
@@ -191,7 +192,7 @@
 	struct work_job *job;
 	struct work_group *g;
 
-	if (!work_group_key_parse(row->key, &name))
+	if (!work_group_key_parse(store_key_text(row), &name))
 		return;
 	job = g_hash_table_lookup(l->jobs, name.id);
 	if (!job || work_job_has_ended(job))
@@ -201,7 +202,7 @@
 	if (!g || !work_group_merge(g, name.row, row->value, l->fleet,
 				    lead_unconfirmed_task_deadline(l))) {
 		log_warn("row_unreadable",
-			 "row %s at version %" PRId64 " can't be decoded as a group", row->key,
+			 "row %s at version %" PRId64 " can't be decoded as a group", row->key.ptr,
 			 row->version);
 		return;
 	}
--- a/src/sited_rows.c
+++ b/src/sited_rows.c
@@ -288,8 +288,8 @@
 {
 	struct work_group *g = e->group;
 
-	log_event("row_foreign", "{ss sI sI}", "row", row->key, "version", (json_int_t)row->version,
-		  "known", (json_int_t)e->row->version);
+	log_event("row_foreign", "{ss sI sI}", "row", store_key_text(row), "version",
+		  (json_int_t)row->version, "known", (json_int_t)e->row->version);
 	for (unsigned int i = 0; i < g->count; i++)
 		if (g->task[i].state == TASK_ASSIGNED ||
 		    g->task[i].state == TASK_AWAITING_PREEMPTION)
@@ -319,7 +319,7 @@
 		struct work_job *job = NULL;
 
 		if (!strcmp(r->rows[i].table, SITED_JOBS_TABLE))
-			job = g_hash_table_lookup(l->jobs, r->rows[i].key);
+			job = g_hash_table_lookup(l->jobs, store_key_text(&r->rows[i]));
 		if (job)
 			lead_update_job(l, job, &r->rows[i]);
 	}
--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -6,13 +6,14 @@
 
 /* after all keys, so that a range from here on is empty */
 #define NO_KEY "~"
+#define STALLED_RETRY_MS 1000 /* until a page that did not move on is asked for again */
 
 enum table_mode { TABLE_READ, TABLE_FOLLOW };
 
 /**
  * struct table - a read or a feed, owned by the source's owner
  * @call: call in flight, or NULL
- * @from: for a read, the key at which the next page starts, or NULL
+ * @from: for a read, the key at which the next page starts, empty at first; owned
  * @version: for a read, the newest version known before it was sent, -1 while none is known;
  *           for a feed, the version up to which changes have been received
  * @wait_ms: for a feed, how long one call waits for a change, in ms
@@ -26,7 +27,7 @@
 	char *part;
 	char *key;
 	struct table_call *call;
-	char *from;
+	struct str from;
 	int64_t version;
 	int64_t wait_ms;
 	bool is_failing;
@@ -68,15 +69,38 @@
 	send_call(data);
 }
 
-/* sets where the next page starts; returns false when there is no further page */
-static bool advance_page(struct table *t, const struct store_result *r)
+enum advance { ADVANCE_END, ADVANCE_NEXT, ADVANCE_STALLED };
+
+static bool is_before(struct str a, struct str b)
+{
+	int order = memcmp(a.ptr, b.ptr, MIN(a.len, b.len));
+
+	return order < 0 || (!order && a.len < b.len);
+}
+
+/* sets where the next page starts */
+static enum advance advance_page(struct table *t, const struct store_result *r)
 {
-	if (t->key || !r->has_more || !r->count)
-		return false;
+	struct str last;
+	char *from;
+
+	if (t->key || !r->has_more)
+		return ADVANCE_END;
+	last = r->count ? r->rows[r->count - 1].key : t->from;
+	if (!is_before(t->from, last)) {
+		log_warn("read_stalled",
+			 "table %s, part %s: the page that starts at key %s ends at key %s, and "
+			 "more are said to follow",
+			 t->name, t->part, t->from.len ? t->from.ptr : "",
+			 last.len ? last.ptr : "");
+		store_note_stalled_read(t->store);
+		return ADVANCE_STALLED;
+	}
 	/* the range includes its first key: the next page repeats this row */
-	talloc_free(t->from);
-	t->from = talloc_strdup(t, r->rows[r->count - 1].key);
-	return true;
+	from = str_dup(t, last);
+	talloc_free((char *)t->from.ptr);
+	t->from = (struct str){from, last.len};
+	return ADVANCE_NEXT;
 }
 
 static void end_read(struct table *t)
@@ -103,7 +127,8 @@
 /* when the requested row does not exist, a range that starts at its key yields a later row */
 static bool is_requested(const struct table *t, const struct store_result *r)
 {
-	return t->mode == TABLE_FOLLOW || !t->key || (r->count && !strcmp(r->rows[0].key, t->key));
+	return t->mode == TABLE_FOLLOW || !t->key ||
+	       (r->count && !strcmp(store_key_text(&r->rows[0]), t->key));
 }
 
 static void on_answer(const struct store_result *r, void *data)
@@ -111,7 +136,7 @@
 	struct table_call *call = data;
 	struct table *t = call->table;
 	struct table_page page = {r->rows, r->count, r->newest, call->sent_at};
-	bool has_next_call;
+	enum advance advance;
 
 	call->store_call = NULL;
 	t->call = NULL;
@@ -132,7 +157,7 @@
 		send_call(t);
 		goto out;
 	}
-	has_next_call = t->mode == TABLE_FOLLOW || advance_page(t, r);
+	advance = t->mode == TABLE_FOLLOW ? ADVANCE_NEXT : advance_page(t, r);
 	if (t->mode == TABLE_FOLLOW)
 		t->version = MAX(t->version, r->newest);
 	/* on_rows() may free the owner; the table's destructor then clears call->table */
@@ -142,10 +167,17 @@
 	if (!t)
 		goto out;
 	t->call = NULL;
-	if (has_next_call)
-		send_call(t);
-	else
+	switch (advance) {
+	case ADVANCE_END:
 		end_read(t);
+		break;
+	case ADVANCE_NEXT:
+		send_call(t);
+		break;
+	case ADVANCE_STALLED:
+		mtimer_add(t, t->ev, base_deadline_in(STALLED_RETRY_MS), on_retry, t);
+		break;
+	}
 out:
 	talloc_free(call);
 }
@@ -153,7 +185,8 @@
 static void send_call(struct table *t)
 {
 	struct table_call *call = talloc_zero(t->store, struct table_call);
-	struct store_range range = {t->name, t->part, t->key ? t->key : t->from, t->key ? 1 : 0};
+	struct store_range range = {t->name, t->part, t->key ? str_from(t->key) : t->from,
+				    t->key ? 1 : 0};
 	/* without a wait, the first answer after an outage comes at once */
 	int64_t wait_ms = t->is_failing ? 0 : t->wait_ms;
 
@@ -163,7 +196,7 @@
 	if (t->version < 0)
 		t->version = store_newest(t->store);
 	if (t->version < 0)
-		range.from = NO_KEY;
+		range.from = str_from(NO_KEY);
 	if (t->mode == TABLE_READ) {
 		call->store_call =
 			store_read(t->store, &range, base_deadline_in(SITED_STORE_TIMEOUT_MS),
@@ -206,6 +239,7 @@
 	t->name = talloc_strdup(t, source->table);
 	t->part = talloc_strdup(t, source->part ? source->part : "");
 	t->key = source->key ? talloc_strdup(t, source->key) : NULL;
+	t->from.ptr = talloc_strdup(t, "");
 	t->on_rows = on_rows;
 	t->data = data;
 	talloc_set_destructor(t, table_destructor);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -20,6 +20,23 @@
 }
 END_TEST
 
+/* Guards against a copy that is shorter than its length says, which is then read beyond its end. */
+START_TEST(a_copy_has_all_bytes_and_a_query_parameter_escapes_them)
+{
+	struct str odd = {"x&\0#y", 5};
+	char *copy = str_dup(NULL, odd);
+	char *url = base_url_add(talloc_strdup(NULL, "u"), "a", odd);
+
+	ck_assert_mem_eq(copy, odd.ptr, odd.len);
+	ck_assert_int_eq(copy[odd.len], 0);
+	url = base_url_add(url, "b", str_from(NULL));
+	url = base_url_add(url, "c", str_from("\303\251 +%"));
+	ck_assert_str_eq(url, "u?a=x%26%00%23y&b=&c=%C3%A9%20%2B%25");
+	talloc_free(copy);
+	talloc_free(url);
+}
+END_TEST
+
 START_TEST(outcomes_are_a_closed_set)
 {
 	ck_assert_int_eq(base_outcome_parse("not_run"), OUTCOME_NOT_RUN);
@@ -98,6 +115,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, strings_compare_by_length_and_bytes);
+	tcase_add_test(t, a_copy_has_all_bytes_and_a_query_parameter_escapes_them);
 	tcase_add_test(t, outcomes_are_a_closed_set);
 	tcase_add_test(t, deadlines_do_not_go_negative);
 	tcase_add_test(t, rendezvous_moves_only_the_lost_nodes_keys);
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -222,6 +222,27 @@
 }
 END_TEST
 
+/* Guards against a header that the id of another writer's entry ends or adds to. */
+START_TEST(an_id_that_no_call_can_name_is_no_server)
+{
+	static const char *const odd[] = {"",	  " ",	 "a ", " a", "a\nb", "a\r\nX-Other: 1",
+					  "\177", "a\tb"};
+	static const char *const sound[] = {"i-1", "a b", "r&d/7", "\303\251", "\"", "%7E"};
+	struct fleet *f = fleet_new(NULL);
+	const char *fault;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		ck_assert_ptr_null(members_apply(f, odd[i], str_from(ENTRY("ready", "5")), 0,
+						 WALL_MS, &fault));
+		ck_assert_ptr_nonnull(fault);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sound); i++)
+		ck_assert_ptr_nonnull(members_apply(f, sound[i], str_from(ENTRY("ready", "5")), 0,
+						    WALL_MS, &fault));
+	talloc_free(f);
+}
+END_TEST
+
 /* Guards against a server that is kept out for good by an entry from the future. */
 START_TEST(an_entry_that_began_far_ahead_keeps_no_later_one_out)
 {
@@ -256,6 +277,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_loop_test(t, an_odd_entry_changes_nothing_for_the_sound_ones, 0, 20);
+	tcase_add_test(t, an_id_that_no_call_can_name_is_no_server);
 	tcase_add_test(t, an_entry_that_began_far_ahead_keeps_no_later_one_out);
 	tcase_add_test(t, a_draining_server_cannot_announce_that_it_stays_for_ever);
 	tcase_add_test(t, a_valid_entry_adds_a_server);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -26,6 +26,13 @@
 	unsigned int count;
 	int64_t version;
 	char *value;
+	size_t first_key_len;
+	size_t first_value_len;
+	char *first_key_text;
+	char *last_key_text;
+	char *table;
+	char *part;
+	char *from;
 };
 
 static struct fixture *fixture_new(unsigned int status, const char *answer)
@@ -47,8 +54,13 @@
 	f->result = r->status;
 	f->count = r->count;
 	f->version = r->newest;
-	if (r->count)
-		f->value = str_dup(f, r->rows[0].value);
+	if (!r->count)
+		return;
+	f->value = str_dup(f, r->rows[0].value);
+	f->first_key_len = r->rows[0].key.len;
+	f->first_value_len = r->rows[0].value.len;
+	f->first_key_text = talloc_strdup(f, store_key_text(&r->rows[0]));
+	f->last_key_text = talloc_strdup(f, store_key_text(&r->rows[r->count - 1]));
 }
 
 static void commit(struct fixture *f)
@@ -162,6 +174,70 @@
 }
 END_TEST
 
+static void on_range(struct httpd_request *req)
+{
+	struct fixture *f = req->server_data;
+
+	f->table = talloc_strdup(f, httpd_query(req, "table"));
+	f->part = talloc_strdup(f, httpd_query(req, "part"));
+	f->from = talloc_strdup(f, httpd_query(req, "from"));
+	httpd_reply(req, 200, str_from("{\"rows\":[],\"ver\":9}"));
+}
+
+/*
+ * Guards against a leader that reads the list of servers for ever, or skips some: a key of another
+ * writer went into the URL as it was.
+ */
+START_TEST(any_text_names_the_start_of_a_range)
+{
+	static const char *const keys[] = {"r&d/scanner-07", "a#b", "a b",	"a+b", "%7E",
+					   "a\nb",	     "\"",  "\303\251", "?",   "=",
+					   "a&limit=1",	     "%"};
+	struct fixture *f = fixture_new(200, "{}");
+
+	TALLOC_FREE(f->http);
+	scripted_listen(f, f->ev, PORT, on_range, f);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		struct store_range range = {keys[i], keys[i], str_from(keys[i]), 0};
+
+		f->is_done = false;
+		store_read(f->store, &range, base_deadline_in(1000), on_done, f);
+		while (!f->is_done)
+			tevent_loop_once(f->ev);
+		ck_assert_int_eq(f->result, STORE_OK);
+		ck_assert_str_eq(f->from, keys[i]);
+		ck_assert_str_eq(f->table, keys[i]);
+		ck_assert_str_eq(f->part, keys[i]);
+	}
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against an answer that is lost as a whole because of one row of another writer. */
+START_TEST(a_row_with_odd_texts_leaves_the_others_readable)
+{
+	struct fixture *f = fixture_new(
+		200,
+		"{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"a\\u0000b\",\"value\":"
+		"\"AAECAA==\",\"ver\":7},{\"table\":7,\"key\":[],\"value\":{},\"ver\":\"x\"},"
+		"{\"table\":\"t\",\"part\":\"\",\"key\":\"b\",\"value\":\"bm9kZS0x\",\"ver\":8}],"
+		"\"ver\":9}");
+	struct store_range range = {"t", "", str_from(""), 0};
+
+	f->is_done = false;
+	store_read(f->store, &range, base_deadline_in(1000), on_done, f);
+	while (!f->is_done)
+		tevent_loop_once(f->ev);
+	ck_assert_int_eq(f->result, STORE_OK);
+	ck_assert_uint_eq(f->count, 3);
+	ck_assert_uint_eq(f->first_key_len, 3);
+	ck_assert_str_eq(f->first_key_text, "");
+	ck_assert_uint_eq(f->first_value_len, 4);
+	ck_assert_str_eq(f->last_key_text, "b");
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(an_unreachable_store_has_performed_nothing)
 {
 	struct fixture *f = fixture_new(200, "{}");
@@ -225,7 +301,7 @@
 START_TEST(a_read_whose_answer_takes_longer_than_its_limit_arrives)
 {
 	struct fixture *f = slow_fixture_new(1000000, 800000);
-	struct store_range range = {"op", "", "config", 1};
+	struct store_range range = {"op", "", str_from("config"), 1};
 
 	store_read(f->store, &range, base_deadline_in(LIMIT_MS), on_done, f);
 	wait_done(f);
@@ -340,6 +416,8 @@
 	tcase_add_test(t, a_conflict_returns_the_conflicting_rows);
 	tcase_add_test(t, only_a_definite_rejection_means_not_performed);
 	tcase_add_test(t, a_feed_reports_lost_history);
+	tcase_add_test(t, any_text_names_the_start_of_a_range);
+	tcase_add_test(t, a_row_with_odd_texts_leaves_the_others_readable);
 	tcase_add_test(t, an_unreachable_store_has_performed_nothing);
 }
 
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -52,6 +52,7 @@
         self.refused_parts = ()  # parts whose transactions get 429
         self.answers_late = 0.0  # seconds between a write and its answer
         self.reads_late = 0.0    # seconds until the rows that a call asks for are read
+        self.repeats_pages = False  # a read begins at the first key, whatever key its range names
         self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
         self.names_newest = False  # answers name the store's newest version as they leave, not that of their rows
@@ -177,6 +178,8 @@
             return 200, {"ver": version}
 
     def read(self, query):
+        if self.repeats_pages and "limit" not in query:
+            query = {name: text for name, text in query.items() if name != "from"}
         limit = min(int(query.get("limit", PAGE_ROWS)), PAGE_ROWS)
         keys = sorted(k for t, p, k in self.rows if t == query["table"] and p == query.get("part", "")
                       and k >= query.get("from", ""))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1746,6 +1746,41 @@
     await need_all_servers(site, 1)
 
 
+async def odd_keys_among_the_servers(site):
+    """A key of another writer went into a URL as it was, so that the next leader read the list for ever."""
+    site.stopping = True
+    keys = ["%s%02d" % (key, i) for i, key in enumerate(
+        ["r&d/scanner-", "a#", "a ", "a+", "%7E", "a\n", "a\r\nX-Other: 1", "a\0", "a\"", "\u00e9", " ", "j?x=", "zz"] * 2)]
+    for i, key in enumerate(keys):
+        value = site.rng.randbytes(60000)
+        if i % 3 == 1:  # an entry that could be a server's, but for its key
+            value = json.dumps(dict(site.pool.servers[0].entry(), addr="127.0.0.1:%d" % free_ports(1)[0])).encode()
+        await site.store.put("servers", key, base64.b64encode(value).decode())
+    for i in range(620):  # more than one page of small ones
+        await site.store.put("servers", "r&d/small-%03d" % i, base64.b64encode(b"\0").decode())
+    site.store.rows["op", "", "r&d"] = site.store.rows["status", "", "a#"] = (base64.b64encode(b"{\0").decode(), 1)
+    began = time.time() * 1e6
+    for change in (site.terminate, site.kill, site.history):
+        await (change() if change == site.history else change(site.leader()))
+        await until(lambda: any(e["time_us"] > began for e in site.events("lead_loaded")), 8)
+        began, job = time.time() * 1e6, await submit_waiting(site, 4, 500)
+        await asyncio.wait([asyncio.ensure_future(site.watch(job))], timeout=10)
+        site.expected.append(("a job is done after %s" % change.__name__, "complete" in job.seen))
+    site.store.repeats_pages, calls, at = True, site.store.calls, time.monotonic()
+    await site.kill(site.leader())
+    await asyncio.sleep(4)
+    rate = (site.store.calls - calls) / (time.monotonic() - at)
+    site.store.repeats_pages = False
+    stalled = sum(1 for _ in site.events("read_stalled"))
+    site.expected.append(("a read that makes no progress is logged and not repeated at once, %d times, %d calls a second" % (
+        stalled, rate), 0 < stalled < 20 and rate < 300))
+    job = await submit_waiting(site, 4, 500)
+    await asyncio.wait([asyncio.ensure_future(site.watch(job))], timeout=10)
+    site.expected.append(("a job is done once pages go on", "complete" in job.seen))
+    await fail_one(site)
+    await asyncio.wait([site.following[-1]], timeout=SETTLE_S)
+
+
 # the first leader takes over while answers name the versions of the rows written
 OWN_VERSIONS_FIRST = [cancelled_while_the_store_is_slow]
 SHORT_STATUS = [unknown_ids_are_cancelled]
@@ -1762,7 +1797,7 @@
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
     servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
-    jobs_wait_while_leaders_change,
+    jobs_wait_while_leaders_change, odd_keys_among_the_servers,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
