--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -707,12 +707,6 @@
 	return text;
 }
 
-static void await_list_of(struct work_task *t, bool is_replaced)
-{
-	if (is_replaced)
-		t->crash_points_unless_listed = WORK_CRASH_UNSEEN_POINTS;
-}
-
 /* An incarnation that has been replaced is polled no more. */
 static void move_unconfirmed(const struct fleet_server *old, struct fleet_server *sv)
 {
@@ -724,7 +718,7 @@
 		if (t->state != TASK_UNCONFIRMED)
 			continue;
 		work_task_change_incarnation(t, sv);
-		await_list_of(t, true);
+		t->crash_points_unless_listed = WORK_CRASH_UNSEEN_POINTS;
 	}
 	g_ptr_array_free(tasks, TRUE);
 }
@@ -781,7 +775,7 @@
 		sv = decode_server(fleet, json_array_get(servers, (size_t)server_at), &is_replaced);
 	if (sv && t->state == TASK_WAITING) {
 		attach_to_server(t, sv, TASK_UNCONFIRMED);
-		await_list_of(t, is_replaced);
+		t->crash_points_unless_listed = is_replaced ? WORK_CRASH_UNSEEN_POINTS : 0;
 		t->state_deadline = state_deadline;
 		t->last_poll = 0;
 		t->first_percent = -1;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -26,9 +26,8 @@
 #define UNLISTED_POLL_EVERY_MS 100 /* between polls without a wait, until tasks are listed */
 #define ACK_DELAY_MS 1500 /* delay of the acknowledgement to a server that runs nothing more */
 #define LEASE_MARGIN_MS 60
-#define UP_BEFORE_START_MS                                                    \
-	20 /* a server that crashes within this after a list is a coincidence \
-	    */
+/* a crash of the server by chance within this time is unlikely */
+#define UP_BEFORE_START_MS 20
 /* a busy server answers at least this often */
 #define POLL_PERIOD_MAX_MS (ORDERS_POLL_WAIT_MAX_MS + POLL_MARGIN_MS)
 #define LIST_AGE_MAX_MS 1000	 /* greatest age of an entry in the list of servers */
