make check plays ten scenarios of the soak, make soak-all plays all

Those of make check are servers_start_again_before_a_start, servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes, jobs_wait_while_leaders_change, odd_keys_among_the_servers, servers_restart_with_a_start_in_flight, cancelled_before_its_late_submission, agents_renew_while_nobody_leads, old_transaction_comes_late and refused_after_a_lost_answer.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1806,6 +1806,12 @@
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
     configuration_outgrows_small_links, servers_change_as_a_leader_reads_them, configuration_changes_with_another_row]
+# what make check plays; make soak-all plays all
+IN_CHECK = [
+    servers_start_again_before_a_start, servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
+    jobs_wait_while_leaders_change, odd_keys_among_the_servers, servers_restart_with_a_start_in_flight,
+    cancelled_before_its_late_submission, agents_renew_while_nobody_leads, old_transaction_comes_late,
+    refused_after_a_lost_answer]
 # too long to be played with the others
 BY_NAME = [
     unknown_ids_are_cancelled,
@@ -1885,7 +1891,8 @@
     parser.add_argument("--seeds", type=int, default=1, help="play so many seeds from the first on")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--per-second", type=float, default=4, help="jobs submitted")
-    parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS + BY_NAME] + ["all"])
+    parser.add_argument("--scenario", choices=[s.__name__ for s in SCENARIOS + BY_NAME] + ["all", "check"],
+                        help="all but the longest, or those of make check")
     parser.add_argument("--regressions", action="store_true", help="the seeds that ever failed")
     parser.add_argument("--jobs", type=int, default=1, help="plays side by side")
     parser.add_argument("--keep", help="folder for the logs of failed plays")
@@ -1893,7 +1900,8 @@
     plays = []
     if args.scenario:
         plays += [(args.seed, s.__name__) for s in SCENARIOS + BY_NAME
-                  if args.scenario == s.__name__ or args.scenario == "all" and s not in BY_NAME]
+                  if args.scenario == s.__name__ or args.scenario == "all" and s not in BY_NAME
+                  or args.scenario == "check" and s in IN_CHECK]
     if args.regressions:
         plays += [(seed, None) for seed in REGRESSIONS]
     if not plays:
