--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1748,6 +1748,7 @@
 
 async def odd_keys_among_the_servers(site):
     """A key of another writer went into a URL as it was, so that the next leader read the list for ever."""
+    await fail_one(site)
     site.stopping = True
     keys = ["%s%02d" % (key, i) for i, key in enumerate(
         ["r&d/scanner-", "a#", "a ", "a+", "%7E", "a\n", "a\r\nX-Other: 1", "a\0", "a\"", "\u00e9", " ", "j?x=", "zz"] * 2)]
@@ -1777,8 +1778,6 @@
     job = await submit_waiting(site, 4, 500)
     await asyncio.wait([asyncio.ensure_future(site.watch(job))], timeout=10)
     site.expected.append(("a job is done once pages go on", "complete" in job.seen))
-    await fail_one(site)
-    await asyncio.wait([site.following[-1]], timeout=SETTLE_S)
 
 
 # the first leader takes over while answers name the versions of the rows written
