A queue with a long name no longer makes the answers to pings impossible

Such queues are left out of the counts between VMs, and only the leader tells their count; other VMs answer 503. Counts of more queues than a call holds are not passed on at all, since a part of them would say that the others have no pending job.

--- a/src/sited_pending.c
+++ b/src/sited_pending.c
@@ -5,6 +5,8 @@
  */
 #include "sited_front.h"
 
+#include <string.h>
+
 #include "mtimer/mtimer.h"
 
 /* each VM requests the counts 5 times a second */
@@ -37,25 +39,34 @@
 	return pending_is_known(d->pending, now) ? d->pending : NULL;
 }
 
+/* a call between VMs can't hold longer names, so other VMs don't know the counts of these queues */
+static bool is_shared(const char *queue)
+{
+	return strlen(queue) <= CL_ID_MAX;
+}
+
 /* ---- between VMs ---- */
 
 void sited_pending_encode(TALLOC_CTX *ctx, struct sited *d, cl_lead_ping_res *res)
 {
 	const struct pending *p = known_counts(d);
 	unsigned int size = p ? g_hash_table_size(p->by_queue) : 0;
-	int64_t age_ms = p ? sited_now_ms() - p->counted_at : -1;
-	cl_queue_pending *entry = talloc_array(ctx, cl_queue_pending, size + 1);
+	/* a part of the counts would say that the other queues have no pending job */
+	bool fits = size < CL_NOTES_MAX;
+	int64_t age_ms = p && fits ? sited_now_ms() - p->counted_at : -1;
+	cl_queue_pending *entry = talloc_array(ctx, cl_queue_pending, fits ? size + 1 : 1);
 	GHashTableIter it;
 	gpointer name;
 	gpointer n;
 
 	res->pending.pending_val = entry;
 	entry[res->pending.pending_len++] = (cl_queue_pending){AGE_ENTRY, age_ms};
-	if (!p)
+	if (!p || !fits)
 		return;
 	g_hash_table_iter_init(&it, p->by_queue);
-	while (res->pending.pending_len < CL_NOTES_MAX && g_hash_table_iter_next(&it, &name, &n))
-		entry[res->pending.pending_len++] = (cl_queue_pending){name, *(int64_t *)n};
+	while (g_hash_table_iter_next(&it, &name, &n))
+		if (is_shared(name))
+			entry[res->pending.pending_len++] = (cl_queue_pending){name, *(int64_t *)n};
 }
 
 /* Returns the age of the counts in @res; a leader of an earlier version does not tell it. */
@@ -81,16 +92,19 @@
 
 /* ---- callers ---- */
 
-/* Returns whether the request was answered. */
-static bool reply_counts(struct sited *d, struct httpd_request *req, const char *queue)
+/* Returns the counts if that of @queue is known. */
+static const struct pending *counts_for(struct sited *d, const char *queue)
 {
-	const struct pending *p = known_counts(d);
+	bool is_counted_here = d->lead && d->lead->is_loaded;
 
-	if (!p)
-		return false;
+	return is_counted_here || is_shared(queue) ? known_counts(d) : NULL;
+}
+
+static void reply_count(struct sited *d, struct httpd_request *req, const struct pending *p,
+			const char *queue)
+{
 	front_close_if_stopping(d, req);
 	callers_reply_pending(req, pending_of(p, queue));
-	return true;
 }
 
 static int wait_destructor(struct pending_wait *w)
@@ -116,24 +130,30 @@
 	struct pending_wait *w = data;
 	struct sited *d = w->d;
 	struct httpd_request *req = w->req;
+	const struct pending *p = counts_for(d, w->queue);
 
-	if (base_now_ns() < w->deadline && !known_counts(d)) {
+	if (!p && base_now_ns() < w->deadline) {
 		mtimer_add(w, d->ev, base_deadline_in(COUNT_RETRY_MS), on_wait_timer, w);
 		return;
 	}
 	w->req = NULL;
 	req->user = NULL;
-	if (!reply_counts(d, req, w->queue))
+	if (p)
+		reply_count(d, req, p, w->queue);
+	else
 		front_reply_now(d, req, 503, "nobody has counted the pending jobs lately");
 	talloc_free(w);
 }
 
 void front_reply_pending(struct sited *d, struct httpd_request *req, const struct queue *queue)
 {
+	const struct pending *p = counts_for(d, queue->name);
 	struct pending_wait *w;
 
-	if (reply_counts(d, req, queue->name))
+	if (p) {
+		reply_count(d, req, p, queue->name);
 		return;
+	}
 	w = talloc_zero(d, struct pending_wait);
 	w->d = d;
 	w->req = req;
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -42,6 +42,7 @@
 IDLE_MAX_S = 3.0        # for so long
 SAMPLE_S = 0.1
 PENDING_JOBS = 20
+LONG_QUEUE = "long" * 45  # longer than a name in a call between VMs
 PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
 BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
 VMS_DOWN_S = 9.0        # longer than any lease granted before
@@ -202,7 +203,7 @@
 
     async def config(self, version, queues=0):
         """With so many further queues, q0 and on."""
-        names = [("urgent", 0), ("batch", 1)] + [("q%d" % i, 1) for i in range(queues)]
+        names = [("urgent", 0), ("batch", 1), (LONG_QUEUE, 1)] + [("q%d" % i, 1) for i in range(queues)]
         routes = [{"name": name, "host": "jobs.example", "prefix": "/%s/" % name, "service": "pool", "type": "unsafe",
                    "priority": priority, "attempts": ATTEMPTS, "stretch-factor": 3.0, "slo-ms": 1000}
                   for name, priority in names]
@@ -872,7 +873,11 @@
     filler = await submit_waiting(site, SERVERS, 30000)
     await until(lambda: len(runs_of(site, filler)) == SERVERS, 10)
     jobs = [await submit_waiting(site, 1, 100) for _ in range(PENDING_JOBS)]
-    watched += [asyncio.ensure_future(site.watch(job)) for job in [filler] + jobs]
+    beyond = site.add_job()
+    beyond.count, beyond.steps, beyond.gpu, beyond.is_cancelled, beyond.route = 1, 1, 8, False, LONG_QUEUE
+    beyond.spec, site.pool.needs[beyond.id] = {"ms": 100, "gang": 0, "fail": 0}, 8
+    await site.submit(beyond)
+    watched += [asyncio.ensure_future(site.watch(job)) for job in [filler, beyond] + jobs]
     site.store.slow = 4
     await asyncio.sleep(PENDING_SHOWN_S)
 
@@ -893,6 +898,9 @@
     few = {name: min(counts) for name, counts in told.items() if min(counts) * 2 < PENDING_JOBS}
     site.expected.append(("each VM tells that %d jobs are pending, %s" % (PENDING_JOBS, few), not few))
     site.expected.append(("all VMs tell it, %d do" % len(told), len(told) == VMS))
+    answers = [await site.ask("GET", beyond, path="/%s/" % LONG_QUEUE, vm=vm) for vm in site.vms]
+    told = [answer[2].get("pending") if answer else None for answer in answers]
+    site.expected.append(("a queue with a long name has one or nobody knows, %s" % told, set(told) == {1, None}))
     site.store.slow = 1
     await asyncio.wait(watched, timeout=SETTLE_S)
 
