--- a/lib/renewal/renewal.h
+++ b/lib/renewal/renewal.h
@@ -39,8 +39,7 @@
 
 /* a working leader sends the next poll within 1.5 s of an answer */
 #define RENEWAL_LEADER_TIMEOUT_MS 2000
-/* a leader that the store has not confirmed for so long grants no leases, nor does an agent for it
- */
+/* longest time for which a leader, or an agent for it, grants leases without the store's word */
 #define RENEWAL_GRANTS_MAX_MS 4000
 
 /** renewal_set_limit() - record the limit of a poll; an order of an older term is ignored */
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -129,7 +129,8 @@
  * @clock_at: local time of that answer, monotonic ms; 0 before
  * @clock_boot_ms: the same on base_boottime_ns()'s clock, which counts the time for which this VM
  *                 was suspended
- * @must_list: it gets no work until it has listed its runs, as its clock is not what was expected
+ * @must_list: it is polled although it may be idle: it called a start late, accepted no connection,
+ *             or a start waits for its list
  * @heard_at: when it last answered any call, monotonic ms; 0 before
  * @lease_until: latest lease end that this leader has requested, or that an earlier one can
  *               have requested, ms on the server's clock
