--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,7 @@
 PENDING_JOBS = 20
 LONG_QUEUE = "long" * 45  # longer than a name in a call between VMs
 PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
+DOWN_MAX_S = 1.2        # until the first of several servers that went down is back
 BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
 VMS_DOWN_S = 9.0        # longer than any lease granted before
 RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
@@ -850,7 +851,7 @@
                 server.end(run, "done")
         await asyncio.sleep(2.5)
         site.faults += ["server crash"] * 3
-        down_s = site.rng.uniform(0.6, 1.2)
+        down_s = site.rng.uniform(0.6, DOWN_MAX_S)
         for i, server in enumerate(idle):
             asyncio.ensure_future(server.go_down(down_s * (i + 1), is_dark, as_another))
         await asyncio.sleep(site.rng.uniform(0.0, 0.4))
@@ -860,7 +861,7 @@
         began = [r.began - since for r in site.pool.runs if r.task[:16] == job.id]
         site.expected.append(("a job that no server has begun is not shown as failed", "failed" not in job.seen))
         site.expected.append(("it begins once, in time, %s" % began, len(began) == 1 and began[0] < (
-            IDLE_FROM_S + IDLE_MAX_S if is_dark else BACK_TO_START_S + 1.2)))
+            IDLE_FROM_S + IDLE_MAX_S if is_dark else DOWN_MAX_S + BACK_TO_START_S)))
         await until(lambda: "complete" in filler.seen, 30)
     await asyncio.wait(watched, timeout=SETTLE_S)
 
