--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -417,8 +417,9 @@
 	fleet_resources_add(&sv->unclaimed, &need, 1);
 	o->name = str_dup(o, run->task);
 	o->attempt = run->attempt;
-	log_event("orphan_stopped", "{ss sI ss}", "task", o->name, "attempt",
-		  (json_int_t)run->attempt, "server", sv->id);
+	log_event("orphan_stopped", "{ss sI ss sI sI}", "task", o->name, "attempt",
+		  (json_int_t)run->attempt, "server", sv->id, "born", (json_int_t)sv->born,
+		  "percent", (json_int_t)run->percent);
 	send_stop(o);
 }
 
