Late orders reach the next life of a server in the soak's stand-in

A server that is back under its id takes calls that were meant for its former life, says the platform's page. The stand-in dropped late orders at a restart and carried the others out after 1 to 4 s. Now a late start, stop or hold is carried out 1 to 12 s after it came, by the life that is up then under the id that the order names; it is lost only if the server is down at that moment. Holds are late by a field of their own. A late hold for a former life acknowledges the ends that it removes if the life that carries it out has been polled for 3 s (contact-ms); before, no scheduler can prevent it, and the ends are counted only.

Seeds without a scenario get a companion of the faults that draws from a generator of its own: one or two servers at a time are late and start again. The seed's line says how many late orders were carried out, and how many by a later life; servers.log beside the logs of a failed play has each of them.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -17,6 +17,9 @@
 LEASE_MAX_MS = 6000
 STOP_S = 0.05
 CONTACT_S = 3.0  # contact-ms of the platform's deployments
+LATE_MIN_S = 1.0  # after an order came, until one without an answer is carried out
+LATE_MAX_S = 12.0
+UNANSWERED_S = 2.0  # until the connection of such an order ends
 DEADLY_S = 0.01  # after its start a task crashes its server
 CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
@@ -56,8 +59,12 @@
         self.shrunk_at, self.capacity_before = 0.0, CAPACITY
         self.http = Server(self.handle)
         self.silent = False     # answers nothing, works on
+        self.is_down = False    # nothing works, late orders are lost
         self.listed_from = 0.0  # its entry in the store does not change before
-        self.late = 0.0         # share of orders carried out seconds later, unanswered
+        self.late = 0.0         # share of starts and stops carried out seconds later, unanswered
+        self.late_holds = 0.0   # share of holds
+        self.keeps = []         # paths of the next orders that are kept, unanswered, until carry_out_kept()
+        self.kept = []          # arguments of carry_out_late()
         self.lose = 0.0         # share of orders carried out and not answered
         self.loses_starts = False  # they are neither carried out nor answered
         self.restarts_at_start = False  # it starts again under its id, takes the start, and falls silent
@@ -66,59 +73,68 @@
         self.draining = False
         self.listed = None
         self.life = 0
+        self.runs = {}
         self.reborn()
 
     def reborn(self):
         """A new incarnation: nothing runs, nothing is known."""
-        crashed, self.runs = list(getattr(self, "runs", {}).values()), {}
+        self.lose_runs()
         self.life += 1
+        self.pool.note(self, "begins")
         self.born = int(time.time() * 1000)
         self.barred = {}        # task -> highest attempt that may not start any more
         self.ends = []
         self.lapsed_end = 0     # number of the last end that was listed as the lease lapsed
         self.next_end = 1
+        self.polled_at = None   # when a hold that came in time was first taken
         self.fence = 0
         self.lease = 0
         self.event = asyncio.Event()
+
+    def lose_runs(self):
+        crashed, self.runs = list(self.runs.values()), {}
         for run in crashed:
             self.pool.close(run, "crashed")
 
     async def crash(self, as_another):
         """It is silent, then back as a new incarnation, under its id or under another."""
-        self.silent = True
+        self.silent = self.is_down = True
         self.http.reset_connections()
         self.reborn()
         former = self.name
         if as_another:
             self.name = "%s-%d" % (self.first_name, self.life)
         await asyncio.sleep(CRASHED_S)
-        self.silent, self.listed = False, None
+        self.silent, self.is_down, self.listed = False, False, None
         if as_another:
             await self.pool.store.apply([("servers", "", former, None)])
 
     async def start_again(self, down_s, entry_s):
         """Under its id, after so long; the entry of its former life stays for so long after that."""
         port = self.http.port
-        self.listed_from = float("inf")
+        self.listed_from, self.is_down = float("inf"), True
         self.http.stop()
+        self.lose_runs()
         await asyncio.sleep(down_s)
         self.reborn()
         await self.http.start(port)
+        self.is_down = False
         self.listed_from = time.monotonic() + entry_s
 
     async def go_down(self, down_s, is_dark, as_another):
         """It refuses connections, or is dark; then it is back, idle, and its entry follows at once."""
         port, former = self.http.port, self.name
-        self.silent = is_dark
+        self.silent, self.is_down = is_dark, True
         self.http.stop() if not is_dark else self.http.reset_connections()
         self.listed_from = float("inf")
+        self.lose_runs()
         await asyncio.sleep(down_s)
         self.reborn()
         if as_another:
             self.name = "%s-%d" % (self.first_name, self.life)
         if not is_dark:
             await self.http.start(port)
-        self.silent, self.listed, self.listed_from = False, None, 0.0
+        self.silent, self.is_down, self.listed, self.listed_from = False, False, None, 0.0
         await self.announce()
         if as_another:
             await self.pool.store.apply([("servers", "", former, None)])
@@ -128,6 +144,7 @@
         self.silent = True
         self.http.reset_connections()
         if not runs_on:
+            self.is_down = True
             self.reborn()
         if is_unlisted:
             await asyncio.sleep(3 * BEAT_S)
@@ -164,13 +181,22 @@
         if self.silent:
             await asyncio.sleep(30)
             raise Drop
+        if self.is_down:
+            raise Drop
         if headers.get("x-currantlane-target-instance", self.name) != self.name:
             return 421, {}
-        if path == "/-/hold":
-            return await self.hold(document)
-        order = {"/-/run-start": self.start, "/-/run-stop": self.stop}.get(path)
+        order = {"/-/run-start": self.start, "/-/run-stop": self.stop, "/-/hold": self.take_hold}.get(path)
         if not order:
             return 404, {}
+        if path in self.keeps:
+            self.keeps.remove(path)
+            self.kept.append((path, order, document, self.name, self.life))
+            await asyncio.sleep(UNANSWERED_S)
+            raise Drop
+        if path == "/-/hold":
+            if self.late_holds and self.pool.late_rng.random() < self.late_holds:
+                await self.postpone(path, order, document)
+            return await self.hold(document)
         if self.refuse and order == self.start:
             return 503, {}
         if self.loses_starts and order == self.start:
@@ -186,16 +212,41 @@
             self.http.reset_connections()
             raise Drop
         if self.pool.rng.random() < self.late:
-            born = self.born
-            asyncio.get_running_loop().call_later(
-                self.pool.rng.uniform(1, 4), lambda: born == self.born and order(document))
-            await asyncio.sleep(2)
-            raise Drop
+            await self.postpone(path, order, document)
         answer = order(document)
         if self.pool.rng.random() < self.lose:
             raise Drop
         return answer
 
+    async def postpone(self, path, order, document):
+        """It gets no answer, and is carried out late."""
+        asyncio.get_running_loop().call_later(self.pool.late_rng.uniform(LATE_MIN_S, LATE_MAX_S), self.carry_out_late,
+                                              path, order, document, self.name, self.life)
+        await asyncio.sleep(UNANSWERED_S)
+        raise Drop
+
+    def carry_out_kept(self):
+        """By whichever life is up, as all late orders."""
+        kept, self.kept = self.kept, []
+        for order in kept:
+            self.carry_out_late(*order)
+
+    def carry_out_late(self, path, order, document, name, life):
+        """By whichever life is up under the id that the order names."""
+        if self.is_down or name != self.name:
+            return
+        counts = self.pool.late_orders.setdefault(path.rsplit("/", 1)[1], [0, 0])
+        counts[0] += 1
+        counts[1] += life != self.life
+        was_polled = self.polled_at is not None
+        if order == self.take_hold:
+            acknowledges = life == self.life or self.was_polled_long_ago()
+            answer = 200 if self.take_hold(document, acknowledges) else 409
+        else:
+            answer, _ = order(document)
+        self.pool.note(self, "%s for life %d carried out late, %s: %d, %s" % (
+            path, life, "polled" if was_polled else "not polled yet", answer, document))
+
     def reply(self, status, **more):
         """Only lists of runs name the life that answers."""
         life = {"born": self.born} if "running" in more else {}
@@ -252,15 +303,27 @@
         self.pool.close(run, how)
         self.event.set()
 
-    async def hold(self, document):
+    def was_polled_long_ago(self):
+        """Since then nothing that was meant for a former life may have an effect."""
+        return self.polled_at is not None and time.monotonic() > self.polled_at + CONTACT_S
+
+    def take_hold(self, document, acknowledges=True):
+        """Whether it is taken."""
         if self.is_fenced_off(document):
-            return self.reply(409, reason="fence")
-        for end in self.ends:
-            if end[0] <= document["last-seen"]:
-                self.pool.noted(end[1], end[2], end[3], end[0] <= self.lapsed_end)
+            return False
+        seen = [e for e in self.ends if e[0] <= document["last-seen"]]
+        for end in seen if acknowledges else []:
+            self.pool.noted(end[1], end[2], end[3], end[0] <= self.lapsed_end)
+        self.pool.ends_lost += 0 if acknowledges else len(seen)
         self.ends = [e for e in self.ends if e[0] > document["last-seen"]]
         if "deadline-ms" in document:
             self.extend(document["deadline-ms"])
+        return True
+
+    async def hold(self, document):
+        if not self.take_hold(document):
+            return self.reply(409, reason="fence")
+        self.polled_at = self.polled_at or time.monotonic()
         born = self.born
         if not self.ends and document.get("wait-ms"):
             self.event.clear()
@@ -295,8 +358,9 @@
 class Pool:
     """All backend servers, and the ledger of what ran on them."""
 
-    def __init__(self, rng, store, count, per_rack):
-        self.rng, self.store = rng, store
+    def __init__(self, rng, late_rng, store, count, per_rack):
+        self.rng, self.late_rng, self.store = rng, late_rng, store  # late_rng: of late orders
+        self.notes = []         # of late orders, restarts and runs
         self.servers = [BackendServer(self, "i-%02d" % i, "r%d" % (i // per_rack), "z%d" % (i % ZONES),
                                       SLOW_CLOCK if i % 4 == 0 else 1.0) for i in range(count)]
         for server in self.servers[1::2]:
@@ -306,6 +370,8 @@
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
         self.failed_noted = set()  # (task, attempt) whose end as failed was acknowledged
         self.starts_over_capacity = []
+        self.late_orders = {}   # kind -> [carried out late, of these by a later life than the one that got them]
+        self.ends_lost = 0      # removed by holds for a former life, before its next one could be known
         self.needs = {}         # id of a job -> accelerators of a task
 
     async def start(self):
@@ -315,7 +381,11 @@
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.tick())
 
+    def note(self, server, what):
+        self.notes.append("%d %s life %d: %s" % (time.time() * 1e6, server.name, server.life, what))
+
     def began(self, run):
+        self.note(run.server, "%s attempt %d begins" % (run.task, run.attempt))
         self.runs.append(run)
         self.open.setdefault(run.group, []).append(run)
         used = self.in_use(run.server)
@@ -323,6 +393,7 @@
             self.starts_over_capacity.append((run.task, run.server.name, used))
 
     def close(self, run, how):
+        self.note(run.server, "%s attempt %d ends, %s" % (run.task, run.attempt, how))
         run.ended, run.how = time.monotonic(), how
         members = self.open.get(run.group, [])
         if run in members:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,7 @@
 PENDING_JOBS = 20
 LONG_QUEUE = "long" * 45  # longer than a name in a call between VMs
 PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
+LATE_SHARE = 0.5        # of the orders to servers that start again soon
 DOWN_MAX_S = 1.2        # until the first of several servers that went down is back
 BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
 VMS_DOWN_S = 9.0        # longer than any lease granted before
@@ -174,15 +175,16 @@
 
 class Site:
     def __init__(self, seed, directory, by_agents):
-        self.rng = random.Random(seed)
+        self.seed, self.rng = seed, random.Random(seed)
         self.status_s = 120     # rows of ended jobs are kept for so long
         self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
-        self.pool = Pool(self.rng, self.store, SERVERS, PER_RACK)
+        self.pool = Pool(self.rng, random.Random("%d late orders" % seed), self.store, SERVERS, PER_RACK)
         self.vms = [Vm(self, i) for i in range(VMS)]
         self.jobs = []
         self.faults = []
+        self.restarts = 0       # of servers, beside the faults
         self.processes = []     # all that were ever started
         self.stops = 0          # planned stops
         self.stopping = False
@@ -484,11 +486,27 @@
             for writer in list(door.writers):
                 writer.transport.pause_reading()
 
+    async def servers_start_again(self, seconds, rng):
+        """One or two at a time, under their ids, while orders to their former lives are still to be carried out."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            servers = rng.sample(self.pool.servers, rng.randint(1, 2))
+            for server in servers:
+                server.late = server.late_holds = LATE_SHARE
+            await asyncio.sleep(rng.uniform(0.3, 1.5))
+            for server in servers:
+                server.late = server.late_holds = 0.0
+            await asyncio.sleep(rng.uniform(0.2, 4))
+            down, entry = rng.uniform(0.05, 0.6), rng.uniform(0, 1.4)
+            up = [server for server in servers if not server.is_down and not server.draining]
+            self.restarts += len(up)
+            await asyncio.gather(*[server.start_again(down, entry) for server in up])
+
     async def chaos(self, seconds):
         kinds = [self.kill, self.kill, self.terminate, self.pause, self.kill_all, self.store_mode, self.store_slow,
                  self.store_loses, self.history, self.vm_cut, self.server_silent, self.server_crash,
                  self.server_orders, self.server_hangs, self.server_drains, self.silent_connections]
-        running = []
+        running = [asyncio.ensure_future(self.servers_start_again(seconds, random.Random("%d restarts" % self.seed)))]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self.rng.choice(kinds)
@@ -1875,9 +1893,10 @@
     idle = "%.1f s after the end" % site.idle_last
     if site.gone_at:
         idle += ", of gangs %.1f s after their servers were gone" % site.idle_since_gone()
-    lines = ["seed %d, %s: %d jobs, %d runs, the last idle %s: %s" % (
-        seed, scenario or "%d faults" % len(site.faults), len(site.jobs), len(site.pool.runs), idle,
-        "FAIL" if bad else "ok")]
+    late = ", ".join("%d %s (%d)" % (all_, kind, later) for kind, (all_, later) in sorted(site.pool.late_orders.items()))
+    lines = ["seed %d, %s: %d jobs, %d runs, late (by a later life): %s, %d ends lost so, the last idle %s: %s" % (
+        seed, scenario or "%d faults and %d restarts" % (len(site.faults), site.restarts), len(site.jobs),
+        len(site.pool.runs), late or "none", site.pool.ends_lost, idle, "FAIL" if bad else "ok")]
     for promise, times, violations in rows:
         if violations or not times or is_alone:
             lines.append("  %-50s exercised %5d, %s" % (promise, times, "VIOLATED %d: %s" % (
@@ -1888,6 +1907,8 @@
         kept = os.path.join(args.keep, "%d-%s" % (seed, os.path.basename(directory)))
         os.makedirs(args.keep, exist_ok=True)
         shutil.move(directory, kept)
+        with open(os.path.join(kept, "servers.log"), "w") as log:
+            log.writelines(note + "\n" for note in site.pool.notes)
         lines.append("  logs: %s" % kept)
     shutil.rmtree(directory, ignore_errors=True)
     return "\n".join(lines), bad
