Soak: calls meant for a server's former life reach its next one late

Scenarios for two runs of a task, or a run after its end, by calls that come late after a server has started again under its id and has been polled since: a copy of a start (in the next life and the one after, sent by this leader, by a dead one and by one that left), and a hold whose deadline is by a clock that had run for an hour. Copies are kept by the stand-in and carried out by the play, so that they come after the first poll of the new life.

Two of them are part of make check.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
 import time
 
 from site_http import call
-from site_servers import CAPACITY, CONTACT_S, Pool, ZONES
+from site_servers import CAPACITY, CONTACT_S, LEASE_MAX_MS, Pool, ZONES
 from site_store import Store
 
 BUILD = os.environ.get("BUILD", "build")
@@ -44,6 +44,8 @@
 PENDING_JOBS = 20
 LONG_QUEUE = "long" * 45  # longer than a name in a call between VMs
 PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
+RENEWED_MS = 300        # since when a server's lease has been renewed as it is cut off, at most
+LATE_HOLD_LEFT_MS = 200  # of the lease, as a late hold comes
 LATE_SHARE = 0.5        # of the orders to servers that start again soon
 DOWN_MAX_S = 1.2        # until the first of several servers that went down is back
 BACK_TO_START_S = 1.5   # from when a server is back until a task that waits for it starts there
@@ -855,6 +857,128 @@
     await asyncio.wait(watched, timeout=SETTLE_S)
 
 
+async def begin_with_copies(site, count, ms, fail):
+    """A job; each of its servers keeps the first sending of the start, unanswered, and takes the second one."""
+    for server in site.pool.servers:
+        server.keeps, server.kept = ["/-/run-start"], []
+    job = await submit_waiting(site, count, ms, fail)
+    await until(lambda: len({r.task for r in site.pool.runs if r.task[:16] == job.id}) == count, 5)
+    for server in site.pool.servers:
+        server.keeps = []
+    return job, [server for server in site.pool.servers if server.kept]
+
+
+async def start_again_polled(site, servers, fence):
+    """Under their ids, with new entries at once; whether each has been polled since, with a fence above that."""
+    site.faults += ["server crash"] * len(servers)
+    await asyncio.gather(*[server.start_again(site.rng.uniform(0.1, 0.4), 0) for server in servers])
+    await asyncio.gather(*[server.announce() for server in servers])
+    return await until(lambda: all(server.polled_at and server.fence > fence for server in servers), 8)
+
+
+async def copies_reach_a_later_life(site, restarts, change=None):
+    """Of starts of tasks that were done in the former life, then of tasks that failed there and run elsewhere."""
+    await fail_one(site)
+    site.stopping = True
+    await pool_is_idle(site)
+    if change:  # this leader has polled two lives of each server before it sends the starts, the next leader none
+        for _ in range(2):
+            polled = await start_again_polled(site, site.pool.servers, 0)
+            site.expected.append(("servers that started again are polled", polled))
+        await asyncio.sleep(2)
+    for is_done in (True, False):
+        job, servers = await begin_with_copies(site, 3, 300 if is_done else 12000, 0 if is_done else 1)
+        watch = asyncio.ensure_future(site.watch(job))
+        if is_done:
+            over = await until(lambda: all(task in site.pool.done_noted for task in job.tasks()), 5)
+        else:
+            for run in runs_of(site, job):
+                run.server.end(run, "failed")
+            over = await until(lambda: len([r for r in runs_of(site, job) if r.attempt == 2]) == job.count, 5)
+        site.expected.append(("%d servers keep copies of starts that are over" % len(servers), over and servers))
+        fence = max(args[2]["fence"] for server in servers for args in server.kept) if change else 0
+        changing = asyncio.ensure_future(change(site.leader())) if change else None
+        for _ in range(restarts):
+            polled = await start_again_polled(site, servers, fence)
+            site.expected.append(("servers that started again are polled before the copies come%s" % (
+                ", with a higher fence" if change else ""), polled))
+        await asyncio.sleep(site.rng.uniform(0.3, 1.0))
+        before = len(site.pool.runs)
+        for server in servers:
+            server.carry_out_kept()
+        began = ["%s attempt %d" % (r.task, r.attempt) for r in site.pool.runs[before:]]
+        site.expected.append(("no copy of a former life's start begins a run, %s did" % began, not began))
+        await asyncio.wait([watch] + ([changing] if change else []), timeout=SETTLE_S)
+
+
+async def late_start_reaches_the_next_life(site):
+    """A copy of a start whose task was done, or ran elsewhere, began a run on a server that had started again."""
+    await copies_reach_a_later_life(site, 1)
+
+
+async def late_start_reaches_the_life_after_the_next(site):
+    """The same, with a second restart before the copy came."""
+    await copies_reach_a_later_life(site, 2)
+
+
+async def late_start_of_a_dead_leader_reaches_the_next_life(site):
+    """The same, where the next leader had polled the server since."""
+    await copies_reach_a_later_life(site, 1, site.kill)
+
+
+async def late_start_of_a_leader_that_left_reaches_the_next_life(site):
+    """The same, after a hand-over."""
+    await copies_reach_a_later_life(site, 1, site.terminate)
+
+
+async def cut_off_until_its_lease_ends(site, server):
+    """From when a poll has renewed it; then the orders that the server keeps are carried out."""
+    renewed = await until(lambda: server.lease - server.clock() > LEASE_MAX_MS - RENEWED_MS, 3)
+    site.faults.append("server silent")
+    server.silent = True
+    server.http.reset_connections()
+    while server.runs and server.lease - server.clock() > LATE_HOLD_LEFT_MS:
+        await asyncio.sleep(0.02)
+    site.expected.append(("%s is cut off as it runs a task, till its lease ends" % server.name, renewed and bool(server.runs)))
+    server.carry_out_kept()
+
+
+async def late_hold_prolongs_leases_of_the_next_life(site):
+    """Its deadline, by a clock that had run for an hour, held a lease for longer than the leader waited for a silent server."""
+    await fail_one(site)
+    site.stopping = True
+    await pool_is_idle(site)
+    servers = site.rng.sample(site.pool.servers[1::2], 2)
+    others = site.rng.sample([s for s in site.pool.servers if s not in servers], 2)
+    job = await submit_waiting(site, SERVERS, 60000)
+    watch = asyncio.ensure_future(site.watch(job))
+    full = await until(lambda: len(runs_of(site, job)) == SERVERS, 10)
+    await asyncio.sleep(2)  # until holds renew leases
+    for server in servers:
+        server.keeps, server.kept = ["/-/hold"], []
+    kept = await until(lambda: all(server.kept for server in servers), 5)
+    renews = kept and all("deadline-ms" in server.kept[0][2] for server in servers)
+    site.expected.append(("the pool is full, and a renewal is kept on two servers", full and renews))
+    polled = await start_again_polled(site, servers, 0)
+    again = await until(lambda: all(server.runs for server in servers), 5)
+    site.expected.append(("they are polled and run tasks again", polled and again))
+    await asyncio.sleep(0.3)
+    for server in others:
+        for run in list(server.runs.values()):
+            server.end(run, "done")
+    tasks = {task for server in servers for task in server.runs}
+    await asyncio.gather(*[cut_off_until_its_lease_ends(site, server) for server in servers])
+    elsewhere = await until(lambda: all(any(r.task == task and not r.server.silent for r in runs_of(site, job))
+                                        for task in tasks), 15)
+    site.expected.append(("their tasks start elsewhere", elsewhere))
+    await until(lambda: not any(server.runs for server in servers), 10)
+    for server in servers:
+        server.silent = False
+    for run in runs_of(site, job):
+        run.server.end(run, "done")
+    await asyncio.wait([watch], timeout=SETTLE_S)
+
+
 async def idle_servers_are_down_as_a_job_comes(site):
     """Its starts counted as carried out by servers that had crashed before, and the job was given up."""
     await fail_one(site)
@@ -928,11 +1052,11 @@
     return {r.task for r in site.pool.runs if r.task[:16] == job.id and r.how == "done"}
 
 
-async def submit_waiting(site, count, ms):
+async def submit_waiting(site, count, ms, fail=0):
     """A job whose tasks need whole servers."""
     job = site.add_job()
     job.count, job.steps, job.gpu, job.is_cancelled, job.route = count, 1, 8, False, "urgent"
-    job.spec, site.pool.needs[job.id] = {"ms": ms, "gang": 0, "fail": 0}, 8
+    job.spec, site.pool.needs[job.id] = {"ms": ms, "gang": 0, "fail": fail}, 8
     await site.submit(job)
     return job
 
@@ -1822,7 +1946,9 @@
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
-    servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
+    servers_start_again_and_are_lost, late_start_reaches_the_next_life, late_start_reaches_the_life_after_the_next,
+    late_start_of_a_dead_leader_reaches_the_next_life, late_start_of_a_leader_that_left_reaches_the_next_life,
+    late_hold_prolongs_leases_of_the_next_life, idle_servers_are_down_as_a_job_comes,
     jobs_wait_while_leaders_change, odd_keys_among_the_servers,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
@@ -1834,7 +1960,8 @@
     configuration_outgrows_small_links, servers_change_as_a_leader_reads_them, configuration_changes_with_another_row]
 # what make check plays; make soak-all plays all
 IN_CHECK = [
-    servers_start_again_before_a_start, servers_start_again_and_are_lost, idle_servers_are_down_as_a_job_comes,
+    servers_start_again_before_a_start, servers_start_again_and_are_lost, late_start_reaches_the_next_life,
+    late_hold_prolongs_leases_of_the_next_life, idle_servers_are_down_as_a_job_comes,
     jobs_wait_while_leaders_change, odd_keys_among_the_servers, servers_restart_with_a_start_in_flight,
     cancelled_before_its_late_submission, agents_renew_while_nobody_leads, old_transaction_comes_late,
     refused_after_a_lost_answer]
