Orders carry a fence, which is the leader's term

The value that a server compares is called what the platform calls it, in orders and in the limits of agents; that it is the leader's term is decided where orders are sent. No change of behaviour or of the calls between VMs (the member keeps its place). The lines lease_renewed_alone and order_outdated say fence for it.

--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -238,12 +238,12 @@
 /*
  * Orders to a backend server, which another entry VM executes for the leader.
  * Members lease_until, renewal_limit and renewed_until are times in ms on the
- * backend server's own clock.
+ * backend server's own clock. Member fence is at least the leader's term.
  */
 struct cl_order_target {
 	string server<CL_ID_MAX>;
 	string address<CL_ID_MAX>;
-	hyper term;
+	hyper fence;
 	hyper remaining_ms;
 	bool fresh;
 };
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -450,7 +450,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->address, CL_ID_MAX))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->term))
+	 if (!xdr_quad_t (xdrs, &objp->fence))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->remaining_ms))
 		 return FALSE;
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -261,7 +261,7 @@
 struct cl_order_target {
 	char *server;
 	char *address;
-	quad_t term;
+	quad_t fence;
 	quad_t remaining_ms;
 	bool_t fresh;
 };
--- a/lib/renewal/renewal.c
+++ b/lib/renewal/renewal.c
@@ -5,11 +5,11 @@
 	return r->clock_ms + now - r->clock_at;
 }
 
-void renewal_set_limit(struct renewal *r, int64_t term, int64_t limit, int64_t now)
+void renewal_set_limit(struct renewal *r, int64_t fence, int64_t limit, int64_t now)
 {
-	if (term < r->term)
+	if (fence < r->fence)
 		return;
-	r->term = term;
+	r->fence = fence;
 	r->limit = limit;
 	r->leader_active_at = now;
 }
@@ -25,7 +25,7 @@
 
 bool renewal_is_over(const struct renewal *r, int64_t newest_term, int64_t now)
 {
-	return !r->limit || r->term < newest_term ||
+	return !r->limit || r->fence < newest_term ||
 	       (r->clock_ms && server_clock(r, now) >= r->limit);
 }
 
--- a/lib/renewal/renewal.h
+++ b/lib/renewal/renewal.h
@@ -19,7 +19,7 @@
 
 /**
  * struct renewal - lease renewal state of one server on an entry VM
- * @term: term of the leader that set @limit
+ * @fence: fence of the poll that set @limit, at least its leader's term
  * @limit: latest permitted lease end, on the server's clock in ms; 0 forbids renewal
  * @requested_until: latest lease end that this VM has requested by itself, 0 for none
  * @clock_ms: server's clock in its last answer, 0 before the first answer
@@ -28,7 +28,7 @@
  * @polls_in_flight: polls of the leader or of this VM that the server has not answered
  */
 struct renewal {
-	int64_t term;
+	int64_t fence;
 	int64_t limit;
 	int64_t requested_until;
 	int64_t clock_ms;
@@ -42,8 +42,8 @@
 /* longest time for which a leader, or an agent for it, grants leases without the store's word */
 #define RENEWAL_GRANTS_MAX_MS 4000
 
-/** renewal_set_limit() - record the limit of a poll; an order of an older term is ignored */
-void renewal_set_limit(struct renewal *r, int64_t term, int64_t limit, int64_t now);
+/** renewal_set_limit() - record the limit of a poll; one with a lower fence is ignored */
+void renewal_set_limit(struct renewal *r, int64_t fence, int64_t limit, int64_t now);
 /**
  * renewal_set_server_clock() - record the clock in an answer to a poll of any origin
  * @lease_max_ms: longest lease that a server grants
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -92,7 +92,7 @@
 	talloc_free(rs->address);
 	rs->address = talloc_strdup(rs, args->to.address);
 	rs->renewal.polls_in_flight++;
-	renewal_set_limit(&rs->renewal, args->to.term, args->renewal_limit, sited_now_ms());
+	renewal_set_limit(&rs->renewal, args->to.fence, args->renewal_limit, sited_now_ms());
 }
 
 /*
@@ -144,7 +144,7 @@
 	struct renewed_server *rs = g_hash_table_lookup(ctx->d->renewals, ctx->server);
 
 	log_event("lease_renewed_alone", "{ss ss sI si}", "server", ctx->server, "outcome",
-		  order_status_name(r->status), "term", (json_int_t)(rs ? rs->renewal.term : 0),
+		  order_status_name(r->status), "fence", (json_int_t)(rs ? rs->renewal.fence : 0),
 		  "running", (int)(r->list ? r->list->run_count : 0));
 	if (rs && !order_was_answered(r->status)) {
 		/* on_renewal_tick() retries until the limit has passed */
@@ -162,7 +162,7 @@
 	struct renewal_call *ctx = talloc_zero(d, struct renewal_call);
 	struct order_target to = {.server = server,
 				  .address = rs->address,
-				  .term = rs->renewal.term,
+				  .fence = rs->renewal.fence,
 				  .deadline = base_deadline_in(RENEWAL_ANSWER_MS)};
 	/*
 	 * Acknowledges no ends: a new incarnation of the server may have the same id, and
@@ -258,9 +258,9 @@
 		reply_status(req, ORDER_INVALID);
 		return false;
 	}
-	if (to->term < d->leader.term) {
-		log_event("order_outdated", "{ss sI sI}", "server", to->server, "term",
-			  (json_int_t)to->term, "newer", (json_int_t)d->leader.term);
+	if (to->fence < d->leader.term) {
+		log_event("order_outdated", "{ss sI sI}", "server", to->server, "fence",
+			  (json_int_t)to->fence, "newer", (json_int_t)d->leader.term);
 		reply_status(req, ORDER_FENCED);
 		return false;
 	}
@@ -272,7 +272,7 @@
 {
 	return (struct order_target){.server = to->server,
 				     .address = to->address,
-				     .term = to->term,
+				     .fence = to->fence,
 				     .deadline = base_deadline_in(to->remaining_ms),
 				     .fresh = to->fresh};
 }
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -331,7 +331,7 @@
 {
 	return (cl_order_target){.server = to->sv->id,
 				 .address = to->sv->address,
-				 .term = l->term,
+				 .fence = l->term,
 				 .remaining_ms = MAX(base_remaining_ms(to->deadline), 1),
 				 .fresh = to->earlier_sends > 0};
 }
@@ -340,7 +340,7 @@
 {
 	return (struct order_target){.server = to->sv->id,
 				     .address = to->sv->address,
-				     .term = l->term,
+				     .fence = l->term,
 				     .deadline = to->deadline,
 				     .fresh = to->earlier_sends > 0};
 }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -63,7 +63,7 @@
 	const struct fleet_server *sv = sample_server(f->fleet, 0);
 	struct order_target to = {.server = sv->id,
 				  .address = sv->address,
-				  .term = 7,
+				  .fence = 7,
 				  .deadline = base_deadline_in(1000)};
 
 	f->is_done = false;
