A server does nothing for calls to its former incarnations once it was polled

What callers saw: a task ran after it had ended as done, or on two servers at once, when a copy of its start was carried out seconds late by a server that had started again under its id meanwhile; or when a poll to the former incarnation, whose lease deadline was by the former clock, held the next one's lease for longer than any VM knew, while the server was cut off.

Cause: all calls of a leader carried the same fence, its term, so that a server could not tell a call to its former incarnation from one to itself: all have one id, and stops that bar an attempt are forgotten at a restart. The leader guarded single tasks (it stopped those in the next incarnation whose start had had no answer), not the class: tasks already released or done, leases and ends acknowledged by the former numbers were open for as long as a call may be late.

Why it works: terms are 100,000 apart, and a leader gives each incarnation that it learns of a fence above that of all that have ended. Once the incarnation has answered the first poll with it, whose list names all that runs there, it rejects every call to a former one, whoever sends it. So a task that follows its server is decided by that list; a stop first is not needed any more, and a run that the next incarnation began goes on. Agents pass the fence on in the place of the term; as fences of a term are below the next term, their comparisons hold, also those of the version before. A rejected call to a former incarnation is logged (order_void) and does not make the leader give up. When the fences of a term are used up, the leader gives up and another term begins.

The check of the soak that counts terms counts steps of 100,000, as strict.

What remains: a copy that comes between the server's return and the first poll.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -83,13 +83,20 @@
 	return g_hash_table_lookup(f->by_id, id);
 }
 
+void fleet_replace(struct fleet *f, struct fleet_server *sv)
+{
+	f->ended += sv->presence != FLEET_REPLACED;
+	sv->presence = FLEET_REPLACED;
+}
+
 struct fleet_server *fleet_add(struct fleet *f, const char *id, int64_t born)
 {
 	struct fleet_server *old = fleet_find(f, id);
 	struct fleet_server *sv = talloc_zero(f, struct fleet_server);
 
 	if (old)
-		old->presence = FLEET_REPLACED;
+		fleet_replace(f, old);
+	sv->ended_before = f->ended;
 	sv->id = talloc_strdup(sv, id);
 	sv->born = born;
 	sv->address = talloc_strdup(sv, "");
@@ -129,6 +136,7 @@
 			i++;
 			continue;
 		}
+		fleet_replace(f, sv);
 		if (fleet_find(f, sv->id) == sv)
 			g_hash_table_remove(f->by_id, sv->id);
 		g_ptr_array_free(sv->tasks, TRUE);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -87,6 +87,8 @@
  * struct fleet_server - one incarnation of a backend server
  * @id: id of the server, the same for all its incarnations
  * @born: start time of this incarnation, wall clock in ms
+ * @ended_before: @ended of struct fleet when this incarnation became known, which is higher than
+ *	that of each earlier incarnation of its id
  * @address: "ip:port"
  * @service: name of the pool of backend servers that it belongs to
  * @rack: index of its rack in struct fleet
@@ -98,7 +100,8 @@
  *	them; counted until the server stops listing them
  * @presence: state in the server list
  * @drain_deadline: the server may be gone from this time on, in ms; 0 unless draining
- * @is_fenced: the server has seen this leader's term, which voids orders of earlier terms
+ * @is_fenced: the server has seen this leader's fence for it, which voids orders of earlier terms
+ *	and orders to earlier incarnations
  * @is_reachable: the server answers calls
  * @suspect_until: accepts no new work before this time, because it is suspect, in ms
  * @is_suspect_for_failures: it is so because tasks failed there
@@ -120,6 +123,7 @@
 struct fleet_server {
 	char *id;
 	int64_t born;
+	int64_t ended_before;
 	char *address;
 	char *service;
 	char *failure_domain;
@@ -154,11 +158,13 @@
  * @all: every struct fleet_server, in the order in which they were added
  * @by_id: maps an id to the newest incarnation
  * @racks: names of racks by index; index 0 is "", for servers whose rack is unknown
+ * @ended: number of incarnations that were replaced or removed
  */
 struct fleet {
 	GPtrArray *all;
 	GHashTable *by_id;
 	GPtrArray *racks;
+	int64_t ended;
 };
 
 /** fleet_new() - create an empty fleet owned by @ctx */
@@ -190,6 +196,8 @@
 void fleet_set_rack(struct fleet *f, struct fleet_server *sv, const char *name);
 /** fleet_rack_name() - name of a rack by its index, "" for index 0 */
 const char *fleet_rack_name(const struct fleet *f, unsigned int rack);
+/** fleet_replace() - mark an incarnation as ended */
+void fleet_replace(struct fleet *f, struct fleet_server *sv);
 /** fleet_prune() - free unlisted or replaced servers without tasks for which @may_free is true */
 void fleet_prune(struct fleet *f, bool (*may_free)(struct fleet_server *sv));
 
--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -238,7 +238,8 @@
 /*
  * Orders to a backend server, which another entry VM executes for the leader.
  * Members lease_until, renewal_limit and renewed_until are times in ms on the
- * backend server's own clock. Member fence is at least the leader's term.
+ * backend server's own clock. Member fence is at least the leader's term, and below
+ * that of the next leader.
  */
 struct cl_order_target {
 	string server<CL_ID_MAX>;
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -307,6 +307,7 @@
 			    &t->group->step->need, -1);
 	g_ptr_array_remove_fast(t->server->tasks, t);
 	t->server = NULL;
+	t->was_sent_to_former = false;
 }
 
 static void attach_to_server(struct work_task *t, struct fleet_server *sv,
@@ -371,7 +372,10 @@
 
 	detach_from_server(t);
 	attach_to_server(t, sv, state);
+	t->was_sent_to_former = true;
 	t->last_poll = 0;
+	t->percent = 0;
+	t->first_percent = -1;
 	mark_task_changed(t);
 }
 
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -151,6 +151,8 @@
  * @start_sent_at: when the start was first sent, monotonic ms; 0 before
  * @was_up_at_start: its server had listed its runs just before the start was sent
  * @has_lost_start: a start of this or of an earlier attempt had no answer; not stored
+ * @was_sent_to_former: its start was sent to an earlier incarnation of its server; the present one
+ *	runs it only if its first list names it
  * @awaits_list: in TASK_ASSIGNED, the start is sent once the server has listed its runs
  * @failed_server_id: id of the server where it failed last, or NULL
  */
@@ -180,6 +182,7 @@
 	int64_t start_sent_at;
 	bool was_up_at_start;
 	bool has_lost_start;
+	bool was_sent_to_former;
 	bool awaits_list;
 	char *failed_server_id;
 };
@@ -354,7 +357,8 @@
 /**
  * work_task_change_incarnation() - move the task to incarnation @sv of its server
  *
- * Used when @sv may have accepted the start that was sent to an earlier one.
+ * Used when @sv may have accepted the start that was sent to an earlier one. It would run from the
+ * beginning there.
  */
 void work_task_change_incarnation(struct work_task *t, struct fleet_server *sv);
 /** work_task_release() - free the capacity of a task that no longer runs; it waits again */
--- a/src/sited.h
+++ b/src/sited.h
@@ -56,6 +56,12 @@
  */
 #define SITED_PARTITIONS 32
 
+/*
+ * Terms are so far apart that a leader has as many fences for its orders: an incarnation of a
+ * server that has ended uses up one.
+ */
+#define SITED_FENCES_PER_TERM 100000
+
 #define SITED_LARGE_CORES 0.25 /* a VM with fewer cores leads only when no large VM contends */
 
 struct lead;
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -31,6 +31,7 @@
 	struct sited *d;
 	struct onc_request *req;
 	char *server;
+	int64_t fence;
 };
 
 static void reply_status(struct onc_request *req, enum order_status status)
@@ -128,7 +129,10 @@
 
 	if (!rs)
 		return;
-	apply_poll_answer(c->d, rs, r);
+	if (r->status == ORDER_FENCED && c->fence < rs->renewal.fence)
+		rs->renewal.polls_in_flight--; /* it was meant for a former incarnation */
+	else
+		apply_poll_answer(c->d, rs, r);
 	res->renews = rs->renewal.limit != 0;
 	res->renewed_until = rs->renewal.requested_until;
 }
@@ -336,6 +340,7 @@
 		return;
 	c = carried_order_new(d, req);
 	c->server = talloc_strdup(c, args->to.server);
+	c->fence = args->to.fence;
 	record_leader_poll(d, args);
 	orders_poll(d->orders, &to, &poll, on_order_done, c);
 }
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -9,7 +9,7 @@
  * lib/renewal. On a site with few servers the leader sends its orders directly.
  *
  * An order may be carried out twice or late, whoever sends it, because it names
- * its term, attempt and incarnation, and has deadlines on the server's own clock.
+ * its fence and attempt, and has deadlines on the server's own clock.
  * An order that an agent does not answer counts as unanswered by the server. An agent of an
  * earlier version answers so also when it has sent nothing.
  */
@@ -331,7 +331,7 @@
 {
 	return (cl_order_target){.server = to->sv->id,
 				 .address = to->sv->address,
-				 .fence = l->term,
+				 .fence = lead_fence(l, to->sv),
 				 .remaining_ms = MAX(base_remaining_ms(to->deadline), 1),
 				 .fresh = to->earlier_sends > 0};
 }
@@ -340,7 +340,7 @@
 {
 	return (struct order_target){.server = to->sv->id,
 				     .address = to->sv->address,
-				     .fence = l->term,
+				     .fence = lead_fence(l, to->sv),
 				     .deadline = to->deadline,
 				     .fresh = to->earlier_sends > 0};
 }
--- a/src/sited_elect.c
+++ b/src/sited_elect.c
@@ -259,7 +259,7 @@
 	if (row->version < d->leader.version)
 		return;
 	d->leader.version = row->version;
-	/* Not the known term + 1: a peer may have reported this row already. */
+	/* Not one above the known term: a peer may have reported this row already. */
 	d->leader.term = d->contended_term;
 	sited_free_client_later(d, &d->leader.client);
 	g_strlcpy(d->leader.vm, d->site->vm, sizeof(d->leader.vm));
@@ -294,7 +294,7 @@
 	struct store_tx *tx = store_tx_new(d, "");
 	char *value;
 
-	d->contended_term = d->leader.term + 1;
+	d->contended_term = d->leader.term + SITED_FENCES_PER_TERM;
 	d->contended_at = sited_now_ms();
 	value = encode_row(tx, d, d->contended_term, false);
 	store_tx_expect(tx, SITED_LEAD_TABLE, SITED_LEAD_KEY, d->leader.version);
--- a/src/sited_grant.c
+++ b/src/sited_grant.c
@@ -93,7 +93,7 @@
 	int64_t left_ms = until_ms - now_ms;
 
 	l->grant.floor_ms = until_ms;
-	if (term != l->term - 1)
+	if (term != l->term - SITED_FENCES_PER_TERM)
 		return;
 	l->grant.former_over_at =
 		sited_now_ms() + left_ms + lead_leases_wait_ms(l) - LEAD_UNCONFIRMED_MAX_MS;
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -122,6 +122,10 @@
 {
 	struct lead *l = data;
 
+	if (l->fleet->ended >= SITED_FENCES_PER_TERM - 1) {
+		sited_step_down(l->d, "the fences of its term are used up");
+		return;
+	}
 	log_granting(l, lead_may_grant_leases(l));
 	l->ticked_at = base_boottime_ns();
 	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_INTERVAL_MS), on_tick, l);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -196,6 +196,18 @@
 	uint64_t agent_version;
 };
 
+/**
+ * lead_fence() - fence of orders to an incarnation of a server
+ *
+ * All incarnations have the same id, and each takes calls that were meant for the former one. The
+ * fence is higher than in all orders to former ones, so that the server rejects those that are
+ * still on their way once it has answered a poll.
+ */
+static inline int64_t lead_fence(const struct lead *l, const struct fleet_server *sv)
+{
+	return l->term + sv->ended_before;
+}
+
 /** lead_current() - leader state of the term that a call belongs to; NULL after that term */
 static inline struct lead *lead_current(const struct sited *d, uint64_t serial)
 {
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -248,7 +248,7 @@
 	struct suspects *suspects = suspects_new(l, sv);
 
 	log_server_lost(sv, why);
-	sv->presence = FLEET_REPLACED;
+	fleet_replace(l->fleet, sv);
 	while (sv->tasks->len)
 		lead_task_release(l, g_ptr_array_index(sv->tasks, 0), why);
 	suspects_blame(l, suspects, sv);
@@ -258,7 +258,7 @@
 /*
  * Answers to starts and stops do not name the incarnation that answers, and all incarnations have
  * the same id. So only a list of runs shows which of them has carried out a start. One that was
- * sent again after a call without an answer may be carried out by either.
+ * sent again after a call without an answer may be carried out by both.
  */
 static bool may_be_in_next_incarnation(const struct work_task *t)
 {
@@ -268,7 +268,7 @@
 	case TASK_STOPPING:
 	case TASK_UNCONFIRMED:
 	case TASK_ENDING:
-		return !t->last_poll || t->unanswered_starts;
+		return !t->last_poll || t->unanswered_starts || t->was_sent_to_former;
 	case TASK_WAITING:
 	case TASK_AWAITING_PREEMPTION:
 	case TASK_ASSIGNED:
@@ -278,28 +278,24 @@
 	return false;
 }
 
-/* a start may still be on its way, or a stop was answered by the incarnation that has ended */
-static bool must_be_stopped_in_next_incarnation(const struct work_task *t)
-{
-	if (t->state == TASK_UNCONFIRMED || t->state == TASK_ENDING)
-		return false;
-	return t->state != TASK_RUNNING || t->unanswered_starts;
-}
-
 /*
- * The next incarnation lists the task if it runs there. If a start may still arrive, the attempt
- * is stopped there, after which the server rejects it.
+ * The first list of the next incarnation names the task if it runs there. After that list the
+ * incarnation rejects starts that were meant for the former one, see lead_fence().
  */
 static void follow_to_next_incarnation(struct lead *l, struct work_task *t, struct fleet_server *sv,
 				       unsigned int crash_points)
 {
 	work_task_change_incarnation(t, sv);
 	t->crash_points_unless_listed = crash_points;
+	t->progress_at = sited_now_ms();
+	if (t->started_at)
+		t->started_at = t->progress_at;
 	log_event("task_followed", "{ss si si si sI ss ss sI}", "id", t->group->job->id,
 		  "occurrence", (int)t->group->occurrence, "step", (int)t->group->step_index,
 		  "task", (int)t->index, "attempt", (json_int_t)t->attempt, "state",
 		  work_task_state_name(t->state), "server", sv->id, "born", (json_int_t)sv->born);
-	if (must_be_stopped_in_next_incarnation(t)) {
+	/* the stop may have been answered by the incarnation that has ended */
+	if (t->state == TASK_STOPPING) {
 		t->state = TASK_STARTING;
 		lead_task_stop(l, t, "its server was started again");
 	}
@@ -311,7 +307,7 @@
 	GPtrArray *tasks = suspects->task;
 
 	log_server_lost(old, "it was started again");
-	old->presence = FLEET_REPLACED;
+	fleet_replace(l->fleet, old);
 	lead_server_io(l, sv)->former_over_at = grants_over_at(l, lead_server_io(l, old));
 	for (guint i = 0; i < tasks->len; i++) {
 		struct work_task *t = g_ptr_array_index(tasks, i);
@@ -336,6 +332,11 @@
 	struct server_io *io = lead_server_io(l, sv);
 	const struct order_list *list = r->list;
 
+	if (r->status == ORDER_FENCED && fleet_find(l->fleet, sv->id) != sv) {
+		log_event("order_void", "{ss sI sI}", "server", sv->id, "born",
+			  (json_int_t)sv->born, "fence", (json_int_t)lead_fence(l, sv));
+		return true;
+	}
 	if (r->status == ORDER_FENCED) {
 		sited_step_down(l->d, "a backend server has seen a newer term");
 		return false;
@@ -430,7 +431,8 @@
 {
 	if (t->state == TASK_UNCONFIRMED)
 		return lead_unconfirmed_over_at(l, t);
-	return t->last_poll ? MAX(leases_over_at(io), io->former_over_at) : grants_over_at(l, io);
+	/* once listed, what an order to a former incarnation granted ends before io->lease_until */
+	return t->last_poll ? leases_over_at(io) : grants_over_at(l, io);
 }
 
 /* when all tasks on the server have certainly ended if it is not polled any more */
@@ -518,6 +520,10 @@
 
 		if (t->server != sv || t->last_poll == number)
 			continue;
+		if (t->was_sent_to_former) {
+			release_gone(l, sv, t);
+			continue;
+		}
 		switch (t->state) {
 		case TASK_UNCONFIRMED:
 			gone = true;
@@ -612,9 +618,10 @@
 	uint64_t number = ++io->answered_polls;
 
 	if (!sv->is_fenced || !sv->is_reachable)
-		log_event("server_reached", "{ss sI si si sI}", "server", sv->id, "term",
-			  (json_int_t)l->term, "running", (int)list->run_count, "ended",
-			  (int)list->ended_count, "misses", (json_int_t)io->missed_polls);
+		log_event("server_reached", "{ss sI sI si si sI}", "server", sv->id, "term",
+			  (json_int_t)l->term, "fence", (json_int_t)lead_fence(l, sv), "running",
+			  (int)list->run_count, "ended", (int)list->ended_count, "misses",
+			  (json_int_t)io->missed_polls);
 	sv->is_fenced = true;
 	sv->is_reachable = true;
 	io->missed_polls = 0;
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -3,8 +3,8 @@
  *
  * A start without an answer is sent again, because a server accepts the same
  * attempt only once. If no answer comes to that either, the attempt is stopped.
- * The stop also invalidates a start that arrives later. The task then waits until
- * the server no longer lists it or its lease has expired.
+ * The stop also invalidates a start that arrives later, as long as the server is not started
+ * again. The task then waits until the server no longer lists it or its lease has expired.
  */
 #include "sited_lead.h"
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -24,6 +24,27 @@
 }
 END_TEST
 
+/* Guards against calls to a former incarnation that a server carries out under its old id. */
+START_TEST(each_incarnation_of_an_id_knows_of_more_that_have_ended)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 1);
+	struct fleet_server *first = sample_server(f, 0);
+	struct fleet_server *second = fleet_add(f, "s0", 2000);
+	struct fleet_server *third;
+	int64_t before = second->ended_before;
+
+	ck_assert_int_eq(sample_server(f, 1)->ended_before, first->ended_before);
+	ck_assert_int_gt(second->ended_before, first->ended_before);
+	fleet_replace(f, first);
+	ck_assert_int_eq(f->ended, second->ended_before);
+	fleet_prune(f, may_free);
+	ck_assert_ptr_null(fleet_find(f, "s0"));
+	third = fleet_add(f, "s0", 3000);
+	ck_assert_int_gt(third->ended_before, before);
+	talloc_free(f);
+}
+END_TEST
+
 /*
  * Found with deploy/days/servers-cut.toml, seed 2 on Kolkhi: an answer from a pruned
  * incarnation terminated the leader.
@@ -261,6 +282,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_new_incarnation_replaces_the_old_one);
+	tcase_add_test(t, each_incarnation_of_an_id_knows_of_more_that_have_ended);
 	tcase_add_test(t, a_pruned_incarnation_is_added_again);
 	tcase_add_test(t, orphaned_runs_use_capacity);
 	tcase_add_test(t, failures_of_one_job_make_no_server_suspect);
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -473,6 +473,33 @@
 }
 END_TEST
 
+/* Guards against a task judged, or released, by what it did in an earlier incarnation. */
+START_TEST(a_task_that_follows_its_server_begins_anew_there)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct work_group *g = sample_start(sample_job(f, 1, 1, 1, 2));
+	struct work_task *t = &g->task[0];
+
+	sample_run(t, sample_server(f, 0), 5);
+	t->percent = 40;
+	t->first_percent = 10;
+	t->last_poll = 7;
+	ck_assert(!t->was_sent_to_former);
+	work_task_change_incarnation(t, fleet_add(f, "s0", 2000));
+	ck_assert(t->was_sent_to_former);
+	ck_assert_int_eq(t->state, TASK_RUNNING);
+	ck_assert_int_eq(t->percent, 0);
+	ck_assert_int_eq(t->first_percent, -1);
+	ck_assert_uint_eq(t->last_poll, 0);
+	work_task_release(t);
+	work_task_await_preemption(t, fleet_find(f, "s0"));
+	ck_assert(!t->was_sent_to_former);
+	work_task_assign(t, fleet_find(f, "s0"));
+	ck_assert(!t->was_sent_to_former);
+	talloc_free(f);
+}
+END_TEST
+
 /* Guards against a job given up although its task may have run on no server that crashed. */
 START_TEST(crashes_that_no_leader_saw_do_not_give_up_a_task_alone)
 {
@@ -575,6 +602,7 @@
 	tcase_add_test(t, points_of_blame_outlast_a_leader);
 	tcase_add_test(t, a_row_of_an_earlier_version_has_no_points_of_blame);
 	tcase_add_test(t, an_attempt_counts_for_one_crash);
+	tcase_add_test(t, a_task_that_follows_its_server_begins_anew_there);
 	tcase_add_test(t, crashes_that_no_leader_saw_do_not_give_up_a_task_alone);
 	tcase_add_test(t, a_crash_that_no_leader_saw_counts_once);
 	tcase_add_test(t, a_job_cancelled_before_its_submission_is_stored);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -53,6 +53,7 @@
 RETURN_S = 5.0          # an election, and what is left of 4 s, a lease of 6 s and its margins
 WAIT_FOR_LEASES_S = 13.0  # 4 s in which a leader may renew leases alone, leases of 6 s, and an election
 IN_FORCE_S = 2.0        # config-ms of the platform's deployments
+FENCES_PER_TERM = 100000  # by so much the term of a leader is higher than that of the one before
 LARGE_QUEUES = 4200
 TINY_LINK = 2.0e5       # bytes a second, 1.6 Mbit/s; such a document takes longer than 5 s
 SMALL_LINK = 1.0e6      # bytes a second, 8 Mbit/s; a document of LARGE_QUEUES takes longer than 1 s
@@ -565,7 +566,7 @@
         wins = list(self.events("lead_won"))
         wrong_terms = [w for w in wins if w["term"] != self.store.leads.get(w["row_version"], {}).get("term")]
         value, _ = self.store.rows.get(("lead", "", "scheduler"), (None, 0))
-        terms = json.loads(base64.b64decode(value))["term"] if value else 0
+        terms = json.loads(base64.b64decode(value))["term"] // FENCES_PER_TERM if value else 0
         return [("one run of a task at a time", len(runs), again),
                 ("no start after an end as done was acknowledged", len(self.pool.done_noted), after_done),
                 ("no start beyond the attempts", len(failed), budget),
