A task that is done does not follow its server to the next incarnation

Read, not shown: a gang had ended as done while a start of one member had no answer; when that member's server started again, the task moved on. If the next incarnation carried the start out, its list showed the task as one that is about to end, and nobody stopped the run of a task that is done (TWICE). Now it is released, and the run is stopped as an orphan.

--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -267,8 +267,8 @@
 	case TASK_RUNNING:
 	case TASK_STOPPING:
 	case TASK_UNCONFIRMED:
-	case TASK_ENDING:
 		return !t->last_poll || t->unanswered_starts || t->was_sent_to_former;
+	case TASK_ENDING: /* it is done: stopped as an orphan if the next incarnation lists it */
 	case TASK_WAITING:
 	case TASK_AWAITING_PREEMPTION:
 	case TASK_ASSIGNED:
