Agents: a poll rejected for a former incarnation leaves the present one's lease

Read by the review, not shown: an agent that got 409 (fence) to its own poll of a former incarnation forgot the limit that the leader had set for the present one, so that nobody renewed leases there if the leader then fell silent.

--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -97,16 +97,19 @@
 }
 
 /*
- * Applies the answer to a poll, sent for the leader or by this VM alone. Renewal ends when no
- * task runs on the server.
+ * Applies the answer to a poll with @fence, sent for the leader or by this VM alone. Renewal ends
+ * when no task runs on the server.
  */
 static void apply_poll_answer(const struct sited *d, struct renewed_server *rs,
-			      const struct order_result *r)
+			      const struct order_result *r, int64_t fence)
 {
 	const struct order_list *list = r->list;
 	int64_t now = sited_now_ms();
 
 	rs->renewal.polls_in_flight--;
+	/* it was meant for a former incarnation */
+	if (r->status == ORDER_FENCED && fence < rs->renewal.fence)
+		return;
 	rs->renewal.leader_active_at = now;
 	if (list && list->born && list->born != rs->born) {
 		/* times on the clock of another incarnation mean nothing on this one's */
@@ -129,10 +132,8 @@
 
 	if (!rs)
 		return;
-	if (r->status == ORDER_FENCED && c->fence < rs->renewal.fence)
-		rs->renewal.polls_in_flight--; /* it was meant for a former incarnation */
-	else
-		apply_poll_answer(c->d, rs, r);
+	apply_poll_answer(c->d, rs, r, c->fence);
+	res->born = rs->born;
 	res->renews = rs->renewal.limit != 0;
 	res->renewed_until = rs->renewal.requested_until;
 }
@@ -140,6 +141,7 @@
 struct renewal_call {
 	struct sited *d;
 	char *server;
+	int64_t fence;
 };
 
 static void on_renewed(const struct order_result *r, void *data)
@@ -154,7 +156,7 @@
 		/* on_renewal_tick() retries until the limit has passed */
 		rs->renewal.polls_in_flight--;
 	} else if (rs) {
-		apply_poll_answer(ctx->d, rs, r);
+		apply_poll_answer(ctx->d, rs, r, ctx->fence);
 		/* An answer to this VM's own poll doesn't show that the leader is active. */
 		rs->renewal.leader_active_at -= RENEWAL_LEADER_TIMEOUT_MS;
 	}
@@ -176,6 +178,7 @@
 
 	ctx->d = d;
 	ctx->server = talloc_strdup(ctx, server);
+	ctx->fence = to.fence;
 	rs->renewal.requested_until = until;
 	rs->renewal.polls_in_flight++;
 	sited_count(&d->metrics, COUNT_RENEWED_ALONE);
