Fences: a wide margin, and texts that say higher fence

From the review: the leader gives up when half of its fences are used, as many servers may restart between two ticks; a renewed time counts for the incarnation that it names; comments and pages say fence where one is meant, and what a return to a version whose terms rise by one needs.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -158,7 +158,7 @@
  * @all: every struct fleet_server, in the order in which they were added
  * @by_id: maps an id to the newest incarnation
  * @racks: names of racks by index; index 0 is "", for servers whose rack is unknown
- * @ended: number of incarnations that were replaced or removed
+ * @ended: number of incarnations that were replaced or forgotten
  */
 struct fleet {
 	GPtrArray *all;
@@ -196,7 +196,7 @@
 void fleet_set_rack(struct fleet *f, struct fleet_server *sv, const char *name);
 /** fleet_rack_name() - name of a rack by its index, "" for index 0 */
 const char *fleet_rack_name(const struct fleet *f, unsigned int rack);
-/** fleet_replace() - mark an incarnation as ended */
+/** fleet_replace() - mark an incarnation as replaced or forgotten, and count it in @ended */
 void fleet_replace(struct fleet *f, struct fleet_server *sv);
 /** fleet_prune() - free unlisted or replaced servers without tasks for which @may_free is true */
 void fleet_prune(struct fleet *f, bool (*may_free)(struct fleet_server *sv));
--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -239,7 +239,7 @@
  * Orders to a backend server, which another entry VM executes for the leader.
  * Members lease_until, renewal_limit and renewed_until are times in ms on the
  * backend server's own clock. Member fence is at least the leader's term, and below
- * that of the next leader.
+ * that of the next leader, unless that is of a version whose terms rise by one.
  */
 struct cl_order_target {
 	string server<CL_ID_MAX>;
--- a/src/sited.h
+++ b/src/sited.h
@@ -57,10 +57,11 @@
 #define SITED_PARTITIONS 32
 
 /*
- * Terms are so far apart that a leader has as many fences for its orders: an incarnation of a
- * server that has ended uses up one.
+ * Terms are so far apart that a leader has as many fences for its orders. Each incarnation of a
+ * server that is replaced or forgotten uses up one; the leader gives up long before none is left.
  */
 #define SITED_FENCES_PER_TERM 100000
+#define SITED_FENCES_MAX (SITED_FENCES_PER_TERM / 2)
 
 #define SITED_LARGE_CORES 0.25 /* a VM with fewer cores leads only when no large VM contends */
 
@@ -254,7 +255,8 @@
 void sited_contend_if_vacant(struct sited *d);
 /** sited_verify_leadership() - read the leader's row; step down if it names a newer leader */
 void sited_verify_leadership(struct sited *d, const char *why);
-/** sited_step_down() - end this VM's term, because another VM certainly leads */
+/** sited_step_down() - end this VM's term, as another VM certainly leads, or its fences are used up
+ */
 void sited_step_down(struct sited *d, const char *why);
 /** sited_start_handover() - hand leadership over once transactions in flight are answered */
 void sited_start_handover(struct sited *d);
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -8,8 +8,8 @@
  * only the limit up to which it may renew leases while the leader is silent, see
  * lib/renewal. On a site with few servers the leader sends its orders directly.
  *
- * An order may be carried out twice or late, whoever sends it, because it names
- * its fence and attempt, and has deadlines on the server's own clock.
+ * An order may be carried out twice or late by the incarnation that it is meant for, whoever
+ * sends it, because it names its fence and attempt, and has deadlines on the server's own clock.
  * An order that an agent does not answer counts as unanswered by the server. An agent of an
  * earlier version answers so also when it has sent nothing.
  */
@@ -280,8 +280,9 @@
 {
 	struct server_io *io = lead_server_io(l, call->sv);
 
-	/* a time on the clock of the incarnation that answers */
-	if (res->born <= call->sv->born)
+	/* a time on the clock of the incarnation @born; an agent of an earlier version names none
+	 * without a list */
+	if (!res->born || res->born == call->sv->born)
 		io->lease_until = MAX(io->lease_until, res->renewed_until);
 	if (!res->renews && io->renewer == vm_name_hash(call->vm))
 		io->lease_limit = 0;
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -122,7 +122,7 @@
 {
 	struct lead *l = data;
 
-	if (l->fleet->ended >= SITED_FENCES_PER_TERM - 1) {
+	if (l->fleet->ended >= SITED_FENCES_MAX) {
 		sited_step_down(l->d, "the fences of its term are used up");
 		return;
 	}
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -338,7 +338,7 @@
 		return true;
 	}
 	if (r->status == ORDER_FENCED) {
-		sited_step_down(l->d, "a backend server has seen a newer term");
+		sited_step_down(l->d, "a backend server has seen a higher fence");
 		return false;
 	}
 	if (order_was_answered(r->status)) {
@@ -431,7 +431,10 @@
 {
 	if (t->state == TASK_UNCONFIRMED)
 		return lead_unconfirmed_over_at(l, t);
-	/* once listed, what an order to a former incarnation granted ends before io->lease_until */
+	/*
+	 * What an order to a former incarnation granted here was granted before the first list, so
+	 * it ends at most the longest lease after the clock in that: not after lease_until.
+	 */
 	return t->last_poll ? leases_over_at(io) : grants_over_at(l, io);
 }
 
