Soak: only what was given up there is counted apart, and more of the class

Now only runs of attempts that had been stopped or listed as ended, or of tasks with a newer attempt, are; the others count in the rows of all runs. Ends that a late poll forgets count from the first poll on.

New: late_start_reaches_a_life_that_may_have_it (the task goes on there), start_for_a_former_life_is_rejected (order_void, nobody gives up); leaders_die_in_turn asks that next leaders know the former one's bound.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -20,6 +20,8 @@
 LATE_MIN_S = 1.0  # after an order came, until one without an answer is carried out
 LATE_MAX_S = 12.0
 UNANSWERED_S = 2.0  # until the connection of such an order ends
+POLLED_MAX_S = 0.35     # a start waits for no longer until its server is polled
+STEP_S = 0.01
 DEADLY_S = 0.01  # after its start a task crashes its server
 CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
@@ -35,7 +37,7 @@
     def __init__(self, server, task, attempt, spec, sender_fence):
         self.server, self.task, self.attempt, self.spec = server, task, attempt, spec
         self.fence = sender_fence
-        self.is_stray = server.is_stray_call
+        self.is_stray = server.is_stray_call and server.pool.is_over(task, attempt)
         self.began = time.monotonic()
         self.worked = 0.0
         self.ended = None
@@ -71,6 +73,7 @@
         self.loses_starts = False  # they are neither carried out nor answered
         self.restarts_at_start = False  # it starts again under its id, takes the start, and falls silent
         self.hang = False       # tasks make no progress
+        self.lists_itself_at_start = False  # it takes the next start once its new entry has led to a poll
         self.refuse = False     # turns starts away, as an unhealthy server does
         self.draining = False
         self.listed = None
@@ -88,7 +91,7 @@
         self.ends = []
         self.lapsed_end = 0     # number of the last end that was listed as the lease lapsed
         self.next_end = 1
-        self.polled_at = None   # when a hold that came in time was first taken
+        self.is_polled = False  # a hold that came in time was taken
         self.fence = 0
         self.lease = 0
         self.event = asyncio.Event()
@@ -190,6 +193,10 @@
         order = {"/-/run-start": self.start, "/-/run-stop": self.stop, "/-/hold": self.take_hold}.get(path)
         if not order:
             return 404, {}
+        if self.lists_itself_at_start and order == self.start:
+            self.lists_itself_at_start, self.listed_from = False, 0.0
+            await self.announce()
+            await self.until_polled()
         if path in self.keeps:
             self.keeps.remove(path)
             self.kept.append((path, order, document, self.name, self.life))
@@ -220,6 +227,12 @@
             raise Drop
         return answer
 
+    async def until_polled(self):
+        for _ in range(int(POLLED_MAX_S / STEP_S)):
+            if self.is_polled:
+                break
+            await asyncio.sleep(STEP_S)
+
     async def postpone(self, path, order, document):
         """It gets no answer, and is carried out late."""
         asyncio.get_running_loop().call_later(self.pool.late_rng.uniform(LATE_MIN_S, LATE_MAX_S), self.carry_out_late,
@@ -240,11 +253,10 @@
         counts = self.pool.late_orders.setdefault(path.rsplit("/", 1)[1], [0, 0])
         counts[0] += 1
         counts[1] += life != self.life
-        was_polled = self.polled_at is not None
+        was_polled = self.is_polled
         self.is_stray_call = life != self.life and not was_polled
         if order == self.take_hold:
-            acknowledges = life == self.life or self.was_polled_long_ago()
-            answer = 200 if self.take_hold(document, acknowledges) else 409
+            answer = 200 if self.take_hold(document, acknowledges=life == self.life or was_polled) else 409
         else:
             answer, _ = order(document)
         self.is_stray_call = False
@@ -293,6 +305,7 @@
             return self.reply(409, reason="fence")
         task, attempt = document["task"], document["attempt"]
         self.barred[task] = max(self.barred.get(task, 0), attempt)
+        self.pool.over.add((task, attempt))
         run = self.runs.get(task)
         if run and run.attempt <= attempt and not run.stopping_at:
             run.stopping_at = time.monotonic() + STOP_S
@@ -307,10 +320,6 @@
         self.pool.close(run, how)
         self.event.set()
 
-    def was_polled_long_ago(self):
-        """Since then nothing that was meant for a former life may have an effect."""
-        return self.polled_at is not None and time.monotonic() > self.polled_at + CONTACT_S
-
     def take_hold(self, document, acknowledges=True):
         """Whether it is taken."""
         if self.is_fenced_off(document):
@@ -327,7 +336,7 @@
     async def hold(self, document):
         if not self.take_hold(document):
             return self.reply(409, reason="fence")
-        self.polled_at = self.polled_at or time.monotonic()
+        self.is_polled = True
         born = self.born
         if not self.ends and document.get("wait-ms"):
             self.event.clear()
@@ -338,6 +347,7 @@
         if self.silent or born != self.born:
             raise Drop
         running = [[r.task, r.attempt, r.snapshot, r.percent()] for r in self.runs.values()]
+        self.pool.over.update((task, attempt) for _, task, attempt, _, _ in self.ends[:500])
         return self.reply(200, running=running, ended=self.ends[:500])
 
     def step(self, passed):
@@ -372,6 +382,7 @@
         self.runs = []          # every Run ever begun
         self.open = {}          # (group, attempt) -> runs under way
         self.done_noted = {}    # task -> time at which its end as done was acknowledged
+        self.over = set()       # (task, attempt) that was stopped or listed as ended, in whichever life
         self.failed_noted = set()  # (task, attempt) whose end as failed was acknowledged
         self.starts_over_capacity = []
         self.strays_over_capacity = []  # with a stray run on the server
@@ -386,6 +397,10 @@
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.tick())
 
+    def is_over(self, task, attempt):
+        """The leader may have given the task to another server by now."""
+        return (task, attempt) in self.over or any(r.task == task and r.attempt > attempt for r in self.runs)
+
     def note(self, server, what):
         self.notes.append("%d %s life %d: %s" % (time.time() * 1e6, server.name, server.life, what))
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -46,6 +46,7 @@
 PENDING_SHOWN_S = 5.5   # visible_ms and 2 s, after which half of them have to be told
 RENEWED_MS = 300        # since when a server's lease has been renewed as it is cut off, at most
 LATE_HOLD_LEFT_MS = 200  # of the lease, as a late hold comes
+LATE_START_S = 9.0      # after it was sent, until a server that is cut off carries it out
 ENTRY_MAX_S = 1.4       # until the entry of a server that is back changes
 LATE_SHARE = 0.5        # of the orders to servers that start again soon
 DOWN_MAX_S = 1.2        # until the first of several servers that went down is back
@@ -654,6 +655,8 @@
     for _ in range(5):
         await site.kill(site.leader())
         await asyncio.sleep(1.5)
+    known = len({e["term"] for e in site.events("former_leases")})
+    site.expected.append(("of 5 next leaders %d know when the leases of the former one are over" % known, known >= 4))
 
 
 async def handover_with_a_slow_store(site):
@@ -883,7 +886,7 @@
     site.faults += ["server crash"] * len(servers)
     await asyncio.gather(*[server.start_again(site.rng.uniform(0.1, 0.4), 0) for server in servers])
     await asyncio.gather(*[server.announce() for server in servers])
-    return await until(lambda: all(server.polled_at and server.fence > fence for server in servers), 8)
+    return await until(lambda: all(server.is_polled and server.fence > fence for server in servers), 8)
 
 
 async def copies_reach_a_later_life(site, restarts, change=None):
@@ -959,6 +962,62 @@
     await until(lambda: all(run.ended for run in began), 5)
 
 
+async def late_start_reaches_a_life_that_may_have_it(site):
+    """Copies came before the first poll of the new life, and the tasks had been given to other servers meanwhile."""
+    await fail_one(site)
+    site.stopping = True
+    await pool_is_idle(site)
+    job, servers = await begin_with_copies(site, 3, 6000, 0)
+    watch = asyncio.ensure_future(site.watch(job))
+    site.faults += ["server crash"] * len(servers)
+    await asyncio.gather(*[server.start_again(0.2, 1.0) for server in servers])
+    for server in servers:
+        server.carry_out_kept()
+    runs = [r for r in site.pool.runs if r.task[:16] == job.id]
+    site.expected.append(("the copies begin runs, %d runs in all" % len(runs), len(runs) == 2 * job.count))
+    await asyncio.wait([watch], timeout=SETTLE_S)
+    runs = [r for r in site.pool.runs if r.task[:16] == job.id]
+    site.expected.append(("which go on, %d runs in all" % len(runs), len(runs) == 2 * job.count))
+
+
+async def late_start_reaches_a_life_that_is_cut_off(site):
+    """The leader waits for a start as if it could be 4 s late, as it can't see what runs there."""
+    await fail_one(site)
+    site.stopping = True
+    await pool_is_idle(site)
+    job, (server,) = await begin_with_copies(site, 1, 20000, 0)
+    watch, sent_at = asyncio.ensure_future(site.watch(job)), time.monotonic()
+    site.faults += ["server crash", "server silent"]
+    await server.start_again(0.2, 0)
+    server.silent = True
+    server.http.reset_connections()
+    await server.announce()
+    await asyncio.sleep(sent_at + LATE_START_S - time.monotonic())
+    server.carry_out_kept()
+    await until(lambda: not server.runs, LEASE_MAX_MS / 1000 + 1)
+    server.silent = False
+    for run in runs_of(site, job):
+        run.server.end(run, "done")
+    await asyncio.wait([watch], timeout=SETTLE_S)
+
+
+async def start_for_a_former_life_is_rejected(site):
+    """The answer to it was taken for a sign of a newer leader."""
+    await fail_one(site)
+    site.stopping = True
+    await pool_is_idle(site)
+    for _ in range(3):
+        servers = site.rng.sample(site.pool.servers, 2)
+        site.faults += ["server crash"] * len(servers)
+        await asyncio.gather(*[server.start_again(0.2, float("inf")) for server in servers])
+        for server in servers:
+            server.lists_itself_at_start = True
+        await site.watch(await submit_waiting(site, SERVERS, 300))
+    void = len(list(site.events("order_void")))
+    given_up = [e["why"] for e in site.events("lead_given_up")]
+    site.expected.append(("%d orders are void, and no leader gives up, %s" % (void, given_up), void and not given_up))
+
+
 async def cut_off_until_its_lease_ends(site, server):
     """From when a poll has renewed it; then the orders that the server keeps are carried out."""
     renewed = await until(lambda: server.lease - server.clock() > LEASE_MAX_MS - RENEWED_MS, 3)
@@ -1976,7 +2035,8 @@
     cancelled_before_its_late_submission, servers_restart_with_a_start_in_flight, servers_start_again_before_a_start,
     servers_start_again_and_are_lost, late_start_reaches_the_next_life, late_start_reaches_the_life_after_the_next,
     late_start_of_a_dead_leader_reaches_the_next_life, late_start_of_a_leader_that_left_reaches_the_next_life,
-    late_hold_prolongs_leases_of_the_next_life, idle_servers_are_down_as_a_job_comes,
+    late_hold_prolongs_leases_of_the_next_life, late_start_reaches_a_life_that_may_have_it,
+    start_for_a_former_life_is_rejected, idle_servers_are_down_as_a_job_comes,
     jobs_wait_while_leaders_change, odd_keys_among_the_servers,
     leader_leaves_while_the_store_is_slow, cancelled_while_the_store_is_slow, peer_names_a_version_that_never_was,
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
@@ -1995,7 +2055,7 @@
     refused_after_a_lost_answer]
 # too long to be played with the others, or known to fail
 BY_NAME = [
-    unknown_ids_are_cancelled, late_start_reaches_a_life_not_yet_polled,
+    unknown_ids_are_cancelled, late_start_reaches_a_life_not_yet_polled, late_start_reaches_a_life_that_is_cut_off,
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
     planned_stops_after_servers_were_cut_off, third_leader_falls_silent_after_servers_died]
 
