Soak: a bound of time does not count a late call before the first poll

By the logs the start was sent 1.6 s before the cancel was acknowledged, got no answer, and was carried out 8.3 s later by the server's next incarnation, 15 ms before the leader's first poll there, which stopped it within 0.08 s. The platform's rules count bounds of time "not for orders that a worker carried out late", and nobody could tell that call from one in time. Only runs by late calls for a former incarnation before its next one was polled are left out of this row; late calls in the same incarnation, or after the poll, count.

--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -37,7 +37,8 @@
     def __init__(self, server, task, attempt, spec, sender_fence):
         self.server, self.task, self.attempt, self.spec = server, task, attempt, spec
         self.fence = sender_fence
-        self.is_stray = server.is_stray_call and server.pool.is_over(task, attempt)
+        self.is_before_poll = server.is_late_before_poll  # begun by such a call
+        self.is_stray = self.is_before_poll and server.pool.is_over(task, attempt)
         self.began = time.monotonic()
         self.worked = 0.0
         self.ended = None
@@ -68,7 +69,7 @@
         self.late_holds = 0.0   # share of holds
         self.keeps = []         # paths of the next orders that are kept, unanswered, until carry_out_kept()
         self.kept = []          # arguments of carry_out_late()
-        self.is_stray_call = False  # it carries out a late call to a former life, and has not been polled in this one
+        self.is_late_before_poll = False  # it carries out a late call to a former life, and has not been polled in this one
         self.lose = 0.0         # share of orders carried out and not answered
         self.loses_starts = False  # they are neither carried out nor answered
         self.restarts_at_start = False  # it starts again under its id, takes the start, and falls silent
@@ -254,12 +255,12 @@
         counts[0] += 1
         counts[1] += life != self.life
         was_polled = self.is_polled
-        self.is_stray_call = life != self.life and not was_polled
+        self.is_late_before_poll = life != self.life and not was_polled
         if order == self.take_hold:
             answer = 200 if self.take_hold(document, acknowledges=life == self.life or was_polled) else 409
         else:
             answer, _ = order(document)
-        self.is_stray_call = False
+        self.is_late_before_poll = False
         self.pool.note(self, "%s for life %d carried out late, %s: %d, %s" % (
             path, life, "polled" if was_polled else "not polled yet", answer, document))
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -549,7 +549,7 @@
                 failed.setdefault(run.task, []).append(run.ended)
         beyond = [r for r in runs if len([e for e in failed.get(r.task, []) if e < r.began]) >= ATTEMPTS]
         budget = [r.task for r in beyond if not r.is_stray]
-        late = [r.task for r in runs if jobs[r.task[:16]].cancelled and not r.is_stray  # a bound of time
+        late = [r.task for r in runs if jobs[r.task[:16]].cancelled and not r.is_before_poll
                 and r.began > jobs[r.task[:16]].cancelled + CANCEL_S]
         strays = ["%s twice at once" % a.task for a, b in at_once if a.is_stray or b.is_stray]
         strays += ["%s after its end" % r.task for r in after_end if r.is_stray]
