--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -295,8 +295,6 @@
 
 /* ---- sited_servers.c ---- */
 
-/** lead_server_replaced() - handle the restart of server @old as the new incarnation @sv */
-void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv);
 /** lead_server_io() - state of the calls to a server, created at first use */
 struct server_io *lead_server_io(struct lead *l, struct fleet_server *sv);
 /** lead_server_poll() - poll the server now if a poll is due */
@@ -309,6 +307,9 @@
  */
 void lead_server_grant_over(struct lead *l, struct fleet_server *sv, enum order_status status,
 			    int64_t sent_at);
+/** lead_server_grants_over_at() - when all leases have ended that any order may have granted on
+ * the server, in whichever incarnation, monotonic ms */
+int64_t lead_server_grants_over_at(const struct lead *l, const struct server_io *io);
 /** lead_server_may_list() - no poll of it is in flight, so that one could be sent now */
 bool lead_server_may_list(struct lead *l, struct fleet_server *sv);
 /** lead_server_was_up() - it has listed its runs a moment ago */
@@ -325,8 +326,6 @@
 			       const struct order_result *r);
 /** lead_server_is_unresponsive() - its polls fail or take too long */
 bool lead_server_is_unresponsive(struct lead *l, struct fleet_server *sv);
-/** lead_server_lost() - release all tasks of an incarnation that has ended */
-void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why);
 /** lead_server_lease() - lease end to request, ms on the server's clock */
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
 /** lead_servers_tick() - handle due polls, expired leases and draining servers */
@@ -347,6 +346,13 @@
 /** lead_servers_acknowledge() - acknowledge ends whose consequences have been stored */
 void lead_servers_acknowledge(struct lead *l);
 
+/* ---- sited_incarnations.c ---- */
+
+/** lead_server_replaced() - handle the restart of server @old as the new incarnation @sv */
+void lead_server_replaced(struct lead *l, struct fleet_server *old, struct fleet_server *sv);
+/** lead_server_lost() - release all tasks of an incarnation that has ended */
+void lead_server_lost(struct lead *l, struct fleet_server *sv, const char *why);
+
 /* ---- sited_dispatch.c ---- */
 
 /**
