Failure domains are evacuated on the operator's request

Cause: nothing read the rows evacuate/DOMAIN of table op, so tasks started in a domain after the operator had asked to evacuate it.

Change: with evacuate-ms in [bounds] of the settings, each VM takes these rows from the feed that it reads for the configuration, and reads them again at its start, after a lost history, after it has skipped its feed to a peer's version, as a new leader, and as a leader whose feed is late (lib/evacuation, src/sited_evacuation.c). A leader starts nothing until the store has confirmed them in its term, nor with a view older than evacuate-ms less 1 s. Servers of an evacuated domain do not accept work (FLEET_EVACUATED); what was assigned there and not sent is placed elsewhere. A start names a lease that ends evacuate-ms after the view was confirmed, so that neither a link nor a server can carry it out later. Agents refuse starts into a domain that they know is evacuated.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -121,6 +121,7 @@
 	sv->address = talloc_strdup(sv, old->address);
 	sv->service = talloc_strdup(sv, old->service);
 	sv->failure_domain = talloc_strdup(sv, old->failure_domain);
+	sv->is_evacuated = old->is_evacuated;
 	sv->capacity = old->capacity;
 	sv->rack = old->rack;
 	return sv;
@@ -149,6 +150,8 @@
 {
 	if (sv->presence != FLEET_LISTED)
 		return FLEET_NOT_LISTED;
+	if (sv->is_evacuated)
+		return FLEET_EVACUATED;
 	if (!sv->is_fenced)
 		return FLEET_UNFENCED;
 	if (!sv->is_reachable)
@@ -234,7 +237,7 @@
 /* work that needs a kind of server can't use the others of the pool */
 static bool is_usable_peer(const struct fleet_server *sv, const struct fleet_server *other)
 {
-	return sv->presence == FLEET_LISTED && sv->is_reachable &&
+	return sv->presence == FLEET_LISTED && sv->is_reachable && !sv->is_evacuated &&
 	       !strcmp(sv->service, other->service) && !strcmp(kind_of(sv), kind_of(other));
 }
 
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -69,6 +69,7 @@
 #define FLEET_ADMISSIONS(X)                                                               \
 	X(FLEET_ACCEPTING, "accepting")	    /* new tasks may be placed there */           \
 	X(FLEET_NOT_LISTED, "not_listed")   /* draining, unlisted or replaced */          \
+	X(FLEET_EVACUATED, "evacuated")	    /* its failure domain is evacuated */         \
 	X(FLEET_UNFENCED, "unfenced")	    /* it has not seen the term of this leader */ \
 	X(FLEET_UNREACHABLE, "unreachable") /* it does not answer */                      \
 	X(FLEET_SUSPECT, "suspect")	    /* its suspect period has not ended */
@@ -99,6 +100,7 @@
  * @unclaimed: resources held by orphaned runs: the server lists them, but no task matches
  *	them; counted until the server stops listing them
  * @presence: state in the server list
+ * @is_evacuated: no work may be sent to its failure domain; written by the owner of the fleet
  * @drain_deadline: the server may be gone from this time on, in ms; 0 unless draining
  * @is_fenced: the server has seen this leader's fence for it, which voids orders of earlier terms
  *	and orders to earlier incarnations
@@ -135,6 +137,7 @@
 	struct fleet_resources awaiting_preemption;
 	struct fleet_resources unclaimed;
 	enum fleet_presence presence;
+	bool is_evacuated;
 	int64_t drain_deadline;
 	bool is_fenced;
 	bool is_reachable;
@@ -180,7 +183,7 @@
  * fleet_find_or_add() - find the incarnation of @old's id that started at @born or later
  * @born: wall clock in ms
  *
- * Adds the incarnation, with @old's address, pool, rack and capacity, when it
+ * Adds the incarnation, with @old's address, pool, failure domain, rack and capacity, when it
  * is unknown or was pruned. It then stays unlisted until the server list
  * contains it.
  */
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -65,9 +65,14 @@
 	X(PLAN_NO_SLOT, "no server has room for a task")                               \
 	X(PLAN_GANG_TOO_LARGE, "the servers have no room for all members of the gang") \
 	X(PLAN_AWAITS_RACK, "no rack has room for all tasks")                          \
-	X(PLAN_AWAITS_DATA_RACK, "the data rack has no room")
+	X(PLAN_AWAITS_DATA_RACK, "the data rack has no room")                          \
+	X(PLAN_DATA_RACK_EVACUATED, "the data rack is evacuated, and no other has room")
 
-/** enum plan_refusal - the rule by which plan_place() placed no task */
+/**
+ * enum plan_refusal - the rule by which plan_place() placed no task
+ *
+ * PLAN_DATA_RACK_EVACUATED is only in explanations, in the place of another one.
+ */
 enum plan_refusal {
 #define X(id, text) id,
 	PLAN_REFUSALS(X)
@@ -79,7 +84,7 @@
 
 /**
  * struct plan_explanation - why a group was not placed, for the log
- * @refusal: outcome of the latest plan_place()
+ * @refusal: outcome of the latest plan_place(), or PLAN_DATA_RACK_EVACUATED
  * @servers: servers of the group's service, by admission
  * @candidates: servers that accept new work and that the group may use
  * @with_capacity: candidates with enough free capacity for one task
--- a/lib/plan/plan_ample.c
+++ b/lib/plan/plan_ample.c
@@ -49,7 +49,8 @@
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
-		if (sv->presence != FLEET_LISTED || strcmp(sv->service, service))
+		if (sv->presence != FLEET_LISTED || sv->is_evacuated ||
+		    strcmp(sv->service, service))
 			continue;
 		fleet_resources_add(&capacity, &sv->capacity, 1);
 		fleet_resources_add(&used, &sv->used, 1);
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -45,7 +45,8 @@
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		sv->reserved_until = 0;
-		if (sv->presence != FLEET_LISTED && sv->presence != FLEET_DRAINING)
+		if (sv->is_evacuated ||
+		    (sv->presence != FLEET_LISTED && sv->presence != FLEET_DRAINING))
 			continue;
 		present++;
 		on_probation += sv->probation_until > now;
@@ -307,11 +308,14 @@
 	return sum;
 }
 
-/* rack of a sibling that is already placed; the remaining tasks join it there */
+/*
+ * Rack of a sibling that is already placed; the remaining tasks join it there, unless the rack is
+ * evacuated.
+ */
 static unsigned int siblings_rack(const struct work_group *group)
 {
 	for (unsigned int i = 0; i < group->count; i++)
-		if (group->task[i].server)
+		if (group->task[i].server && !group->task[i].server->is_evacuated)
 			return group->task[i].server->rack;
 	return PLAN_ANY_RACK;
 }
@@ -413,6 +417,25 @@
 	return false;
 }
 
+/* the group could use servers of its data rack, if no failure domain were evacuated */
+static bool data_rack_is_evacuated(const struct fleet *fleet, const struct work_group *group)
+{
+	unsigned int rack = group->step->data_rack ? fleet_find_rack(fleet, group->step->data_rack)
+						   : PLAN_ANY_RACK;
+	bool is_evacuated = false;
+
+	for (guint i = 0; rack != PLAN_ANY_RACK && i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		if (sv->rack != rack || sv->presence != FLEET_LISTED || !suits(sv, group))
+			continue;
+		if (!sv->is_evacuated)
+			return false;
+		is_evacuated = true;
+	}
+	return is_evacuated;
+}
+
 static unsigned int place_near_data(struct plan_scratch *s, const struct fleet *fleet,
 				    const struct work_group *group, const struct plan_clock *at,
 				    struct fleet_server **out)
@@ -528,7 +551,8 @@
 		  const struct plan_clock *at, struct plan_explanation *explanation)
 {
 	memset(explanation, 0, sizeof(*explanation));
-	explanation->refusal = s->refusal;
+	explanation->refusal =
+		data_rack_is_evacuated(fleet, group) ? PLAN_DATA_RACK_EVACUATED : s->refusal;
 	for (guint i = 0; i < fleet->all->len; i++) {
 		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 		enum fleet_admission admission = fleet_admission(sv, at->now);
--- a/lib/proto/currantlane.x
+++ b/lib/proto/currantlane.x
@@ -259,6 +259,12 @@
 	hyper lease_until;
 };
 
+/* a start on a server of a failure domain that the receiver may know to be evacuated */
+struct cl_start_in_args {
+	cl_start_args start;
+	string failure_domain<CL_ID_MAX>;
+};
+
 struct cl_stop_args {
 	cl_order_target to;
 	string task<CL_ID_MAX>;
@@ -316,5 +322,7 @@
 		cl_order_res LEAD_LOOK(cl_look_args) = 9;
 		/* 6 gave the whole document of the configuration */
 		cl_config_res LEAD_CONFIG(cl_config_args) = 10;
+		/* in the place of LEAD_START where the deployment evacuates failure domains */
+		cl_order_res LEAD_START_IN(cl_start_in_args) = 11;
 	} = 1;
 } = 0x20004c03;
--- a/lib/proto/proto.c
+++ b/lib/proto/proto.c
@@ -479,6 +479,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cl_start_in_args (XDR *xdrs, cl_start_in_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cl_start_args (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->failure_domain, CL_ID_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cl_stop_args (XDR *xdrs, cl_stop_args *objp)
 {
--- a/lib/proto/proto.h
+++ b/lib/proto/proto.h
@@ -277,6 +277,12 @@
 };
 typedef struct cl_start_args cl_start_args;
 
+struct cl_start_in_args {
+	cl_start_args start;
+	char *failure_domain;
+};
+typedef struct cl_start_in_args cl_start_in_args;
+
 struct cl_stop_args {
 	cl_order_target to;
 	char *task;
@@ -414,6 +420,9 @@
 #define LEAD_CONFIG 10
 extern  cl_config_res * lead_config_1(cl_config_args *, CLIENT *);
 extern  cl_config_res * lead_config_1_svc(cl_config_args *, struct svc_req *);
+#define LEAD_START_IN 11
+extern  cl_order_res * lead_start_in_1(cl_start_in_args *, CLIENT *);
+extern  cl_order_res * lead_start_in_1_svc(cl_start_in_args *, struct svc_req *);
 extern int cl_lead_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -444,6 +453,9 @@
 #define LEAD_CONFIG 10
 extern  cl_config_res * lead_config_1();
 extern  cl_config_res * lead_config_1_svc();
+#define LEAD_START_IN 11
+extern  cl_order_res * lead_start_in_1();
+extern  cl_order_res * lead_start_in_1_svc();
 extern int cl_lead_1_freeresult ();
 #endif /* K&R C */
 
@@ -480,6 +492,7 @@
 extern  bool_t xdr_cl_config_res (XDR *, cl_config_res*);
 extern  bool_t xdr_cl_order_target (XDR *, cl_order_target*);
 extern  bool_t xdr_cl_start_args (XDR *, cl_start_args*);
+extern  bool_t xdr_cl_start_in_args (XDR *, cl_start_in_args*);
 extern  bool_t xdr_cl_stop_args (XDR *, cl_stop_args*);
 extern  bool_t xdr_cl_look_args (XDR *, cl_look_args*);
 extern  bool_t xdr_cl_run (XDR *, cl_run*);
@@ -517,6 +530,7 @@
 extern bool_t xdr_cl_config_res ();
 extern bool_t xdr_cl_order_target ();
 extern bool_t xdr_cl_start_args ();
+extern bool_t xdr_cl_start_in_args ();
 extern bool_t xdr_cl_stop_args ();
 extern bool_t xdr_cl_look_args ();
 extern bool_t xdr_cl_run ();
--- a/src/sited.c
+++ b/src/sited.c
@@ -96,6 +96,7 @@
 		"\ncurrantlane_config_version %" PRId64 "\n",
 		d->lead != NULL, d->leader.term, store_call_count(d->store),
 		store_stalled_reads(d->store), d->queues ? d->queues->version : 0);
+	text = sited_evacuation_append_gauges(d, text);
 	if (d->lead)
 		text = lead_append_gauges(d->lead, text);
 	httpd_reply(req, 200, str_from(text));
@@ -188,6 +189,7 @@
 	log_event("started", "{ss ss si si}", "version", CURRANTLANE_VERSION, "failure_domain",
 		  d->site->failure_domain, "callers_port", d->site->callers.port, "peers_port",
 		  d->site->peers.port);
+	sited_evacuation_start(d);
 	sited_config_start(d);
 	sited_agent_start(d);
 	sited_elect_start(d);
--- a/src/sited.h
+++ b/src/sited.h
@@ -11,6 +11,7 @@
  *   sited_relay.c    passes callers' requests between entry VMs
  *   sited_peers.c    calls between the entry VMs
  *   sited_config.c   the operator's configuration
+ *   sited_evacuation.c  the operator's evacuations of failure domains
  *   sited_pending.c  tells how many jobs are pending
  *   sited_elect.c    leader election
  *   sited_lead.c     the leader's scheduling rounds: due work, placement, preemption
@@ -27,6 +28,7 @@
 #ifndef SITED_H
 #define SITED_H
 
+#include "evacuation/evacuation.h"
 #include "onc/onc.h"
 #include "pending/pending.h"
 #include "plan/plan.h"
@@ -67,6 +69,7 @@
 
 struct lead;
 struct sited_config;
+struct sited_evacuations;
 
 /**
  * struct sited_leader - what this VM knows about the leader
@@ -116,6 +119,7 @@
  * struct sited - state of the daemon
  * @queues: configuration in force, NULL before the first
  * @config: state of following the configuration, of sited_config.c
+ * @evacuations: evacuated failure domains, of sited_evacuation.c
  * @peers: struct peer of other entry VMs
  * @next_peer: index, modulo the number of peers, of the next peer to ping or to name in an answer
  * @ticks: number of election ticks; a VM of a large site pings only on some of them
@@ -150,6 +154,7 @@
 	struct httpd *front;
 	struct queues *queues;
 	struct sited_config *config;
+	struct sited_evacuations *evacuations;
 	GPtrArray *peers;
 	unsigned int next_peer;
 	unsigned int ticks;
@@ -206,6 +211,31 @@
 /** sited_compare_config() - a peer at @address has this version; ask it when it is newer */
 void sited_compare_config(struct sited *d, const struct address *address, int64_t peer_version);
 
+/* ---- sited_evacuation.c ---- */
+
+/** sited_evacuation_start() - nothing is known yet */
+void sited_evacuation_start(struct sited *d);
+/** sited_evacuation_follow() - apply an answer of the feed of the operator's table */
+void sited_evacuation_follow(struct sited *d, const struct table_page *page);
+/** sited_evacuation_lost() - that feed begins, or skips changes: the rows are read again */
+void sited_evacuation_lost(struct sited *d);
+/** sited_evacuation_read() - read the rows, unless a read is in progress */
+void sited_evacuation_read(struct sited *d);
+/** sited_domain_is_evacuated() - as far as this VM knows */
+bool sited_domain_is_evacuated(const struct sited *d, const char *failure_domain);
+/**
+ * sited_evacuations_are_new() - what this VM knows is new enough to start tasks
+ * @since: it must have been confirmed by the store since then, monotonic ms
+ */
+bool sited_evacuations_are_new(const struct sited *d, int64_t since);
+/**
+ * sited_start_within_ms() - time for which a start that is sent now may be carried out, in ms
+ * @silent_ms: how long the server has not told its clock
+ */
+int64_t sited_start_within_ms(const struct sited *d, int64_t silent_ms);
+/** sited_evacuation_append_gauges() - append metrics to @text, in Prometheus text format */
+char *sited_evacuation_append_gauges(const struct sited *d, char *text);
+
 /* ---- sited_front.c ---- */
 
 /** sited_on_request() - handle a caller's HTTP request */
@@ -232,8 +262,12 @@
 
 /** sited_agent_start() - start renewing leases whenever the leader is silent */
 void sited_agent_start(struct sited *d);
-/** sited_on_start(), sited_on_stop(), sited_on_poll() - carry out an order of the leader */
+/**
+ * sited_on_start(), sited_on_start_in(), sited_on_stop(), sited_on_poll() - carry out an order of
+ * the leader
+ */
 void sited_on_start(struct onc_request *req);
+void sited_on_start_in(struct onc_request *req);
 void sited_on_stop(struct onc_request *req);
 void sited_on_poll(struct onc_request *req);
 
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -298,10 +298,9 @@
 	return g_utf8_validate(text, -1, NULL);
 }
 
-void sited_on_start(struct onc_request *req)
+static void carry_out_start(struct onc_request *req, const cl_start_args *args)
 {
 	struct sited *d = req->server_data;
-	const cl_start_args *args = req->args;
 	struct order_target to = decode_target(&args->to);
 	struct order_start start = {args->task, args->attempt, find_payload(d, args),
 				    args->snapshot[0] ? args->snapshot : NULL, args->lease_until};
@@ -316,6 +315,29 @@
 		reply_status(req, ORDER_INVALID);
 }
 
+void sited_on_start(struct onc_request *req)
+{
+	carry_out_start(req, req->args);
+}
+
+/*
+ * A start that was under way for long is refused here, before it reaches a server. When this VM
+ * does not know for certain, as it is cut off from the store, the leader sends the start itself.
+ */
+void sited_on_start_in(struct onc_request *req)
+{
+	struct sited *d = req->server_data;
+	const cl_start_in_args *args = req->args;
+
+	if (!sited_domain_is_evacuated(d, args->failure_domain)) {
+		carry_out_start(req, &args->start);
+		return;
+	}
+	log_event("start_refused", "{ss ss sI}", "server", args->start.to.server, "domain",
+		  args->failure_domain, "fence", (json_int_t)args->start.to.fence);
+	reply_status(req, sited_evacuations_are_new(d, 0) ? ORDER_EVACUATED : ORDER_NOT_RELAYED);
+}
+
 void sited_on_stop(struct onc_request *req)
 {
 	struct sited *d = req->server_data;
--- a/src/sited_config.c
+++ b/src/sited_config.c
@@ -1,5 +1,6 @@
 /*
- * The operator's configuration. Each VM follows the row that holds it. The row is the whole
+ * The operator's configuration. Each VM follows the row that holds it, by a feed that also
+ * reports evacuations, see sited_evacuation.c. The row is the whole
  * document, which takes a small link a second or more; until its end, the link carries little
  * else. A VM for which it would take that long holds the transfer and asks a large VM, which
  * has received it already, for the changes only. When no peer answers in time, the transfer
@@ -184,6 +185,7 @@
 		c->is_held = false;
 		c->row_version = res->row_version;
 		table_skip_to(c->table, c->row_version);
+		sited_evacuation_lost(c->d);
 	}
 }
 
@@ -297,6 +299,15 @@
 			apply_document(c, &page->rows[i]);
 }
 
+static void on_feed_rows(const struct table_page *page, void *data)
+{
+	struct sited_config *c = data;
+
+	/* rows of the page stay valid while the configuration is applied */
+	sited_evacuation_follow(c->d, page);
+	on_rows(page, data);
+}
+
 static struct table_source config_source(struct sited_config *c)
 {
 	struct table_source source = {.owner = c,
@@ -314,8 +325,10 @@
 	struct sited_config *c = data;
 	struct table_source source = config_source(c);
 
-	c->table = table_follow(&source, MAX(version, c->row_version), CONFIG_WAIT_MS, on_rows,
+	c->table = table_follow(&source, MAX(version, c->row_version), CONFIG_WAIT_MS, on_feed_rows,
 				read_config, c);
+	/* sent after it is known where the feed begins, so that the read shows what came before */
+	sited_evacuation_lost(c->d);
 }
 
 static void read_config(void *data)
--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -216,6 +216,7 @@
 	uint64_t serial;
 	struct fleet_server *sv; /* valid during the term */
 	enum sited_proc proc;
+	bool is_start;
 	char vm[64];
 	order_done *done;
 	void *data;
@@ -311,7 +312,7 @@
 	if (result == ONC_OK && l && call->proc == SITED_PROC_POLL)
 		record_renewals(l, call, res);
 	/* A restarted agent has lost its payloads. */
-	if (call->proc == SITED_PROC_START && !order_was_answered(r.status) && l)
+	if (call->is_start && !order_was_answered(r.status) && l)
 		forget_payloads(l, call->vm);
 	if (result != ONC_OK && l)
 		avoid_agent(l, call->vm, result);
@@ -355,6 +356,7 @@
 	call->serial = l->serial;
 	call->sv = to->sv;
 	call->proc = proc;
+	call->is_start = proc == SITED_PROC_START || proc == SITED_PROC_START_IN;
 	g_strlcpy(call->vm, agent->vm, sizeof(call->vm));
 	call->done = done;
 	call->data = data;
@@ -392,10 +394,15 @@
 
 	if (agent && agent_has_payload(agent, start->task))
 		args.payload = "";
-	if (agent)
+	if (agent && l->d->site->evacuate_ms && strlen(to->sv->failure_domain) <= CL_ID_MAX) {
+		cl_start_in_args in = {args, to->sv->failure_domain};
+
+		send_by_agent(l, agent, to, SITED_PROC_START_IN, &in, done, data);
+	} else if (agent) {
 		send_by_agent(l, agent, to, SITED_PROC_START, &args, done, data);
-	else
+	} else {
 		orders_start(l->d->orders, &own, start, done, data);
+	}
 }
 
 void lead_send_stop(struct lead *l, const struct lead_order_target *to, const char *task,
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -130,6 +130,7 @@
 	l->ticked_at = base_boottime_ns();
 	mtimer_add(l, l->d->ev, base_deadline_in(ROUND_INTERVAL_MS), on_tick, l);
 	lead_agents_tick(l);
+	lead_evacuation_tick(l);
 	if (!l->is_loaded)
 		return;
 	lead_servers_tick(l);
@@ -218,6 +219,7 @@
 	log_event("lead_won", "{sI sI}", "term", (json_int_t)term, "row_version",
 		  (json_int_t)row_version);
 	lead_grant_start(l);
+	sited_evacuation_read(d);
 	lead_list_load(l);
 	follow_leader_row(row_version, l);
 	mtimer_add(l, d->ev, base_deadline_in(ROUND_INTERVAL_MS), on_tick, l);
@@ -413,14 +415,15 @@
 		return;
 	g->wait_logged_at = at->now;
 	plan_explain(l->scratch, l->fleet, g, at, &explanation);
-	log_event("not_placed", "{ss si si si sI ss si si sI si si si si si si}", "id", g->job->id,
-		  "occurrence", (int)g->occurrence, "step", (int)g->step_index, "waiting",
-		  (int)work_group_waiting_count(g), "waited_ms",
+	log_event("not_placed", "{ss si si si sI ss si si sI si si si si si si si}", "id",
+		  g->job->id, "occurrence", (int)g->occurrence, "step", (int)g->step_index,
+		  "waiting", (int)work_group_waiting_count(g), "waited_ms",
 		  (json_int_t)(at->now - g->ready_since), "why",
 		  plan_refusal_text(explanation.refusal), "servers", (int)explanation.candidates,
 		  "with_room", (int)explanation.with_capacity, "free_accelerators",
 		  (json_int_t)explanation.free_accelerators, "unfenced",
-		  (int)explanation.servers[FLEET_UNFENCED], "unreachable",
+		  (int)explanation.servers[FLEET_UNFENCED], "evacuated",
+		  (int)explanation.servers[FLEET_EVACUATED], "unreachable",
 		  (int)explanation.servers[FLEET_UNREACHABLE], "suspect",
 		  (int)explanation.servers[FLEET_SUSPECT], "on_probation",
 		  (int)explanation.on_probation, "mislabelled", (int)explanation.mislabelled,
@@ -559,7 +562,7 @@
 	if (!lead_may_act(l))
 		return;
 	start_due_occurrences(l, at.wall);
-	if (!l->is_handing_over && lead_may_grant_leases(l)) {
+	if (!l->is_handing_over && lead_may_start(l)) {
 		assign_all_after_preemption(l, &at);
 		ready = collect_ready(l, &at);
 		plan_start_round(l->scratch, l->fleet, at.now);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -78,6 +78,7 @@
  * @round: timer of the requested scheduling round, or NULL
  * @next_round_at: earliest start of the next round, on base_now_ns()'s clock
  * @is_granting: leases may be granted, at the latest tick
+ * @knows_evacuations: what this VM knows of evacuations allowed starts, at the latest tick
  * @next_idle_check_at: earliest time of the next search for idle jobs, monotonic ms
  * @idle_jobs: jobs of which nothing has run for some time although a task's turn has come
  * @longest_idle_ms: longest such time of a job, in ms
@@ -117,6 +118,7 @@
 	struct mtimer *round;
 	int64_t next_round_at;
 	bool is_granting;
+	bool knows_evacuations;
 	int64_t next_idle_check_at;
 	unsigned int idle_jobs;
 	int64_t longest_idle_ms;
@@ -328,6 +330,13 @@
 bool lead_server_is_unresponsive(struct lead *l, struct fleet_server *sv);
 /** lead_server_lease() - lease end to request, ms on the server's clock */
 int64_t lead_server_lease(struct lead *l, struct fleet_server *sv);
+/**
+ * lead_server_start_lease() - lease end to request by a start, ms on the server's clock
+ *
+ * A server carries out no start whose lease has ended, so this also limits how late it can be
+ * carried out. Polls prolong the lease.
+ */
+int64_t lead_server_start_lease(struct lead *l, struct fleet_server *sv);
 /** lead_servers_tick() - handle due polls, expired leases and draining servers */
 void lead_servers_tick(struct lead *l);
 /** lead_unconfirmed_over_at() - when an unconfirmed task has certainly ended, monotonic ms */
@@ -393,6 +402,20 @@
 /** lead_idle_tick() - report jobs of which nothing runs although a task's turn has come */
 void lead_idle_tick(struct lead *l);
 
+/* ---- sited_evacuation.c ---- */
+
+/** lead_may_start() - leases may be granted, and evacuations are known well enough to start tasks
+ */
+bool lead_may_start(struct lead *l);
+/** lead_may_start_on() - so it is, and the server's failure domain is not evacuated */
+bool lead_may_start_on(struct lead *l, const struct fleet_server *sv);
+/** lead_evacuation_mark() - set whether the server's failure domain is evacuated */
+void lead_evacuation_mark(struct lead *l, struct fleet_server *sv);
+/** lead_evacuation_refused() - an agent knows that the server's failure domain is evacuated */
+void lead_evacuation_refused(struct lead *l, struct fleet_server *sv);
+/** lead_evacuation_tick() - read the evacuations again when what is known gets too old */
+void lead_evacuation_tick(struct lead *l);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment */
--- a/src/sited_list.c
+++ b/src/sited_list.c
@@ -52,6 +52,7 @@
 			  "row_version", (json_int_t)row->version);
 		return;
 	}
+	lead_evacuation_mark(l, sv);
 	if (known && known != sv)
 		lead_server_replaced(l, known, sv);
 	if (sv != known || sv->presence != old_presence)
--- a/src/sited_peers.c
+++ b/src/sited_peers.c
@@ -64,6 +64,7 @@
 			       sizeof(cl_leader), (xdrproc_t)xdr_cl_ack},
 	[SITED_PROC_CONFIG] = SITED_PROC(LEAD_CONFIG, config),
 	[SITED_PROC_START] = SITED_ORDER_PROC(LEAD_START, start),
+	[SITED_PROC_START_IN] = SITED_ORDER_PROC(LEAD_START_IN, start_in),
 	[SITED_PROC_STOP] = SITED_ORDER_PROC(LEAD_STOP, stop),
 	[SITED_PROC_POLL] = SITED_ORDER_PROC(LEAD_LOOK, look),
 };
@@ -516,6 +517,9 @@
 	case SITED_PROC_START:
 		sited_on_start(req);
 		return;
+	case SITED_PROC_START_IN:
+		sited_on_start_in(req);
+		return;
 	case SITED_PROC_STOP:
 		sited_on_stop(req);
 		return;
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -89,6 +89,15 @@
 	return io->lease_until;
 }
 
+int64_t lead_server_start_lease(struct lead *l, struct fleet_server *sv)
+{
+	const struct server_io *io = lead_server_io(l, sv);
+	int64_t lease = lead_server_lease(l, sv);
+	int64_t within = sited_start_within_ms(l->d, boottime_ms() - io->clock_boot_ms);
+
+	return within < l->d->site->lease_max_ms ? MIN(lease, server_clock(io) + within) : lease;
+}
+
 /*
  * Latest lease end, in ms on the server's clock, that an agent may request while it
  * gets no polls from this leader; 0 when the server's clock is not known.
@@ -147,7 +156,7 @@
 	int64_t over_at;
 
 	io->grants_in_flight--;
-	if (status == ORDER_NOT_SENT || status == ORDER_NOT_RELAYED)
+	if (status == ORDER_NOT_SENT || status == ORDER_NOT_RELAYED || status == ORDER_EVACUATED)
 		return;
 	if (io->lease_limit > server_clock(io)) /* an agent may go on renewing by itself */
 		over_at = now + lead_leases_wait_ms(l);
--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -6,6 +6,11 @@
 
 /* after all keys, so that a range from here on is empty */
 #define NO_KEY "~"
+/*
+ * Rows of a page of those with a prefix. Such rows are few, and a store that knows no end of a
+ * range fills the page with others, which may be long.
+ */
+#define PREFIX_PAGE_ROWS 3
 #define STALLED_RETRY_MS 1000 /* until a page that did not move on is asked for again */
 
 enum table_mode { TABLE_READ, TABLE_FOLLOW };
@@ -26,6 +31,7 @@
 	char *name;
 	char *part;
 	char *key;
+	char *prefix;
 	struct table_call *call;
 	struct str from;
 	int64_t version;
@@ -78,13 +84,25 @@
 	return order < 0 || (!order && a.len < b.len);
 }
 
+/* number of the first rows of an answer that the prefix applies to */
+static unsigned int count_with_prefix(const struct table *t, const struct store_result *r)
+{
+	size_t len = t->prefix ? strlen(t->prefix) : 0;
+	unsigned int n = 0;
+
+	while (n < r->count && r->rows[n].key.len >= len &&
+	       !memcmp(r->rows[n].key.ptr, t->prefix ? t->prefix : "", len))
+		n++;
+	return n;
+}
+
 /* sets where the next page starts */
 static enum advance advance_page(struct table *t, const struct store_result *r)
 {
 	struct str last;
 	char *from;
 
-	if (t->key || !r->has_more)
+	if (t->key || !r->has_more || count_with_prefix(t, r) < r->count)
 		return ADVANCE_END;
 	last = r->count ? r->rows[r->count - 1].key : t->from;
 	if (!is_before(t->from, last)) {
@@ -149,6 +167,7 @@
 		mtimer_add(t, t->ev, base_deadline_in(SITED_STORE_RETRY_MS), on_retry, t);
 		goto out;
 	}
+	page.count = count_with_prefix(t, r);
 	if (!is_requested(t, r))
 		page.count = 0;
 	if (t->version < 0) {
@@ -186,7 +205,9 @@
 {
 	struct table_call *call = talloc_zero(t->store, struct table_call);
 	struct store_range range = {t->name, t->part, t->key ? str_from(t->key) : t->from,
-				    t->key ? 1 : 0};
+				    t->key	? 1
+				    : t->prefix ? PREFIX_PAGE_ROWS
+						: 0};
 	/* without a wait, the first answer after an outage comes at once */
 	int64_t wait_ms = t->is_failing ? 0 : t->wait_ms;
 
@@ -239,7 +260,8 @@
 	t->name = talloc_strdup(t, source->table);
 	t->part = talloc_strdup(t, source->part ? source->part : "");
 	t->key = source->key ? talloc_strdup(t, source->key) : NULL;
-	t->from.ptr = talloc_strdup(t, "");
+	t->prefix = mode == TABLE_READ && source->prefix ? talloc_strdup(t, source->prefix) : NULL;
+	t->from = str_from(talloc_strdup(t, t->prefix ? t->prefix : ""));
 	t->on_rows = on_rows;
 	t->data = data;
 	talloc_set_destructor(t, table_destructor);
--- a/src/sited_table.h
+++ b/src/sited_table.h
@@ -24,6 +24,8 @@
  * @owner: parent of the read or the feed, which ends when the owner is freed
  * @part: partition to read, NULL or "" for the unnamed one; table_follow() ignores it
  * @key: key of the only row to read, NULL for all rows; table_follow() ignores it
+ * @prefix: start of the keys of the rows to read, NULL for all rows; not with @key;
+ *	table_follow() ignores it
  * @on_begin: called when an answer of a feed begins to arrive, with the length and the data of
  *	the feed; NULL for no call. When it returns true, the answer is held until table_resume()
  */
@@ -34,6 +36,7 @@
 	const char *table;
 	const char *part;
 	const char *key;
+	const char *prefix;
 	store_begin_fn *on_begin;
 };
 
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -131,7 +131,7 @@
 				    .attempt = t->attempt,
 				    .payload = t->group->job->payload,
 				    .snapshot = t->snapshot,
-				    .lease_until = lead_server_lease(l, o->sv)};
+				    .lease_until = lead_server_start_lease(l, o->sv)};
 
 	o->sent_at = sited_now_ms();
 	if (!t->start_sent_at) {
@@ -200,6 +200,12 @@
 		lead_task_release(l, t, "the store has not confirmed the leadership");
 		return;
 	}
+	if (!lead_may_start_on(l, sv)) {
+		lead_task_release(l, t,
+				  sv->is_evacuated ? "its failure domain is evacuated"
+						   : "evacuations are not known");
+		return;
+	}
 	if (exceeds_capacity(sv, &t->group->step->need)) {
 		lead_task_release(l, t, "its server has too little capacity left");
 		return;
@@ -266,6 +272,8 @@
 			MAX(o->sv->suspect_until, sited_now_ms() + CAPACITY_SUSPECT_MS);
 		lead_server_must_list(l, o->sv);
 	}
+	if (status == ORDER_EVACUATED)
+		lead_evacuation_refused(l, o->sv);
 	if (is_certain)
 		lead_task_release(l, t, order_status_name(status));
 	else
@@ -303,7 +311,7 @@
 	if (r->status == ORDER_UNKNOWN)
 		note_unanswered_start(o);
 	if ((r->status == ORDER_UNKNOWN || r->status == ORDER_NOT_RELAYED) &&
-	    o->sends < START_SENDS_MAX && lead_may_grant_leases(l)) {
+	    o->sends < START_SENDS_MAX && lead_may_start_on(l, o->sv)) {
 		send_start(o);
 		return;
 	}
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -25,6 +25,7 @@
 DEADLY_S = 0.01  # after its start a task crashes its server
 CRASHED_S = 1.5  # until that server is back
 GANG_WAIT_S = 3.0
+EVACUATE_S = 5.0  # evacuate-ms: from then on no task starts in an evacuated domain
 ZONES = 3
 UP_BEFORE_MS = 3600 * 1000  # half of the servers have been up for so long
 SLOW_CLOCK = 0.98  # rate of the clock of some servers
@@ -389,6 +390,7 @@
         self.strays_over_capacity = []  # with a stray run on the server
         self.late_orders = {}   # kind -> [carried out late, of these by a later life than the one that got them]
         self.ends_lost = 0      # removed by holds for a former life, before its next one could be known
+        self.evacuations = []   # [failure domain, when the request was acknowledged, when it ended]
         self.needs = {}         # id of a job -> accelerators of a task
 
     async def start(self):
@@ -449,6 +451,27 @@
             for member in list(members):
                 member.server.end(member, "done")
 
+    async def evacuate(self, zone, value=b""):
+        """The operator's request; it counts from the store's answer on."""
+        await self.store.put("op", "evacuate/" + zone, base64.b64encode(value).decode())
+        self.evacuations.append([zone, time.monotonic(), float("inf")])
+
+    async def take_back(self, zone):
+        """The request ends as the row may be gone."""
+        for evacuation in self.evacuations:
+            if evacuation[0] == zone:
+                evacuation[2] = min(evacuation[2], time.monotonic())
+        await self.store.apply([("op", "", "evacuate/" + zone, None)])
+
+    def is_evacuated(self, server):
+        return any(zone == server.zone and until == float("inf") for zone, _, until in self.evacuations)
+
+    def starts_in_evacuated(self):
+        """A server must not carry out a start whose deadline has passed, so late ones count too."""
+        return ["%s on %s, %.2f s after the request" % (r.task, r.server.name, r.began - since)
+                for r in self.runs for zone, since, until in self.evacuations
+                if r.server.zone == zone and since + EVACUATE_S < r.began < until]
+
     def in_use(self, server):
         return sum(self.needs.get(r.task[:16], 1) for r in server.runs.values())
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,8 +24,9 @@
 import time
 
 from site_http import call
-from site_servers import CAPACITY, CONTACT_S, LEASE_MAX_MS, Pool, ZONES
+from site_servers import CAPACITY, CONTACT_S, EVACUATE_S, LEASE_MAX_MS, Pool, ZONES
 from site_store import Store
+import soak_evacuation
 
 BUILD = os.environ.get("BUILD", "build")
 VMS = 5
@@ -155,10 +156,10 @@
         """Its share of a processor, which decides who leads, and its link, from its next start on."""
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
-                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[bounds]\nstatus_s = %d\n[platform]\naddr = "127.0.0.1:%d"\n'
+                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[bounds]\nstatus_s = %d\nevacuate-ms = %d\n[platform]\naddr = "127.0.0.1:%d"\n'
                     '[limits]\ncpu-share = %s\nlink-mbps = %s\n' % (
                         self.name, int(self.name[-1]) % ZONES, self.peers, self.peers, self.front, self.ready,
-                        self.site.status_s, self.store, cores, link_mbps))
+                        self.site.status_s, EVACUATE_S * 1000, self.store, cores, link_mbps))
 
     def start(self):
         """Start it again, unless another fault has done so already."""
@@ -325,7 +326,7 @@
 
     def has_room_twice(self, job, tasks):
         """Room for twice the waiting tasks, while less than half of the pool is in use."""
-        live = self.pool.live()
+        live = [s for s in self.pool.live() if not self.pool.is_evacuated(s)]
         used = [self.pool.in_use(s) for s in live]
         slots = sum(max(s.capacity["gpu"] - u, 0) // job.gpu for s, u in zip(live, used))
         return sum(used) * 2 < sum(s.capacity["gpu"] for s in live) and slots >= 2 * tasks
@@ -511,7 +512,8 @@
         kinds = [self.kill, self.kill, self.terminate, self.pause, self.kill_all, self.store_mode, self.store_slow,
                  self.store_loses, self.history, self.vm_cut, self.server_silent, self.server_crash,
                  self.server_orders, self.server_hangs, self.server_drains, self.silent_connections]
-        running = [asyncio.ensure_future(self.servers_start_again(seconds, random.Random("%d restarts" % self.seed)))]
+        running = [asyncio.ensure_future(self.servers_start_again(seconds, random.Random("%d restarts" % self.seed))),
+                   asyncio.ensure_future(soak_evacuation.evacuations(self, seconds, random.Random("%d evacuations" % self.seed)))]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             kind = self.rng.choice(kinds)
@@ -585,6 +587,7 @@
                 ("no start before the steps it follows", sum(j.steps > 1 for j in accepted), order),
                 ("no start after a cancellation", sum(bool(j.cancelled) for j in self.jobs), late),
                 ("a cancelled job stops", sum(bool(j.cancelled) for j in self.jobs), self.run_on),
+                ("no start in an evacuated failure domain", len(self.pool.evacuations) or 1, self.pool.starts_in_evacuated()),
                 ("a refused job never runs", len(refused) or 1, refused_ran),
                 ("an accepted job ends", len(accepted), unfinished),
                 ("no job has nothing running while there is room", self.samples or 1,
@@ -2024,11 +2027,11 @@
 BY_AGENTS = [
     domains_lose_their_vms, domain_is_cut_off, agent_is_started_again, agents_die_in_turn,
     agents_wake_with_old_orders, agent_wakes_under_the_next_leader, leader_and_agent_die_together,
-    agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read]
+    agents_renew_while_nobody_leads, agent_is_cut_off_from_servers, peers_send_what_cannot_be_read] + soak_evacuation.BY_AGENTS
 # the longest, played first so that none of them is left alone at the end
 LONGEST = [
     tasks_crash_their_servers, only_one_vm_has_a_large_link, odd_entries_among_the_servers, servers_shrink_and_grow]
-SCENARIOS = LONGEST + BY_AGENTS + [
+SCENARIOS = LONGEST + BY_AGENTS + soak_evacuation.SCENARIOS + [
     all_vms_are_down_for_longer_than_a_lease, jobs_fail_by_their_own_fault, planned_stops_after_servers_died,
     small_leader_hands_over_after_servers_died, large_vm_takes_over_after_an_outage, end_while_store_is_away,
     claims_are_refused, history_is_lost, old_transaction_comes_late, leaders_die_in_turn, handover_with_a_slow_store,
@@ -2052,7 +2055,7 @@
     late_hold_prolongs_leases_of_the_next_life, idle_servers_are_down_as_a_job_comes,
     jobs_wait_while_leaders_change, odd_keys_among_the_servers, servers_restart_with_a_start_in_flight,
     cancelled_before_its_late_submission, agents_renew_while_nobody_leads, old_transaction_comes_late,
-    refused_after_a_lost_answer]
+    refused_after_a_lost_answer] + soak_evacuation.IN_CHECK
 # too long to be played with the others, or known to fail
 BY_NAME = [
     unknown_ids_are_cancelled, late_start_reaches_a_life_not_yet_polled, late_start_reaches_a_life_that_is_cut_off,
