Tests of evacuated domains in fleet, plan, operator's rows and settings

Change: unit tests; those of lib/plan cover a data rack, a sibling's rack and a gang's rack in an evacuated domain, and what not_placed tells.

--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -134,6 +134,43 @@
 }
 END_TEST
 
+/* a server that stalled is a last resort for placement, which must not be one in such a domain */
+START_TEST(an_evacuated_server_accepts_no_work)
+{
+	struct fleet *f = sample_fleet(NULL, 1, 1);
+	struct fleet_server *sv = sample_server(f, 0);
+	struct fleet_server *next;
+
+	sv->failure_domain = talloc_strdup(sv, "z1");
+	sv->is_evacuated = true;
+	fleet_suspect(sv, 100);
+	ck_assert_int_eq(fleet_admission(sv, 100), FLEET_EVACUATED);
+	ck_assert(!fleet_accepts_work(sv, 100));
+	ck_assert(!fleet_is_suspect_for_a_stall(sv, 100));
+	/* so is the next incarnation before the list names it */
+	next = fleet_find_or_add(f, sv, sv->born + 1);
+	next->presence = FLEET_LISTED;
+	ck_assert_int_eq(fleet_admission(next, 100), FLEET_EVACUATED);
+	next->is_evacuated = false;
+	next->is_fenced = true;
+	ck_assert(fleet_accepts_work(next, 100));
+	talloc_free(f);
+}
+END_TEST
+
+/* the failures of few servers that are left looked like those of few servers of the whole pool */
+START_TEST(evacuated_servers_do_not_count_when_failures_are_forgiven)
+{
+	struct fleet *f = sample_fleet(NULL, 12, 4);
+
+	for (unsigned int i = 4; i < 12; i++)
+		sample_server(f, i)->is_evacuated = true;
+	ck_assert_uint_eq(fail_twice(f, 0, 2, 100), 2);
+	ck_assert_uint_eq(accepting(f, 100), 4);
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(servers_that_stall_are_not_forgiven)
 {
 	struct fleet *f = sample_fleet(NULL, 12, 4);
@@ -287,6 +324,8 @@
 	tcase_add_test(t, orphaned_runs_use_capacity);
 	tcase_add_test(t, failures_of_one_job_make_no_server_suspect);
 	tcase_add_test(t, failures_on_many_servers_exclude_none);
+	tcase_add_test(t, an_evacuated_server_accepts_no_work);
+	tcase_add_test(t, evacuated_servers_do_not_count_when_failures_are_forgiven);
 	tcase_add_test(t, servers_that_stall_are_not_forgiven);
 	tcase_add_test(t, failures_in_another_pool_do_not_count);
 	tcase_add_test(t, failures_on_another_kind_do_not_count);
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -2,6 +2,7 @@
  * DOC: test_operator - decoding of the operator's configuration, and lookups in it
  */
 #include <check.h>
+#include <string.h>
 
 #include "platform/operator.h"
 #include "runner.h"
@@ -63,12 +64,40 @@
 }
 END_TEST
 
+static bool is_evacuation(struct str key, const char *domain)
+{
+	struct str found;
+
+	return operator_evacuated_domain(key, &found) && found.len == strlen(domain) &&
+	       !memcmp(found.ptr, domain, found.len);
+}
+
+/* a key of other rows, whatever bytes it has, must evacuate nothing */
+START_TEST(a_key_names_the_domain_that_is_evacuated)
+{
+	struct str domain;
+
+	ck_assert(is_evacuation(str_from("evacuate/z1"), "z1"));
+	ck_assert(is_evacuation(str_from("evacuate/"), ""));
+	ck_assert(is_evacuation(str_from("evacuate/a/b\n"), "a/b\n"));
+	ck_assert(operator_evacuated_domain((struct str){"evacuate/z\0x", 12}, &domain));
+	ck_assert_uint_eq(domain.len, 3);
+	ck_assert(!operator_evacuated_domain(str_from("config"), &domain));
+	ck_assert(!operator_evacuated_domain(str_from("evacuate"), &domain));
+	ck_assert(!operator_evacuated_domain(str_from("evacuate0"), &domain));
+	ck_assert(!operator_evacuated_domain(str_from("Evacuate/z1"), &domain));
+	ck_assert(!operator_evacuated_domain(str_from(""), &domain));
+	ck_assert(!operator_evacuated_domain((struct str){"evac\0ate/z1", 11}, &domain));
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_configuration_is_decoded);
 	tcase_add_test(t, the_longest_matching_prefix_selects_the_queue);
 	tcase_add_test(t, a_key_belongs_to_one_workspace);
 	tcase_add_test(t, invalid_configurations_are_rejected);
+	tcase_add_test(t, a_key_names_the_domain_that_is_evacuated);
 }
 
 int main(void)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -216,6 +216,125 @@
 }
 END_TEST
 
+/* ---- an evacuated failure domain: only the servers of others count ---- */
+
+static void evacuate(struct fleet *f, unsigned int first, unsigned int end)
+{
+	for (unsigned int i = first; i < end; i++)
+		sample_server(f, i)->is_evacuated = true;
+}
+
+START_TEST(a_task_does_not_wait_for_an_evacuated_data_rack)
+{
+	struct fleet *f = sample_fleet(NULL, 2, 1);
+	struct work_job *job = sample_job(f, 1, 1, 1, 1);
+	struct work_group *g;
+	struct fleet_server *out[1];
+
+	evacuate(f, 0, 1);
+	job->step[0].data_rack = talloc_strdup(job, "r0");
+	g = sample_start(job);
+	g->ready_since = start.now;
+	ck_assert_uint_eq(place(f, g, out), 1);
+	ck_assert_ptr_eq(out[0], sample_server(f, 1));
+	talloc_free(f);
+}
+END_TEST
+
+/* the rest of a step waited for a task that ran on in an evacuated rack, up to its end */
+START_TEST(tasks_do_not_join_a_sibling_in_an_evacuated_rack)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 2);
+	struct work_job *job = sample_job(f, 1, 1, 2, 8);
+	struct work_group *g;
+	struct fleet_server *out[2];
+
+	job->step[0].same_rack = true;
+	g = sample_start(job);
+	sample_run(&g->task[0], sample_server(f, 0), start.now);
+	evacuate(f, 0, 2);
+	ck_assert_uint_eq(place(f, g, out), 1);
+	ck_assert_uint_eq(out[1]->rack, sample_server(f, 2)->rack);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(a_gang_does_not_wait_for_an_evacuated_rack)
+{
+	struct fleet *f = sample_fleet(NULL, 4, 2);
+	struct work_job *job = sample_job(f, 1, 1, 2, 8);
+	struct fleet_server *out[2];
+
+	sample_server(f, 1)->capacity.accelerators = 1;
+	evacuate(f, 2, 4);
+	job->step[0].is_gang = true;
+	job->step[0].same_rack = true;
+	ck_assert_uint_eq(place(f, sample_start(job), out), 0);
+	sample_server(f, 1)->capacity.accelerators = 8;
+	ck_assert_uint_eq(place(f, work_job_group(job, 0, 0), out), 2);
+	ck_assert_uint_eq(out[0]->rack, sample_server(f, 0)->rack);
+	talloc_free(f);
+}
+END_TEST
+
+/* the servers of a large evacuated domain, all of them free, made a full pool look ample */
+START_TEST(an_evacuated_domain_gives_no_ample_room)
+{
+	struct fleet *f = sample_fleet(NULL, 8, 4);
+	struct work_job *job = sample_job(f, 50, 1, 1, 1);
+	struct work_group *g;
+	struct fleet_server *out[1];
+
+	for (unsigned int i = 0; i < 4; i++) {
+		sample_server(f, i)->is_headroom = i >= 2;
+		if (i < 2)
+			sample_server(f, i)->used = sample_server(f, i)->capacity;
+	}
+	g = sample_start(job);
+	g->waiting_since = start.now - 2500;
+	for (unsigned int i = 4; i < 8; i++)
+		sample_server(f, i)->is_reachable = false;
+	ck_assert_uint_eq(place(f, g, out), 1);
+	evacuate(f, 4, 8);
+	ck_assert_uint_eq(place(f, g, out), 0);
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(probation_in_an_evacuated_domain_says_nothing_of_the_others)
+{
+	struct fleet *f = sample_fleet(NULL, 8, 8);
+	struct work_group *gang = sample_gang(f, 1, 1, 1, 1);
+	struct fleet_server *out[1];
+
+	evacuate(f, 0, 4);
+	for (unsigned int i = 0; i < 5; i++)
+		sample_server(f, i)->probation_until = start.now + 1;
+	sample_server(f, 4)->used.accelerators = 7;
+	ck_assert_uint_eq(place(f, gang, out), 1);
+	ck_assert_ptr_ne(out[0], sample_server(f, 4));
+	talloc_free(f);
+}
+END_TEST
+
+START_TEST(headroom_is_set_aside_outside_an_evacuated_domain)
+{
+	struct fleet *f = sample_fleet(NULL, 16, 8);
+	struct plan_scratch *s = plan_scratch_new(f);
+	int64_t kept = 0;
+
+	for (unsigned int i = 0; i < 16; i++)
+		sample_server(f, i)->is_headroom = i < 8;
+	evacuate(f, 0, 8);
+	plan_start_round(s, f, start.now);
+	plan_set_headroom(s, f, 8, start.now);
+	for (unsigned int i = 0; i < 16; i++)
+		kept += sample_server(f, i)->is_headroom ? (i < 8 ? 100 : 8) : 0;
+	ck_assert_int_eq(kept, 8); /* one server that accepts work */
+	talloc_free(f);
+}
+END_TEST
+
 START_TEST(tasks_of_a_step_per_server_are_limited)
 {
 	struct fleet *f = sample_fleet(NULL, 2, 2);
@@ -302,6 +421,30 @@
 }
 END_TEST
 
+START_TEST(an_explanation_tells_of_evacuated_servers)
+{
+	struct fleet *f = sample_fleet(NULL, 3, 1);
+	struct work_job *job = sample_job(f, 1, 1, 1, 8);
+	struct plan_explanation explanation;
+	struct work_group *g;
+
+	evacuate(f, 0, 2);
+	sample_server(f, 1)->is_reachable = false;
+	sample_server(f, 2)->used.accelerators = 8;
+	explanation = explain(f, sample_gang(f, 2, 1, 1, 8));
+	ck_assert_int_eq(explanation.refusal, PLAN_NO_SLOT);
+	ck_assert_uint_eq(explanation.servers[FLEET_EVACUATED], 2);
+	job->step[0].data_rack = talloc_strdup(job, "r0");
+	g = sample_start(job);
+	g->ready_since = start.now;
+	ck_assert_int_eq(explain(f, g).refusal, PLAN_DATA_RACK_EVACUATED);
+	sample_server(f, 0)->is_evacuated = false;
+	sample_server(f, 0)->used.accelerators = 8;
+	ck_assert_int_eq(explain(f, g).refusal, PLAN_NO_SLOT);
+	talloc_free(f);
+}
+END_TEST
+
 /* A third of the servers had hung twice and were suspect for 16 s after they had recovered. */
 START_TEST(in_ample_room_servers_suspect_of_a_stall_are_the_last_resort)
 {
@@ -992,6 +1135,13 @@
 	tcase_add_test(t, a_gang_for_one_rack_is_not_spread_over_two);
 	tcase_add_test(t, a_task_waits_for_its_data_rack_up_to_a_limit);
 	tcase_add_test(t, a_task_does_not_wait_for_a_data_rack_whose_servers_leave);
+	tcase_add_test(t, a_task_does_not_wait_for_an_evacuated_data_rack);
+	tcase_add_test(t, tasks_do_not_join_a_sibling_in_an_evacuated_rack);
+	tcase_add_test(t, a_gang_does_not_wait_for_an_evacuated_rack);
+	tcase_add_test(t, an_evacuated_domain_gives_no_ample_room);
+	tcase_add_test(t, probation_in_an_evacuated_domain_says_nothing_of_the_others);
+	tcase_add_test(t, headroom_is_set_aside_outside_an_evacuated_domain);
+	tcase_add_test(t, an_explanation_tells_of_evacuated_servers);
 	tcase_add_test(t, tasks_of_a_step_per_server_are_limited);
 	tcase_add_test(t, servers_that_do_not_accept_work_get_none);
 	tcase_add_test(t, in_ample_room_servers_suspect_of_a_stall_are_the_last_resort);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -44,6 +44,24 @@
 }
 END_TEST
 
+/* decisions are as before in a deployment that does not ask for it */
+START_TEST(evacuations_are_off_unless_the_settings_bound_them)
+{
+	char *error;
+	struct site *s = load(valid_settings, &error);
+	char **parts = g_strsplit(valid_settings, "remote-slowdown = 2", 2);
+	char *text = g_strjoin("evacuate-ms = 5000", parts[0], parts[1], NULL);
+
+	ck_assert_int_eq(s->evacuate_ms, 0);
+	talloc_free(s);
+	s = load(text, &error);
+	ck_assert_int_eq(s->evacuate_ms, 5000);
+	talloc_free(s);
+	g_strfreev(parts);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(a_missing_address_is_reported_by_key)
 {
 	char *error;
@@ -70,6 +88,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, settings_are_read_and_omitted_ones_have_defaults);
+	tcase_add_test(t, evacuations_are_off_unless_the_settings_bound_them);
 	tcase_add_test(t, a_missing_address_is_reported_by_key);
 	tcase_add_test(t, invalid_toml_is_reported_with_its_line);
 }
--- a/tools/soak_evacuation.py
+++ b/tools/soak_evacuation.py
@@ -28,6 +28,7 @@
     job.count, job.steps, job.gpu, job.is_cancelled, job.route = count, 1, 8, False, "urgent"
     job.spec, site.pool.needs[job.id] = {"ms": ms, "gang": 0, "fail": 0}, 8
     await site.submit(job)
+    site.following.append(asyncio.ensure_future(site.watch(job)))
     return job
 
 
