--- a/src/sited.c
+++ b/src/sited.c
@@ -78,6 +78,7 @@
 	}
 	/* The old struct is not freed, because pointers into it remain in use. */
 	d->site = site;
+	sited_evacuation_reload(d);
 	log_event("settings_reloaded", "{ss}", "vm", site->vm);
 }
 
--- a/src/sited.h
+++ b/src/sited.h
@@ -219,6 +219,8 @@
 void sited_evacuation_follow(struct sited *d, const struct table_page *page);
 /** sited_evacuation_lost() - that feed begins, or skips changes: the rows are read again */
 void sited_evacuation_lost(struct sited *d);
+/** sited_evacuation_reload() - the settings have been read again */
+void sited_evacuation_reload(struct sited *d);
 /** sited_evacuation_read() - read the rows, unless a read is in progress */
 void sited_evacuation_read(struct sited *d);
 /** sited_domain_is_evacuated() - as far as this VM knows */
--- a/src/sited_agent.c
+++ b/src/sited_agent.c
@@ -333,8 +333,11 @@
 		carry_out_start(req, &args->start);
 		return;
 	}
+	if (!admit(d, req, &args->start.to))
+		return;
 	log_event("start_refused", "{ss ss sI}", "server", args->start.to.server, "domain",
-		  args->failure_domain, "fence", (json_int_t)args->start.to.fence);
+		  is_utf8(args->failure_domain) ? args->failure_domain : "", "fence",
+		  (json_int_t)args->start.to.fence);
 	reply_status(req, sited_evacuations_are_new(d, 0) ? ORDER_EVACUATED : ORDER_NOT_RELAYED);
 }
 
--- a/src/sited_evacuation.c
+++ b/src/sited_evacuation.c
@@ -172,6 +172,13 @@
 		sited_evacuation_read(d);
 }
 
+void sited_evacuation_reload(struct sited *d)
+{
+	sited_evacuation_lost(d);
+	if (d->lead)
+		mark_servers(d->lead);
+}
+
 /* ---- queries ---- */
 
 void sited_evacuation_start(struct sited *d)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -156,10 +156,10 @@
         """Its share of a processor, which decides who leads, and its link, from its next start on."""
         with open(self.settings, "w") as f:
             f.write('node = "%s"\nzone = "z%d"\nip = "127.0.0.1"\nport-range = [%d,%d]\n[listen]\n'
-                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[bounds]\nstatus_s = %d\nevacuate-ms = %d\n[platform]\naddr = "127.0.0.1:%d"\n'
+                    'front = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\n[bounds]\nstatus_s = %d\n%s[platform]\naddr = "127.0.0.1:%d"\n'
                     '[limits]\ncpu-share = %s\nlink-mbps = %s\n' % (
                         self.name, int(self.name[-1]) % ZONES, self.peers, self.peers, self.front, self.ready,
-                        self.site.status_s, EVACUATE_S * 1000, self.store, cores, link_mbps))
+                        self.site.status_s, "evacuate-ms = %d\n" % (EVACUATE_S * 1000) if self.site.evacuates else "", self.store, cores, link_mbps))
 
     def start(self):
         """Start it again, unless another fault has done so already."""
@@ -183,6 +183,7 @@
     def __init__(self, seed, directory, by_agents):
         self.seed, self.rng = seed, random.Random(seed)
         self.status_s = 120     # rows of ended jobs are kept for so long
+        self.evacuates = True   # the settings bound evacuations
         self.by_agents = by_agents  # orders to servers go through other entry VMs
         self.dir = directory
         self.store = Store(self.rng)
@@ -2080,6 +2081,7 @@
 async def play(seed, seconds, scenario, directory, per_second):
     site = Site(seed, directory, seed % 2 == 0 or scenario in BY_AGENTS)
     site.status_s = 1 if scenario in SHORT_STATUS else site.status_s
+    site.evacuates = scenario not in soak_evacuation.NOT_ASKED_FOR
     site.store.names_newest = scenario not in OWN_VERSIONS_FIRST and draw_reading(seed, scenario)
     try:
         await site.start()
--- a/tools/soak_evacuation.py
+++ b/tools/soak_evacuation.py
@@ -13,6 +13,8 @@
 AFTER_S = 4.0       # for so long after the bound tasks would start in the domain
 USED_AGAIN_S = 4.0  # from the end of an evacuation until the domain has work: the feed, and a round
 WATCH_S = 0.05
+QUEUES = 2000
+SMALL_LINK = 2.0e5  # bytes a second; the configuration takes longer than 2 s
 
 
 async def until(condition, seconds):
@@ -221,7 +223,7 @@
 
 
 async def all_domains_are_evacuated(site):
-    """Jobs wait and are told so; they run as the first domain is taken back."""
+    """Jobs wait and are told so; they run as the domains are taken back."""
     zones = ["z%d" % i for i in range(ZONES)]
     for zone in zones:
         await site.pool.evacuate(zone)
@@ -231,10 +233,9 @@
     answer = await site.ask("GET", job)
     state = answer[2]["state"] if answer and answer[0] == 200 else answer
     site.expected.append(("a job waits and is told so, %s" % state, state == "queued"))
-    await site.pool.take_back(zones[0])
-    await asyncio.wait([asyncio.ensure_future(site.watch(job))], timeout=USED_AGAIN_S)
-    site.expected.append(("it runs as a domain is taken back", "complete" in job.seen))
-    await take_back(site, *zones[1:])
+    await take_back(site, *zones)
+    ended = await until(lambda: "complete" in job.seen, USED_AGAIN_S)
+    site.expected.append(("it runs as the domains are taken back", ended))
 
 
 async def tasks_run_on_in_an_evacuated_domain(site):
@@ -288,10 +289,51 @@
     await take_back(site, zone)
 
 
+async def evacuation_comes_with_a_large_configuration(site):
+    """A VM with a small link took the configuration from a peer, and skipped the answer that also held the row."""
+    small = site.vms[1:]
+    site.faults += ["kill"] * len(small)
+    for vm in small:
+        vm.resize(0.12, SMALL_LINK * 8 / 1e6)
+        site.store.doors[vm.name].bytes_per_s = SMALL_LINK
+    await site.config(2, QUEUES)
+    for vm in small:
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await asyncio.sleep(6)
+    began = time.time() * 1e6
+    site.store.mode = "busy"
+    await asyncio.sleep(0.5)
+    await site.pool.evacuate("z1")
+    await site.config(3, QUEUES + 1)
+    site.store.mode = "up"
+    await asyncio.sleep(EVACUATE_S)
+    by_peer = {e["vm"] for e in site.events("config_taken") if e["time_us"] > began and e["source"] == "a peer"}
+    knows = {e["vm"] for e in site.events("evacuation_taken") if e["domain"] == "z1"}
+    site.expected.append(("%d VMs skip to a peer's configuration" % len(by_peer), len(by_peer) > 0))
+    site.expected.append(("all VMs know of the evacuation, %s do" % sorted(knows), len(knows) == len(site.vms)))
+    await asyncio.sleep(AFTER_S)
+    await take_back(site, "z1")
+
+
+async def settings_ask_for_no_evacuation(site):
+    """Without evacuate-ms all is as it was before there were evacuations; the row is one of many."""
+    zone, began = other_zone(site), time.monotonic()
+    await site.store.put("op", "evacuate/" + zone, "")
+    await asyncio.sleep(EVACUATE_S + AFTER_S)
+    late = runs_in(site, zone, began + EVACUATE_S)
+    known = [e["vm"] for name in ("evacuation", "start_refused") for e in site.events(name)]
+    site.expected.append(("%d tasks start in %s, and no VM tells of evacuations: %s" % (len(late), zone, known),
+                          late and not known))
+
+
 BY_AGENTS = [agents_wake_in_an_evacuated_domain]
 SCENARIOS = [
     leader_dies_as_a_domain_is_evacuated, leaders_change_during_an_evacuation, history_is_lost_as_a_domain_is_evacuated,
     leader_is_cut_off_as_a_domain_is_evacuated, store_is_away_as_a_domain_is_evacuated, domain_is_evacuated_and_cut_off,
     start_is_carried_out_after_the_bound, answers_to_starts_are_lost_in_an_evacuation, two_domains_are_evacuated,
-    all_domains_are_evacuated, tasks_run_on_in_an_evacuated_domain, odd_rows_beside_an_evacuation]
+    all_domains_are_evacuated, tasks_run_on_in_an_evacuated_domain, odd_rows_beside_an_evacuation,
+    evacuation_comes_with_a_large_configuration, settings_ask_for_no_evacuation]
+NOT_ASKED_FOR = [settings_ask_for_no_evacuation]
 IN_CHECK = [leader_dies_as_a_domain_is_evacuated, start_is_carried_out_after_the_bound]
