Evacuation: no gauge of an age that is not known

Cause: the age of what a VM knows was shown as -0.001 s before the first read.

Change: the gauge is left out until then.

Measured: builds; make lint passes.

--- a/src/sited_evacuation.c
+++ b/src/sited_evacuation.c
@@ -211,6 +211,7 @@
 
 char *sited_evacuation_append_gauges(const struct sited *d, char *text)
 {
+	int64_t age_ms = evacuations_age_ms(d->evacuations->set, sited_now_ms());
 	unsigned int tasks = 0;
 
 	if (!is_enabled(d))
@@ -220,11 +221,13 @@
 
 		tasks += sv->is_evacuated ? sv->tasks->len : 0;
 	}
-	text = talloc_asprintf_append_buffer(
-		text,
-		"currantlane_evacuated_domains %u\ncurrantlane_evacuations_age_seconds %.3f\n",
-		evacuations_count(d->evacuations->set),
-		(double)evacuations_age_ms(d->evacuations->set, sited_now_ms()) / BASE_MS_PER_S);
+	text = talloc_asprintf_append_buffer(text, "currantlane_evacuated_domains %u\n",
+					     evacuations_count(d->evacuations->set));
+	/* not known is not zero */
+	if (age_ms >= 0)
+		text = talloc_asprintf_append_buffer(text,
+						     "currantlane_evacuations_age_seconds %.3f\n",
+						     (double)age_ms / BASE_MS_PER_S);
 	if (d->lead && d->lead->is_loaded)
 		text = talloc_asprintf_append_buffer(text, "currantlane_tasks_on_evacuated %u\n",
 						     tasks);
