Store: a key that is no valid text hides no other rows

Cause: one row of another writer whose key is not valid text (bytes that are not UTF-8, or half of a surrogate pair as an escape) made each answer with it unreadable. A feed that reported it failed until the history was gone, and a read of its range as long as the row existed; a leader would not learn of evacuations and so start nothing.

The scenario odd_rows_beside_an_evacuation now has such keys; it is not run yet.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -238,6 +238,30 @@
 }
 END_TEST
 
+/* one such key hid all rows of its range, and of a feed, from all VMs */
+START_TEST(a_key_that_is_no_text_leaves_the_other_rows_readable)
+{
+	static const char *const keys[] = {"a\xff\xfe", "a\\udcff", "\\ud800\\ud800", "a\\ud83d",
+					   "a\\\\\\udfff"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		char *text = g_strdup_printf(
+			"{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"%s\",\"value\":\"\","
+			"\"ver\":5},{\"table\":\"t\",\"part\":\"\",\"key\":\"b\\ud83d\\ude00\","
+			"\"value\":\"\",\"ver\":6}],\"has-more\":false,\"ver\":7}",
+			keys[i]);
+		struct fixture *f = fixture_new(200, text);
+
+		commit(f);
+		ck_assert_int_eq(f->result, STORE_OK);
+		ck_assert_uint_eq(f->count, 2);
+		ck_assert_str_eq(f->last_key_text, "b\U0001f600");
+		talloc_free(f);
+		g_free(text);
+	}
+}
+END_TEST
+
 START_TEST(an_unreachable_store_has_performed_nothing)
 {
 	struct fixture *f = fixture_new(200, "{}");
@@ -418,6 +442,7 @@
 	tcase_add_test(t, a_feed_reports_lost_history);
 	tcase_add_test(t, any_text_names_the_start_of_a_range);
 	tcase_add_test(t, a_row_with_odd_texts_leaves_the_others_readable);
+	tcase_add_test(t, a_key_that_is_no_text_leaves_the_other_rows_readable);
 	tcase_add_test(t, an_unreachable_store_has_performed_nothing);
 }
 
--- a/tools/soak_evacuation.py
+++ b/tools/soak_evacuation.py
@@ -258,7 +258,7 @@
 async def odd_rows_beside_an_evacuation(site):
     """Keys and values of any bytes, and names that nobody knows, hold nothing up and hide no request."""
     keys = ["evacuate", "evacuate/", "evacuate0", "evacuate/nowhere", "evacuate/z1\0", "evacuate/z1 ", "evacuate/Z0",
-            "evacuate/" + "z" * 180, "evacuate/\u00e9\n\"", "evacuate/../config", "f", "evacuate//z0"]
+            "evacuate/" + "z" * 180, "evacuate/\u00e9\n\"", "evacuate/../config", "f", "evacuate//z0", "evacuate/\udcff", "\ud800"]
     for key in keys:
         await site.store.put("op", key, base64.b64encode(site.rng.randbytes(3000)).decode())
     await site.kill(site.leader())
