HTTP server: one budget for bodies, and connections that give way

Cause: a server kept every body up to its limit, doubled each buffer, did not check that it got memory, read bodies over the limit to their end, and left incomplete requests and idle connections alone. Clients that stopped halfway made the process take more memory than its VM has.

Change: lib/budget decides, without I/O, whether a body is admitted and which connection is closed. Bodies above 8 KB share one budget; an announced length is charged before it is received, a chunked body grows in steps of 32 KB. When the budget is short, stalled requests are closed, else the request gets 503 with Retry-After. A body over the limit gets 413 at its headers or as soon as its bytes show it, and at most 64 KB more are read. A request must be complete within 10 s. New connections replace idle or stalled ones. Receive and send buffers of the kernel are limited to 32 KB each, and unused memory is returned to the system. The limits are options; servers without them behave as before.

With the regular check for stalled connections taken out, stopped_requests_on_all_connections_end fails.

--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -9,6 +9,7 @@
 
 #include <tevent.h>
 #include "base/base.h"
+#include "budget/budget.h"
 
 struct httpd;
 
@@ -35,24 +36,64 @@
 
 typedef void httpd_handler(struct httpd_request *req);
 
+/* connections beyond the limit, until those that they replace are closed */
+#define HTTPD_CONNECTIONS_EXTRA 8
+/*
+ * Bytes of a rejected body that are read and dropped before the connection is closed. A client
+ * that sends its whole body before it reads the answer gets the answer if the rest is shorter.
+ */
+#define HTTPD_DISCARD_MAX (64 * 1024)
+
 /**
  * struct httpd_options - address and limits of a server
  * @ip: address to listen on
  * @port: port to listen on
  * @body_max: largest request body in bytes; a larger one gets status 413
- * @connections_max: further connections are closed as soon as they are accepted
- * @idle_timeout_s: time in s without any traffic after which a connection is closed
+ * @get_body_max: when not NULL, returns the largest body at present, at most @body_max
+ * @bodies_max: bytes of all bodies above BUDGET_SMALL_BYTES together, 0 for no limit; a body
+ *	without room gets status 503
+ * @on_busy: replies at once, with a status that is true of the request, when there is no room
+ *	for its body; NULL for 503 with outcome "not_run"
+ * @connections_max: further connections wait until others have ended
+ * @close_for_new: further connections replace idle or stalled ones; up to
+ *	HTTPD_CONNECTIONS_EXTRA more are then open for a moment
+ * @idle_timeout_s: time in s without any traffic, or without complete headers, after which a
+ *	connection is closed
  * @reuse_port: allow several servers on the same address and port (SO_REUSEPORT)
  */
 struct httpd_options {
 	const char *ip;
 	uint16_t port;
 	size_t body_max;
+	size_t (*get_body_max)(void *data);
+	size_t bodies_max;
+	httpd_handler *on_busy;
 	unsigned int connections_max;
+	bool close_for_new;
 	unsigned int idle_timeout_s;
 	bool reuse_port;
 };
 
+/**
+ * struct httpd_stats - what a server holds and has turned away
+ * @connections: open connections
+ * @body_bytes: charged for bodies above BUDGET_SMALL_BYTES and the copies made of them
+ * @too_large: requests rejected because of their size
+ * @busy: requests rejected because there was no room for their bodies
+ * @closed_for_room: connections closed because there was no room for a body
+ * @closed_for_connection: connections closed for new ones
+ * @closed_overdue: connections closed because their requests were not complete in time
+ */
+struct httpd_stats {
+	unsigned int connections;
+	size_t body_bytes;
+	uint64_t too_large;
+	uint64_t busy;
+	uint64_t closed_for_room;
+	uint64_t closed_for_connection;
+	uint64_t closed_overdue;
+};
+
 /**
  * httpd_new() - start a server on the loop @ev; talloc_free() stops it
  * @handler: called with each complete request; replies at once or later
@@ -78,6 +119,15 @@
 void httpd_reply(struct httpd_request *req, unsigned int status, struct str body);
 /** httpd_reply_json() - as httpd_reply(), with @v as the body; takes the reference to @v */
 void httpd_reply_json(struct httpd_request *req, unsigned int status, json_t *v);
+/**
+ * httpd_charge() - account for @bytes beside the body that the request needs until its answer
+ *
+ * The limit on connections covers those of a body of up to BUDGET_SMALL_BYTES.
+ * Return: false when there is no room; the handler then replies that nothing has run.
+ */
+bool httpd_charge(struct httpd_request *req, size_t bytes);
+/** httpd_stats() - what the server holds now, and what it has turned away so far */
+struct httpd_stats httpd_stats(const struct httpd *server);
 /** httpd_drop() - close the connection without a reply; for the stand-ins and tests only */
 void httpd_drop(struct httpd_request *req);
 
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -1,9 +1,14 @@
 /**
  * DOC: test_httpd - bodies, limits, deferred replies, closed connections
  */
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "httpc/httpc.h"
 #include "httpd/httpd.h"
@@ -54,22 +59,28 @@
 	httpd_reply(req, 200, req->body);
 }
 
-static struct fixture *fixture_new(void)
+static const struct httpd_options usual_options = {.ip = "127.0.0.1",
+						   .port = PORT,
+						   .body_max = BODY_MAX,
+						   .connections_max = 200,
+						   .idle_timeout_s = 10};
+
+static struct fixture *fixture_of(const struct httpd_options *opt)
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct httpd_options opt = {.ip = "127.0.0.1",
-				    .port = PORT,
-				    .body_max = BODY_MAX,
-				    .connections_max = 200,
-				    .idle_timeout_s = 10};
 
 	f->ev = tevent_context_init(f);
-	f->server = httpd_new(f, f->ev, &opt, on_request, f);
+	f->server = httpd_new(f, f->ev, opt, on_request, f);
 	ck_assert_ptr_nonnull(f->server);
 	f->http = httpc_new(f, f->ev, 0, 0);
 	return f;
 }
 
+static struct fixture *fixture_new(void)
+{
+	return fixture_of(&usual_options);
+}
+
 static void on_done(const struct httpc_answer *answer, void *data)
 {
 	struct call *c = data;
@@ -180,6 +191,223 @@
 }
 END_TEST
 
+/* ---- clients outside the limits ---- */
+
+#define ROOM 30000  /* bytes of bodies; enough for one of LARGE */
+#define LARGE 20000 /* more than BUDGET_SMALL_BYTES */
+
+static struct fixture *fixture_with_room(void)
+{
+	struct httpd_options opt = usual_options;
+
+	opt.body_max = LARGE;
+	opt.bodies_max = ROOM;
+	opt.connections_max = 4;
+	opt.close_for_new = true;
+	return fixture_of(&opt);
+}
+
+static void on_wake(struct tevent_context *ev G_GNUC_UNUSED, struct tevent_timer *te G_GNUC_UNUSED,
+		    struct timeval now G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+{
+}
+
+static void run_for(struct fixture *f, int64_t ms)
+{
+	int64_t end = base_deadline_in(ms);
+
+	while (base_now_ns() < end) {
+		tevent_add_timer(f->ev, f, base_timeval_in_ms(5), on_wake, NULL);
+		tevent_loop_once(f->ev);
+	}
+}
+
+/* Opens a connection and sends @head and @len bytes of a body. */
+static int client_open(const char *head, size_t len)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char *body = g_strnfill(len, 'x');
+
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	ck_assert_int_eq(send(fd, head, strlen(head), MSG_NOSIGNAL), (ssize_t)strlen(head));
+	ck_assert_int_eq(send(fd, body, len, MSG_NOSIGNAL), (ssize_t)len);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	g_free(body);
+	return fd;
+}
+
+/* Waits for bytes or the end of the connection; the answer is empty when there is none. */
+static const char *client_answer(struct fixture *f, int fd)
+{
+	static char text[1024];
+	ssize_t n;
+
+	while ((n = recv(fd, text, sizeof(text) - 1, 0)) < 0 && errno == EAGAIN)
+		run_for(f, 5);
+	text[MAX(n, 0)] = 0;
+	return text;
+}
+
+static const char post_large[] = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\n";
+static const char post_small[] = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n";
+static const char post_chunked[] =
+	"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n";
+
+/* Guards against reading a body that is known to be too large. */
+START_TEST(a_body_announced_far_above_the_limit_is_not_read)
+{
+	struct fixture *f = fixture_with_room();
+	int fd = client_open("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n", 0);
+
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 413 "));
+	ck_assert_uint_eq(httpd_stats(f->server).too_large, 1);
+	close(fd);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against a chunked body that is kept, or read without end. */
+START_TEST(a_chunked_body_above_the_limit_is_cut_off)
+{
+	struct fixture *f = fixture_with_room();
+	int fd = client_open(post_chunked, LARGE + HTTPD_DISCARD_MAX * 3 / 2);
+
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 413 "));
+	ck_assert_str_eq(client_answer(f, fd), "");
+	ck_assert_uint_eq(httpd_stats(f->server).body_bytes, 0);
+	close(fd);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against stopped bodies that keep others out for as long as they like. */
+START_TEST(a_stopped_body_delays_large_ones_and_no_small_one)
+{
+	struct fixture *f = fixture_with_room();
+	int stopped = client_open(post_large, LARGE - 1);
+	int fd;
+
+	run_for(f, 50);
+	fd = client_open(post_large, LARGE);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), "Retry-After: 1"));
+	close(fd);
+	fd = client_open(post_small, 5000);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 200 "));
+	close(fd);
+	run_for(f, BUDGET_STALL_MS);
+	fd = client_open(post_large, LARGE);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 200 "));
+	ck_assert_str_eq(client_answer(f, stopped), "");
+	ck_assert_uint_eq(httpd_stats(f->server).busy, 1);
+	ck_assert_uint_eq(httpd_stats(f->server).closed_for_room, 1);
+	close(fd);
+	close(stopped);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against a process that writes to memory that it did not get; talloc gives up to 256 MB. */
+START_TEST(a_body_without_memory_is_rejected)
+{
+	struct httpd_options opt = usual_options;
+	struct fixture *f;
+	int fd;
+
+	opt.body_max = 1 << 30;
+	f = fixture_of(&opt);
+	fd = client_open("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n",
+			 HTTPD_DISCARD_MAX * 2);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 503 "));
+	close(fd);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against idle connections that keep new callers out. */
+START_TEST(new_connections_replace_idle_ones)
+{
+	struct fixture *f = fixture_with_room();
+	int idle[40];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(idle); i++)
+		idle[i] = client_open("", 0);
+	run_for(f, 100);
+	start(f, URL "/", str_from("hello"), 5000);
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	ck_assert_uint_le(httpd_stats(f->server).connections, 4);
+	ck_assert_uint_ge(httpd_stats(f->server).closed_for_connection, 30);
+	for (size_t i = 0; i < G_N_ELEMENTS(idle); i++)
+		close(idle[i]);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against stopped requests on all connections, which leave none to accept a new one. */
+START_TEST(stopped_requests_on_all_connections_end)
+{
+	struct fixture *f = fixture_with_room();
+	int stopped[4 + HTTPD_CONNECTIONS_EXTRA + 4];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(stopped); i++) {
+		stopped[i] = client_open(post_small, 4999);
+		run_for(f, 10);
+	}
+	start(f, URL "/", str_from("hello"), 5000);
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(stopped); i++)
+		close(stopped[i]);
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against closing a connection whose request is being handled. */
+START_TEST(a_request_in_progress_is_answered_whoever_connects)
+{
+	struct fixture *f = fixture_with_room();
+	int idle[20];
+
+	start(f, URL "/hold", str_from("x"), 5000);
+	while (!f->held)
+		tevent_loop_once(f->ev);
+	for (size_t i = 0; i < G_N_ELEMENTS(idle); i++)
+		idle[i] = client_open("", 0);
+	run_for(f, 100);
+	f->held->on_abort = NULL;
+	httpd_reply_json(f->held, 200, json_object());
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(idle); i++)
+		close(idle[i]);
+	talloc_free(f);
+}
+END_TEST
+
+static size_t small_limit(void *data G_GNUC_UNUSED)
+{
+	return 10;
+}
+
+START_TEST(the_limit_at_present_applies)
+{
+	struct httpd_options opt = usual_options;
+	struct fixture *f;
+
+	opt.get_body_max = small_limit;
+	f = fixture_of(&opt);
+	start(f, URL "/", str_from("ten bytes."), 5000);
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	start(f, URL "/", str_from("more bytes."), 5000);
+	wait_done(f, 2);
+	ck_assert_uint_eq(f->status, 413);
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_body_comes_back_whole);
@@ -187,6 +415,14 @@
 	tcase_add_test(t, no_answer_waits_for_the_idle_tick);
 	tcase_add_test(t, a_deferred_answer_arrives);
 	tcase_add_test(t, a_dropped_request_is_told_as_lost);
+	tcase_add_test(t, a_body_announced_far_above_the_limit_is_not_read);
+	tcase_add_test(t, a_chunked_body_above_the_limit_is_cut_off);
+	tcase_add_test(t, a_stopped_body_delays_large_ones_and_no_small_one);
+	tcase_add_test(t, a_body_without_memory_is_rejected);
+	tcase_add_test(t, new_connections_replace_idle_ones);
+	tcase_add_test(t, stopped_requests_on_all_connections_end);
+	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
+	tcase_add_test(t, the_limit_at_present_applies);
 }
 
 int main(void)
