Callers: limits from memory-mb and max-fds, and the operator's body limit

Cause: the settings' memory-mb was not read, the operator's max-body-bytes was not checked, up to 2,000 connections were taken whatever the VM has, and a body of 1 MB in which each value is an empty object took 77 MB when it was decoded.

A submission is charged for the copies made while it is stored. A rejection for lack of memory is 503, or 504 while an earlier transaction of the job may still be performed. Bodies that would take more than 9 MB to decode, and steps after more than 64 others, get 400. currantlane-entryd has constant limits for each thread.

--- a/src/entryd.c
+++ b/src/entryd.c
@@ -119,6 +119,7 @@
 				    .port = e->settings->entry_operators.port,
 				    .body_max = OPERATORS_BODY_MAX,
 				    .connections_max = OPERATORS_CONNECTIONS_MAX,
+				    .close_for_new = true,
 				    .idle_timeout_s = OPERATORS_IDLE_S};
 
 	e->operators_httpd = httpd_new(e, e->ev, &opt, on_operator, e);
--- a/src/entryd.h
+++ b/src/entryd.h
@@ -33,6 +33,8 @@
 	X(COUNT_NOT_RUN, "requests_not_run_total")                     \
 	X(COUNT_UNKNOWN, "requests_unknown_total")                     \
 	X(COUNT_BAD_INPUT, "requests_bad_input_total")                 \
+	X(COUNT_NO_ROOM, "bodies_no_room_total")                       \
+	X(COUNT_CLOSED, "connections_closed_total")                    \
 	X(COUNT_RETRIES, "retries_total")                              \
 	X(COUNT_RETRIES_OVER_BUDGET, "retries_over_budget_total")      \
 	X(COUNT_SETTLED_BY_STATUS, "requests_settled_by_status_total") \
@@ -150,6 +152,7 @@
  * @onc_clients: "ip:port" to struct onc_client
  * @workspace_in_flight: name of a workspace to its requests that have not ended here
  * @retry_tokens: what is left of the retry budget; one token per retry
+ * @prev_closed: connections closed before their requests were complete, when last counted
  * @last_sequence: sequence number of the last id issued
  * @active: requests and calls that have not been answered
  * @is_draining: a planned stop is under way
@@ -177,6 +180,7 @@
 	GHashTable *onc_clients;
 	GHashTable *workspace_in_flight;
 	double retry_tokens;
+	uint64_t prev_closed;
 	uint64_t last_sequence;
 	unsigned int active;
 	bool is_draining;
--- a/src/entryd_worker.c
+++ b/src/entryd_worker.c
@@ -12,7 +12,13 @@
 
 #define BODY_MAX (64 * 1024)
 #define PAYLOAD_MAX (32 * 1024)
-#define CONNECTIONS_MAX 2000 /* callers' connections per thread */
+/*
+ * Connections of callers, and bytes of bodies above BUDGET_SMALL_BYTES, per thread. With two
+ * threads they take 100 MB, which the smallest VM has.
+ */
+#define CONNECTIONS_MAX 1000
+#define BODIES_MAX (8 * 1024 * 1024)
+#define RETRY_AFTER_S "1"
 #define IDLE_S 30
 #define TICK_MS 25
 #define TICKET_MS \
@@ -47,6 +53,19 @@
 				   "reason", reason));
 }
 
+/* There is no room for the body. */
+static void reply_busy(struct httpd_request *http)
+{
+	struct worker *w = http->server_data;
+	enum outcome o = may_have_run_before(http) ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+
+	count(w, COUNT_NO_ROOM);
+	httpd_reply_header(http, "Retry-After", RETRY_AFTER_S);
+	httpd_reply_json(http, base_outcome_http_status(o),
+			 json_pack("{ssssss}", "outcome", base_outcome_name(o), "field", "body",
+				   "reason", "no memory for a body of this size now"));
+}
+
 /* The answer is inserted without escaping, because it is JSON text already. */
 static void reply_outcome(struct worker *w, struct httpd_request *http, const char *id,
 			  const struct outcome_msg *msg)
@@ -824,12 +843,22 @@
 	}
 }
 
+static void count_closed_connections(struct worker *w)
+{
+	struct httpd_stats s = httpd_stats(w->httpd);
+	uint64_t closed = s.closed_for_room + s.closed_for_connection + s.closed_overdue;
+
+	counter_add(&w->entryd->counters, w->index + 1, COUNT_CLOSED, closed - w->prev_closed);
+	w->prev_closed = closed;
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te G_GNUC_UNUSED,
 		    struct timeval now G_GNUC_UNUSED, void *data)
 {
 	struct worker *w = data;
 
 	requests_tick(w);
+	count_closed_connections(w);
 	trace_flush();
 	if (w->is_draining && !w->active && !httpc_in_flight(w->http))
 		atomic_store(&w->is_idle, true);
@@ -900,7 +929,10 @@
 	struct httpd_options opt = {.ip = s->entry_callers.ip,
 				    .port = s->entry_callers.port,
 				    .body_max = BODY_MAX,
+				    .bodies_max = BODIES_MAX,
+				    .on_busy = reply_busy,
 				    .connections_max = CONNECTIONS_MAX,
+				    .close_for_new = true,
 				    .idle_timeout_s = IDLE_S,
 				    .reuse_port = true};
 
--- a/src/schedd.c
+++ b/src/schedd.c
@@ -348,6 +348,7 @@
 				    .port = s->settings->sched_operators.port,
 				    .body_max = STATUS_BODY_MAX,
 				    .connections_max = STATUS_CONNECTIONS_MAX,
+				    .close_for_new = true,
 				    .idle_timeout_s = STATUS_IDLE_TIMEOUT_S};
 
 	return httpd_new(s, s->ev, &opt, on_operator_request, s) ? 0 : -1;
--- a/src/sited.c
+++ b/src/sited.c
@@ -1,7 +1,7 @@
 /**
  * DOC: sited - main program of currantlane-sited
  */
-#include "sited_lead.h"
+#include "sited_front.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -16,17 +16,16 @@
 #define EXIT_USAGE 2
 #define DIRECT_BY_SIZE (-1)
 #define SETTINGS_VARIABLE "CURRANTLANE_CONFIG"
-/* The smallest entry VM's file descriptor limit, less the descriptors needed otherwise. */
-#define FRONT_CONNECTIONS_MAX 2000
+#define FRONT_CONNECTIONS_MAX 2000 /* however much memory there is */
 #define READY_CONNECTIONS_MAX 32
 #define IDLE_S 30
 #define SMALL_BODY_MAX 4096
-/* The operator's body limit is not checked, only the store's row size. */
 #define UNSETTLED_SUBMITS_MAX \
 	4096 /* of 200 bytes each; 130 a second for as long as they are kept */
-#define FRONT_BODY_MAX (1024 * 1024)
-#define OTHER_DESCRIPTORS 300	 /* files, listeners, the store, other entry VMs */
-#define SERVER_CONNECTIONS_MAX 3 /* per server: one for the waiting poll, two for orders */
+#define FRONT_BODY_MAX (1024 * 1024) /* bytes; a larger limit of the operator has no effect */
+#define OTHER_DESCRIPTORS 320	     /* files, listeners, the store, other entry VMs */
+#define CONNECTIONS_MIN 16	     /* to servers, however few descriptors there are */
+#define SERVER_CONNECTIONS_MAX 3     /* per server: one for the waiting poll, two for orders */
 /* Shortest time from SIGTERM to exit, so that the load balancer sees two failed checks. */
 #define LINGER_MS 2600
 #define LINGER_TICK_MS 50
@@ -83,11 +82,26 @@
 
 /* ---- metrics ---- */
 
+static char *append_front_metrics(char *text, struct httpd_stats s)
+{
+	return talloc_asprintf_append_buffer(
+		text,
+		"currantlane_caller_connections %u\ncurrantlane_body_bytes %zu\n"
+		"currantlane_bodies_too_large_total %" PRIu64
+		"\ncurrantlane_bodies_no_room_total %" PRIu64
+		"\ncurrantlane_connections_closed_total{reason=\"room\"} %" PRIu64
+		"\ncurrantlane_connections_closed_total{reason=\"replaced\"} %" PRIu64
+		"\ncurrantlane_connections_closed_total{reason=\"overdue\"} %" PRIu64 "\n",
+		s.connections, s.body_bytes, s.too_large, s.busy, s.closed_for_room,
+		s.closed_for_connection, s.closed_overdue);
+}
+
 static void on_metrics(struct httpd_request *req)
 {
 	struct sited *d = req->server_data;
 	char *text = sited_metrics_text(d, &d->metrics);
 
+	text = append_front_metrics(text, httpd_stats(d->front));
 	text = talloc_asprintf_append_buffer(
 		text,
 		"currantlane_leading %d\ncurrantlane_term %" PRId64
@@ -104,17 +118,35 @@
 
 /* ---- start ---- */
 
+/* Callers and backend servers share the descriptors that nothing else needs. */
+static struct budget_limits front_limits(const struct site *site)
+{
+	unsigned int shared = site->descriptors_max - MIN(site->descriptors_max, OTHER_DESCRIPTORS);
+	unsigned int cap = MIN(shared / 2, FRONT_CONNECTIONS_MAX);
+
+	return budget_limits_for((size_t)site->memory_mb << 20,
+				 MAX(cap, BUDGET_CONNECTIONS_MIN + HTTPD_CONNECTIONS_EXTRA) -
+					 HTTPD_CONNECTIONS_EXTRA,
+				 FRONT_BODY_MAX + front_submit_bytes(site, FRONT_BODY_MAX));
+}
+
 static bool listen_all(struct sited *d, int metrics_port)
 {
+	struct budget_limits limits = front_limits(d->site);
 	struct httpd_options front = {.ip = d->site->callers.ip,
 				      .port = d->site->callers.port,
 				      .body_max = FRONT_BODY_MAX,
-				      .connections_max = FRONT_CONNECTIONS_MAX,
+				      .get_body_max = front_body_max,
+				      .bodies_max = limits.bodies_max,
+				      .on_busy = front_reply_busy,
+				      .connections_max = limits.connections_max,
+				      .close_for_new = true,
 				      .idle_timeout_s = IDLE_S};
 	struct httpd_options ready = {.ip = d->site->readiness.ip,
 				      .port = d->site->readiness.port,
 				      .body_max = SMALL_BODY_MAX,
 				      .connections_max = READY_CONNECTIONS_MAX,
+				      .close_for_new = true,
 				      .idle_timeout_s = IDLE_S};
 	struct httpd_options metrics = ready;
 	static const char *const any_address[] = {"0.0.0.0/0"};
@@ -136,11 +168,12 @@
 }
 
 /* Connections to backend servers may use the descriptors that callers and files do not need. */
-static unsigned int server_connections_max(const struct sited *d)
+static unsigned int server_connections_max(const struct site *site)
 {
-	unsigned int other_descriptors = FRONT_CONNECTIONS_MAX + OTHER_DESCRIPTORS;
+	unsigned int other_descriptors =
+		front_limits(site).connections_max + HTTPD_CONNECTIONS_EXTRA + OTHER_DESCRIPTORS;
 
-	return MAX(d->site->descriptors_max, 2 * other_descriptors) - other_descriptors;
+	return MAX(site->descriptors_max, other_descriptors + CONNECTIONS_MIN) - other_descriptors;
 }
 
 static int run(const char *settings, int metrics_port, int direct_servers, bool only_check)
@@ -171,7 +204,7 @@
 	daemon_init_process();
 	sited_metrics_init(&d->metrics);
 	d->store_http = httpc_new(d, ev, 0, 0);
-	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX, server_connections_max(d));
+	d->server_http = httpc_new(d, ev, SERVER_CONNECTIONS_MAX, server_connections_max(d->site));
 	d->pending = pending_new(d);
 	d->unsettled_submits = recent_new(d, UNSETTLED_SUBMITS_MAX);
 	d->store = store_new(d, d->store_http, &d->site->store);
@@ -185,9 +218,11 @@
 	tevent_add_signal(ev, d, SIGTERM, 0, on_term, d);
 	tevent_add_signal(ev, d, SIGINT, 0, on_term, d);
 	tevent_add_signal(ev, d, SIGHUP, 0, on_hup, d);
-	log_event("started", "{ss ss si si}", "version", CURRANTLANE_VERSION, "failure_domain",
-		  d->site->failure_domain, "callers_port", d->site->callers.port, "peers_port",
-		  d->site->peers.port);
+	log_event("started", "{ss ss si si si sI}", "version", CURRANTLANE_VERSION,
+		  "failure_domain", d->site->failure_domain, "callers_port", d->site->callers.port,
+		  "peers_port", d->site->peers.port, "caller_connections_max",
+		  (int)front_limits(d->site).connections_max, "body_bytes_max",
+		  (json_int_t)front_limits(d->site).bodies_max);
 	sited_config_start(d);
 	sited_agent_start(d);
 	sited_elect_start(d);
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -13,6 +13,8 @@
 #define RETRY_AFTER_S 1
 /* A transaction without an answer may be performed seconds later, and a caller gives up in 3 s. */
 #define UNSETTLED_MS 30000
+#define SUBMIT_COPIES \
+	6 /* of a job: itself, its row, and base64 in a transaction, a body and libcurl */
 #define CONFIRM_RESERVE_MS 100 /* part of the caller's time that is reserved for the answer */
 /* A VM whose calls to the store fail for longer reports not ready, unless a peer can help. */
 #define READY_FAILING_MAX_MS 400
@@ -146,7 +148,40 @@
 		  "status", (json_int_t)status, "reason", reason, "config",
 		  (json_int_t)(d->queues ? d->queues->version : 0));
 	front_close_if_stopping(d, req);
-	callers_reply_error(req, status, reason, status == 503 ? RETRY_AFTER_S : 0);
+	callers_reply_error(req, status, reason,
+			    status == 503 || status == 504 ? RETRY_AFTER_S : 0);
+}
+
+size_t front_body_max(void *sited)
+{
+	const struct sited *d = sited;
+
+	/* A limit that would reject every body is an error of the operator, and has no effect. */
+	return d->queues && d->queues->body_max > 0 ? (size_t)d->queues->body_max
+						    : OPERATOR_BODY_MAX_DEFAULT;
+}
+
+size_t front_submit_bytes(const struct site *site, size_t len)
+{
+	return SUBMIT_COPIES * MIN(len, (size_t)site->row_bytes_max);
+}
+
+/* An earlier transaction of a job may still be performed, so 503 would not be certain. */
+static bool is_unsettled(struct sited *d, struct httpd_request *req)
+{
+	size_t len = strlen(req->path);
+	const char *id = req->path + len - MIN(len, WORK_ID_LEN);
+
+	return recent_has(d->unsettled_submits, id, sited_now_ms());
+}
+
+void front_reply_busy(struct httpd_request *req)
+{
+	struct sited *d = req->server_data;
+
+	sited_count(&d->metrics, COUNT_REFUSED);
+	front_reply_now(d, req, is_unsettled(d, req) ? 504 : 503,
+			"no memory for a body of this size now");
 }
 
 static void submit(struct front_call *c, const struct queue *queue)
@@ -157,6 +192,11 @@
 		front_finish(c, 503, "queues with an advisor are not supported");
 		return;
 	}
+	if (!httpd_charge(c->req, front_submit_bytes(c->d->site, c->req->body.len))) {
+		c->is_outcome_unknown = is_unsettled(c->d, c->req);
+		front_finish(c, 503, "no memory for a job of this size now");
+		return;
+	}
 	c->job = callers_decode_job(c, queue, c->workspace, str_from(c->id), c->req->body, &fault);
 	if (c->job)
 		front_start(c);
--- a/src/sited_front.h
+++ b/src/sited_front.h
@@ -74,6 +74,18 @@
 /** front_close_if_stopping() - the next answer closes the connection if this VM stops */
 void front_close_if_stopping(struct sited *d, struct httpd_request *req);
 
+/** front_body_max() - largest body of a request at present in bytes, for httpd_options */
+size_t front_body_max(void *sited);
+/**
+ * front_submit_bytes() - most bytes that storing a submission takes beside its body of @len bytes
+ *
+ * These are the job, its row, and the store call with its copies. A job above the store's limit
+ * of a row is rejected before they are made.
+ */
+size_t front_submit_bytes(const struct site *site, size_t len);
+/** front_reply_busy() - reject a request whose body has no room, for httpd_options */
+void front_reply_busy(struct httpd_request *req);
+
 /* ---- sited_pending.c ---- */
 
 /** front_reply_pending() - answer how many jobs of @queue are pending */
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -80,11 +80,52 @@
 }
 END_TEST
 
+/* A job whose member "x", which nobody reads, is a list of @count times @value. */
+static const char *fault_of_list(const char *value, int count)
+{
+	GString *body = g_string_new("{\"steps\":[{\"count\":1}],\"x\":[");
+	const char *fault;
+
+	for (int i = 0; i < count; i++)
+		g_string_append_printf(body, "%s%s", i ? "," : "", value);
+	g_string_append(body, "]}");
+	talloc_free(decode(body->str, &fault));
+	g_string_free(body, TRUE);
+	return fault;
+}
+
+/* Guards against small bodies that take many times their size when they are decoded. */
+START_TEST(bodies_of_too_many_values_are_rejected_before_they_are_decoded)
+{
+	ck_assert_str_eq(fault_of_list("{}", 80000), "the body has too many values");
+	ck_assert_str_eq(fault_of_list("[]", 80000), "the body has too many values");
+	ck_assert_ptr_null(fault_of_list("{}", 20000));
+	ck_assert_ptr_null(fault_of_list("1", 130000));
+	ck_assert_ptr_null(fault_of_list("\"\\\"{[,:{[,:{[,:{[,:{[,:\"", 10000));
+}
+END_TEST
+
+START_TEST(a_step_after_more_steps_than_there_can_be_is_rejected)
+{
+	GString *body = g_string_new("{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[0");
+	const char *fault;
+
+	for (int i = 0; i < 64; i++)
+		g_string_append(body, ",0");
+	g_string_append(body, "]}]}");
+	ck_assert_ptr_null(decode(body->str, &fault));
+	ck_assert_ptr_nonnull(fault);
+	g_string_free(body, TRUE);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_job_gets_the_settings_of_its_queue);
 	tcase_add_test(t, a_timeout_that_would_overflow_a_deadline_is_limited);
 	tcase_add_test(t, invalid_bodies_are_rejected_with_a_reason);
+	tcase_add_test(t, bodies_of_too_many_values_are_rejected_before_they_are_decoded);
+	tcase_add_test(t, a_step_after_more_steps_than_there_can_be_is_rejected);
 }
 
 int main(void)
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -15,7 +15,7 @@
 	"node = \"edge-1\"\nzone = \"z1\"\nip = \"10.1.0.19\"\n"
 	"port-range = [7000,7015]\nunknown = 3\n"
 	"[listen]\nfront = \"10.1.0.19:8521\"\nready = \"10.1.0.19:8523\"\n"
-	"[limits]\ncpu-share = 0.25\ncores = 2\nmax-fds = 4096\n"
+	"[limits]\ncpu-share = 0.25\ncores = 2\nmemory-mb = 120\nmax-fds = 4096\n"
 	"[bounds]\nhold-max-ms = 5000\ngrace-s = 2.5\nremote-slowdown = 2\n"
 	"[platform]\naddr = \"10.200.1.7:8524\"\n";
 
@@ -40,6 +40,7 @@
 	ck_assert_int_eq(s->stop_timeout_ms, 400);
 	ck_assert(s->cores > 0.49 && s->cores < 0.51);
 	ck_assert_uint_eq(s->descriptors_max, 4096);
+	ck_assert_int_eq(s->memory_mb, 120);
 	talloc_free(s);
 }
 END_TEST
--- a/tools/check.py
+++ b/tools/check.py
@@ -57,6 +57,7 @@
              ("gangs lapse without a scheduler", [sys.executable, "tools/lapse.py"], 120),
              ("scheduler cut off from its servers", [sys.executable, "tools/handover.py"], 120),
              ("planned stop under load", [sys.executable, "tools/planned_stop.py"], 120),
+             ("clients outside the limits", [sys.executable, "tools/client_limits.py"], 300),
              ("soak: some scenarios, and seeds that once failed",
               [sys.executable, "tools/soak.py", "--scenario", "check", "--regressions", "--seconds", "12", "--jobs", "4",
                "--keep", KEPT_LOGS],
