Limits on clients: documentation; small socket buffers only for callers

Cause: the new limits were not documented, and the small buffers of the kernel applied to every HTTP server, the stand-ins included.

Socket buffers are limited only with close_for_new, as the connections of clients that are not trusted.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -486,6 +486,16 @@
 	talloc_free(call);
 }
 
+/* Accepted sockets take the sizes of the listening one. */
+static bool limit_socket_buffers(struct MHD_Daemon *mhd)
+{
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(mhd, MHD_DAEMON_INFO_LISTEN_FD);
+	const int size = HTTPD_SOCKET_BUFFER;
+
+	return info && !setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size)) &&
+	       !setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
 static int httpd_destructor(struct httpd *server)
 {
 	TALLOC_FREE(server->fde);
@@ -501,7 +511,6 @@
 	struct httpd *server = talloc_zero(ctx, struct httpd);
 	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(opt->port)};
 	const union MHD_DaemonInfo *info;
-	const int buffer = HTTPD_SOCKET_BUFFER;
 	unsigned int extra = opt->close_for_new ? HTTPD_CONNECTIONS_EXTRA : 0;
 	unsigned int backlog = HTTPD_BACKLOG_MAX;
 	/* the option is left out when unused: value 0 would also forbid addresses in TIME_WAIT */
@@ -533,10 +542,7 @@
 		on_connection, server, MHD_OPTION_LISTEN_BACKLOG_SIZE, backlog, MHD_OPTION_END);
 	if (!server->mhd)
 		goto fail;
-	/* Accepted sockets take the sizes of the listening one. */
-	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_LISTEN_FD);
-	if (!info || setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer)) ||
-	    setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof(buffer)))
+	if (opt->close_for_new && !limit_socket_buffers(server->mhd))
 		goto fail;
 	info = MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_EPOLL_FD);
 	if (!info)
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -55,8 +55,9 @@
  * @on_busy: replies at once, with a status that is true of the request, when there is no room
  *	for its body; NULL for 503 with outcome "not_run"
  * @connections_max: further connections wait until others have ended
- * @close_for_new: further connections replace idle or stalled ones; up to
- *	HTTPD_CONNECTIONS_EXTRA more are then open for a moment
+ * @close_for_new: for clients that are not trusted: further connections replace idle or stalled
+ *	ones, up to HTTPD_CONNECTIONS_EXTRA more are then open for a moment, and the kernel's
+ *	buffers of each are small
  * @idle_timeout_s: time in s without any traffic, or without complete headers, after which a
  *	connection is closed
  * @reuse_port: allow several servers on the same address and port (SO_REUSEPORT)
