--- a/tools/check.py
+++ b/tools/check.py
@@ -60,6 +60,7 @@
              # one case of each stand-in of review/; they could not run for a while, and none noticed
              ("review 3: cancels while transactions are late", [sys.executable, "tools/review_case.py", "3"], 120),
              ("review 8: entries that cannot be read", [sys.executable, "tools/review_case.py", "8"], 120),
+             ("clients outside the limits", [sys.executable, "tools/client_limits.py"], 300),
              ("soak: some scenarios, and seeds that once failed",
               [sys.executable, "tools/soak.py", "--scenario", "check", "--regressions", "--seconds", "12", "--jobs", "4",
                "--keep", KEPT_LOGS],
