Count what each workspace requests, holds and is refused

The leader counts in each round the tasks that are placed and those that could be placed, for each workspace, pool and priority, as a share of the pool in the resource that is needed most, with means over some seconds (lib/plan/plan_share). Accounts are bounded to 64 workspaces of a term. Metrics of the leader: currantlane_workspace_accelerators{state="requested|running|waiting"} and currantlane_workspace_share; of each VM that refuses a submission: currantlane_workspace_jobs_refused_total. A group without waiting tasks is scanned once a round, as before.

--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -244,6 +244,18 @@
 	return n;
 }
 
+void work_group_count(const struct work_group *group, unsigned int *waiting, unsigned int *held)
+{
+	unsigned int done = 0;
+
+	*waiting = 0;
+	for (unsigned int i = 0; i < group->count; i++) {
+		*waiting += group->task[i].state == TASK_WAITING;
+		done += group->task[i].state == TASK_DONE || group->task[i].state == TASK_ENDING;
+	}
+	*held = group->count - *waiting - done;
+}
+
 bool work_group_partly_awaits_preemption(const struct work_group *group)
 {
 	unsigned int awaiting = 0;
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -223,6 +223,8 @@
 	unsigned int row_count;
 };
 
+struct plan_account;
+
 /**
  * struct work_job - a job as declared, and its state
  * @id: chosen by the caller
@@ -249,6 +251,7 @@
  * @is_stored_alone: the store has rejected a transaction with rows of this job and others, so
  *	its rows are stored by a transaction of their own
  * @store_not_before: earliest time of the next transaction with rows of this job, monotonic ms
+ * @account: account in which plan counts the job's work, see plan_share.h; NULL before, not stored
  */
 struct work_job {
 	char id[WORK_ID_LEN + 1];
@@ -275,6 +278,7 @@
 	int64_t idle_report_at;
 	bool is_stored_alone;
 	int64_t store_not_before;
+	struct plan_account *account;
 	struct work_row row;
 };
 
@@ -336,6 +340,11 @@
 bool work_group_is_ready(const struct work_group *group);
 /** work_group_waiting_count() - number of tasks in TASK_WAITING */
 unsigned int work_group_waiting_count(const struct work_group *group);
+/**
+ * work_group_count() - number of tasks that wait, and of those that have a server
+ * @held: number of tasks whose server is decided and that are not done
+ */
+void work_group_count(const struct work_group *group, unsigned int *waiting, unsigned int *held);
 
 /** work_group_partly_awaits_preemption() - some, but not all members of a gang await preemption */
 bool work_group_partly_awaits_preemption(const struct work_group *group);
--- a/src/sited_front.c
+++ b/src/sited_front.c
@@ -117,6 +117,9 @@
 {
 	if (c->kind == FRONT_SUBMIT)
 		status = submit_status(c, status);
+	/* the VM that the caller asked counts the refusal, not a peer to which it passed the job */
+	if (c->kind == FRONT_SUBMIT && status != 200 && status != 504 && !c->relay)
+		sited_count_refused(c->d, &c->d->metrics, c->workspace);
 	if (status != 200)
 		sited_count(&c->d->metrics, status == 504 ? COUNT_UNANSWERED : COUNT_REFUSED);
 	reply(c, status, WORK_STATE_COUNT, reason);
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -212,6 +212,7 @@
 	l->blame = blame_new(l);
 	l->fleet = fleet_new(l);
 	l->scratch = plan_scratch_new(l);
+	l->share = plan_share_new(l);
 	l->agents = lead_agents_new(l);
 	talloc_set_destructor(l, lead_destructor);
 	sited_count(&d->metrics, COUNT_TERMS);
@@ -289,6 +290,7 @@
 
 		headroom += sv->is_headroom ? MAX(fleet_free_capacity(sv).accelerators, 0) : 0;
 	}
+	text = lead_append_shares(l, text);
 	return talloc_asprintf_append_buffer(
 		text,
 		"currantlane_accelerators{state=\"kept\"} %" PRId64
@@ -330,6 +332,7 @@
 {
 	GArray *ready = g_array_new(FALSE, FALSE, sizeof(struct ranked));
 
+	plan_share_start_round(l->share, l->fleet, at->now);
 	for (guint i = 0; i < l->active->len; i++) {
 		const struct work_job *job = g_ptr_array_index(l->active, i);
 
@@ -338,7 +341,8 @@
 		for (guint k = 0; k < job->groups->len; k++) {
 			struct ranked r = {.group = g_ptr_array_index(job->groups, k)};
 
-			if (!work_group_is_ready(r.group) || r.group->start_not_before > at->now)
+			if (!plan_share_count(l->share, r.group, at->now) ||
+			    !work_group_is_ready(r.group) || r.group->start_not_before > at->now)
 				continue;
 			if (!r.group->ready_since)
 				record_ready(l, r.group, at->now);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -5,6 +5,7 @@
 #define SITED_LEAD_H
 
 #include "blame/blame.h"
+#include "plan/plan_share.h"
 #include "renewal/renewal.h"
 #include "sited.h"
 
@@ -66,6 +67,7 @@
  * @must_follow: the feed of jobs has ended and starts again once they have been read
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
+ * @share: what each workspace holds and requests
  * @blame: recent crashes of servers
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
@@ -106,6 +108,7 @@
 	int64_t commit_not_before[SITED_PARTITIONS];
 	bool must_follow;
 	int64_t reread_version;
+	struct plan_share *share;
 	struct blame *blame;
 	struct agents *agents;
 	unsigned int probes;
@@ -393,6 +396,11 @@
 /** lead_idle_tick() - report jobs of which nothing runs although a task's turn has come */
 void lead_idle_tick(struct lead *l);
 
+/* ---- sited_share.c ---- */
+
+/** lead_append_shares() - append the metrics of each workspace to @text */
+char *lead_append_shares(const struct lead *l, char *text);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment */
