--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -5,6 +5,7 @@
 #define SITED_LEAD_H
 
 #include "blame/blame.h"
+#include "plan/plan_share.h"
 #include "renewal/renewal.h"
 #include "sited.h"
 #include "starts/starts.h"
@@ -67,6 +68,7 @@
  * @must_follow: the feed of jobs has ended and starts again once they have been read
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
+ * @share: what each workspace holds and requests
  * @blame: recent crashes of servers
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
@@ -108,6 +110,7 @@
 	int64_t commit_not_before[SITED_PARTITIONS];
 	bool must_follow;
 	int64_t reread_version;
+	struct plan_share *share;
 	struct blame *blame;
 	struct agents *agents;
 	unsigned int probes;
@@ -417,6 +420,11 @@
 /** lead_evacuation_tick() - read the evacuations again when what is known gets too old */
 void lead_evacuation_tick(struct lead *l);
 
+/* ---- sited_share.c ---- */
+
+/** lead_append_shares() - append the metrics of each workspace to @text */
+char *lead_append_shares(const struct lead *l, char *text);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment, and add it to @starts if sent */
