--- a/lib/plan/plan_share.c
+++ b/lib/plan/plan_share.c
@@ -1,10 +1,9 @@
 /*
- * Sharing of capacity among workspaces.
+ * Accounts of workspaces: what each holds and requests.
  *
  * Load pattern: bursts of one kind of work, and callers that return after an outage of the store,
- * fill the pool for some seconds. Of ten workspaces a few are large. In the order of latest start
- * alone, the single tasks of large workspaces take what is released, and the few wide jobs of a
- * small one are passed over.
+ * fill the pool for some seconds. Of ten workspaces a few are large. The accounts tell an operator
+ * who waits then, and who gets how much of what they request.
  */
 #include "plan_share.h"
 
