Placement keeps workloads apart that slow each other, where there is room

Best fit joins tasks on servers that are in use, also those that slow each other. A step now keeps its image (absent in rows from before), and the hash of queue and image is its workload. Where the costs of interference are known for the workload of a group, they decide between servers with equally many accelerators left over; while at least half of what the candidates have is free and the work fits twice, they go before best fit. The choice is among servers that have room anyway, so nothing waits for it.

--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -9,6 +9,7 @@
 #ifndef PLAN_H
 #define PLAN_H
 
+#include "interference/interference.h"
 #include "queues/queues.h"
 #include "work/work.h"
 
@@ -46,6 +47,9 @@
 /** plan_scratch_new() - allocate working memory, which all decisions reuse */
 struct plan_scratch *plan_scratch_new(TALLOC_CTX *ctx);
 
+/** plan_use_interference() - keep workloads apart that @in knows to slow each other; may be NULL */
+void plan_use_interference(struct plan_scratch *s, const struct interference *in);
+
 /**
  * plan_start_round() - discard the unmet needs and reservations of the previous round
  * @now: monotonic, in ms
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -145,6 +145,7 @@
 	candidate->server = sv;
 	candidate->free_capacity = fleet_free_capacity(sv);
 	candidate->siblings = group->step->per_server_max ? siblings_on(sv, group) : 0;
+	candidate->interference = 0;
 	for (guint k = 0; stopping_is_free && k < sv->tasks->len; k++) {
 		const struct work_task *other = g_ptr_array_index(sv->tasks, k);
 
@@ -169,6 +170,7 @@
 				&s->candidates[s->rack_first[sv->rack] + s->rack_slots[sv->rack]++],
 				sv, group, stopping_is_free);
 	}
+	plan_note_interference(s, group, now);
 }
 
 static bool has_slot(const struct plan_candidate *candidate, const struct work_group *group)
@@ -185,13 +187,14 @@
  * Load pattern: a task crashes each server that starts it. From the second on, such a task goes
  * where the fewest others would be lost with it, and where none else is as likely the cause.
  */
-static int64_t leftover(const struct plan_candidate *candidate, const struct work_group *group,
-			const struct work_task *task)
+static int64_t leftover(const struct plan_scratch *s, const struct plan_candidate *candidate,
+			const struct work_group *group, const struct work_task *task)
 {
 	const struct fleet_resources *need = &group->step->need;
 	int64_t accelerators = candidate->free_capacity.accelerators - need->accelerators;
 	int64_t cpu = candidate->free_capacity.cpu - need->cpu;
-	int64_t score = accelerators * 1000000 + cpu;
+	int64_t score = accelerators * PLAN_SCORE_PER_ACCELERATOR + cpu +
+			plan_interference_score(s, candidate, group);
 
 	if (task->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		score += (int64_t)candidate->server->tasks->len * SUSPECT_SCORE_PER_TASK;
@@ -213,7 +216,7 @@
 
 		if (!has_slot(candidate, group))
 			continue;
-		score = leftover(candidate, group, task);
+		score = leftover(s, candidate, group, task);
 		if (!best || score < best_score) {
 			best = candidate;
 			best_score = score;
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -8,17 +8,23 @@
 
 #define PLAN_ANY_RACK UINT_MAX /* also what fleet_find_rack() returns for an unknown name */
 
+/* of a placement, for each accelerator that is left over; what else is left counts less */
+#define PLAN_SCORE_PER_ACCELERATOR 1000000
+
 /**
  * struct plan_candidate - a server in a trial placement
  * @server: the server
  * @free_capacity: free capacity left after the trial assignments made up to now
  * @siblings: tasks of the group on the server, trial assignments included; the running
  *            ones are counted only when the step limits the tasks per server
+ * @interference: cost of a task of the group beside the tasks on the server, see
+ *            interference_costs(), trial assignments excluded
  */
 struct plan_candidate {
 	struct fleet_server *server;
 	struct fleet_resources free_capacity;
 	unsigned int siblings;
+	double interference;
 };
 
 /**
@@ -73,6 +79,10 @@
  * @uses_headroom: headroom is a candidate of the current group
  * @uses_reserved: reserved servers are candidates of the current group
  * @uses_suspect: servers that are suspect for a stall are candidates of the current group
+ * @interference: workloads that slow each other down, or NULL
+ * @cost: of the current group's workload beside others; @costs of them
+ * @has_ample_room: less than half of what the candidates have is in use, and the group fits
+ *                  twice; set only when @costs is not 0
  * @newest_arrival: when the newest first step of a job that was placed or tried became ready,
  *                  monotonic ms
  * @pool: pools whose use has been summed up in this round
@@ -94,6 +104,10 @@
 	bool uses_headroom;
 	bool uses_reserved;
 	bool uses_suspect;
+	const struct interference *interference;
+	struct interference_cost cost[INTERFERENCE_COSTS_MAX];
+	unsigned int costs;
+	bool has_ample_room;
 	int64_t newest_arrival;
 	struct plan_pool pool[PLAN_POOLS_MAX];
 	unsigned int pool_count;
@@ -172,6 +186,12 @@
 unsigned int plan_place_in_ample_room(struct plan_scratch *s, const struct fleet *fleet,
 				      const struct work_group *group, const struct plan_clock *at,
 				      struct fleet_server **out);
+/** plan_note_interference() - set @cost, @interference of the candidates and @has_ample_room */
+void plan_note_interference(struct plan_scratch *s, const struct work_group *group, int64_t now);
+/** plan_interference_score() - what interference adds to the score of a candidate, at least 0 */
+int64_t plan_interference_score(const struct plan_scratch *s,
+				const struct plan_candidate *candidate,
+				const struct work_group *group);
 void plan_save_candidates(struct plan_scratch *s);
 void plan_restore_candidates(struct plan_scratch *s);
 
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -96,6 +96,14 @@
 	return NULL;
 }
 
+static uint64_t workload_of(const struct work_job *job, const struct work_step *s)
+{
+	struct str queue = str_from(job->queue);
+	struct str image = str_from(s->image);
+
+	return base_hash(image.ptr, image.len, base_hash(queue.ptr, queue.len, 0));
+}
+
 const char *work_job_finalize(struct work_job *job)
 {
 	if (!job->step_count || job->step_count > WORK_STEPS_MAX)
@@ -108,6 +116,7 @@
 		if (error)
 			return error;
 		job->step[i].critical_path_ms = job->step[i].estimate_ms;
+		job->step[i].workload = workload_of(job, &job->step[i]);
 	}
 	/* a step depends only on earlier ones: the reverse order visits successors first */
 	for (unsigned int i = job->step_count; i-- > 0;) {
@@ -489,6 +498,8 @@
 		json_object_set_new(v, "label", json_string(s->label));
 	if (s->data_rack)
 		json_object_set_new(v, "data_rack", json_string(s->data_rack));
+	if (s->image)
+		json_object_set_new(v, "image", json_string(s->image));
 	return v;
 }
 
@@ -520,6 +531,7 @@
 	const json_t *after = json_object_get(v, "after");
 	const char *label = base_json_str(v, "label", NULL);
 	const char *rack = base_json_str(v, "data_rack", NULL);
+	const char *image = base_json_str(v, "image", NULL);
 
 	s->count = (unsigned int)base_json_int(v, "count", 0);
 	s->need.cpu = base_json_int(v, "cpu", 0);
@@ -538,6 +550,7 @@
 	s->per_server_max = (unsigned int)base_json_int(v, "per_server_max", 0);
 	s->label = label ? talloc_strdup(ctx, label) : NULL;
 	s->data_rack = rack ? talloc_strdup(ctx, rack) : NULL;
+	s->image = image ? talloc_strdup(ctx, image) : NULL;
 }
 
 struct work_job *work_job_decode(TALLOC_CTX *ctx, struct str id, struct str value)
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -58,6 +58,8 @@
  * @is_endless: tasks run until the job is cancelled and restart however they end
  * @label: label that the server must have, or NULL
  * @data_rack: rack that holds the data, or NULL; tasks are much slower on other racks
+ * @image: names what the tasks run; tasks of one image behave alike. NULL when not given
+ * @workload: hash of the queue and @image, set by work_job_finalize()
  * @per_server_max: most tasks of the step on one server, 0 for no limit
  * @critical_path_ms: estimated length of the critical path from the start of this step to
  *	the end of the job, in ms
@@ -75,6 +77,8 @@
 	bool is_endless;
 	char *label;
 	char *data_rack;
+	char *image;
+	uint64_t workload;
 	unsigned int per_server_max;
 	int64_t critical_path_ms;
 };
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -19,19 +19,21 @@
 START_TEST(a_job_gets_the_settings_of_its_queue)
 {
 	const char *fault;
-	struct work_job *job =
-		decode("{\"spec\":\"t\",\"times\":2,\"start-ms\":5,\"interval-ms\":7,\"steps\":["
-		       "{\"count\":4,\"cpu\":500,\"mem-mb\":256,\"estimate-ms\":900,"
-		       "\"affinity\":\"r1\",\"gang\":true,\"same-rack\":true},"
-		       "{\"count\":2,\"gpu\":8,\"after\":[0],\"checkpoints\":true,"
-		       "\"required-label\":\"a\",\"max-per-server\":1}]}",
-		       &fault);
+	struct work_job *job = decode(
+		"{\"spec\":\"t\",\"times\":2,\"start-ms\":5,\"interval-ms\":7,\"steps\":["
+		"{\"count\":4,\"cpu\":500,\"mem-mb\":256,\"estimate-ms\":900,"
+		"\"affinity\":\"r1\",\"image\":\"render:7\",\"gang\":true,\"same-rack\":true},"
+		"{\"count\":2,\"gpu\":8,\"after\":[0],\"checkpoints\":true,"
+		"\"required-label\":\"a\",\"max-per-server\":1}]}",
+		&fault);
 
 	ck_assert_ptr_nonnull(job);
 	ck_assert_int_eq(job->priority, 2);
 	ck_assert_int_eq(job->attempts, 3);
 	ck_assert_int_eq(job->every_ms, 7);
 	ck_assert_str_eq(job->step[0].data_rack, "r1");
+	ck_assert_str_eq(job->step[0].image, "render:7");
+	ck_assert_ptr_null(job->step[1].image);
 	ck_assert(job->step[0].is_gang && job->step[0].same_rack);
 	ck_assert_uint_eq(job->step[1].after_count, 1);
 	ck_assert_uint_eq(job->step[1].per_server_max, 1);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -979,8 +979,147 @@
 }
 END_TEST
 
+/* ---- workloads that slow each other down on one server ---- */
+
+/* makes @in know that @slow runs half as fast beside @other */
+static void learn(struct interference *in, const struct work_group *slow,
+		  const struct work_group *other)
+{
+	for (unsigned int i = 0; i < 240; i++) {
+		struct interference_sample s = {.workload = slow->step->workload,
+						.beside = {other->step->workload},
+						.beside_count = i % 2,
+						.ratio = i % 2 ? 0.5 : 1,
+						.job = i / 12,
+						.server = (i * 7) % 24 / 2,
+						.at = start.now - 300 + i};
+
+		interference_note(in, &s);
+	}
+	ck_assert_double_gt(
+		interference_slowdown(in, slow->step->workload, other->step->workload, start.now),
+		1.9);
+}
+
+/**
+ * struct apart - servers s0, s1 and s2, on which others run, and a task of one accelerator
+ * @group: of the task
+ * @noisy: its tasks on s0 slow the task
+ */
+struct apart {
+	struct fleet *fleet;
+	struct plan_scratch *scratch;
+	struct interference *interference;
+	struct work_group *noisy;
+	struct work_group *group;
+	unsigned int jobs;
+};
+
+static void run_on(struct apart *a, struct work_group *g, unsigned int server)
+{
+	for (unsigned int i = 0; i < g->count; i++)
+		sample_run(&g->task[i], sample_server(a->fleet, server), start.now - 1000);
+}
+
+/* a new job with tasks of one accelerator that run @image */
+static struct work_group *add_work(struct apart *a, unsigned int tasks, const char *image)
+{
+	struct work_job *job = sample_job(a->fleet, 10 + a->jobs++, 1, tasks, 1);
+
+	job->step[0].image = talloc_strdup(job, image);
+	return sample_start(job);
+}
+
+static struct apart apart_new(unsigned int servers, unsigned int noisy_tasks)
+{
+	struct apart a = {.fleet = sample_fleet(NULL, servers, servers)};
+
+	a.group = add_work(&a, 1, "render");
+	a.noisy = add_work(&a, noisy_tasks, "encode");
+	a.scratch = plan_scratch_new(a.fleet);
+	a.interference = interference_new(a.fleet);
+	run_on(&a, a.noisy, 0);
+	return a;
+}
+
+static const char *place_one(struct apart *a, bool knows_pair)
+{
+	struct fleet_server *out = NULL;
+
+	if (knows_pair)
+		learn(a->interference, a->group, a->noisy);
+	plan_use_interference(a->scratch, a->interference);
+	plan_start_round(a->scratch, a->fleet, start.now);
+	plan_place(a->scratch, a->fleet, a->group, &start, &out);
+	return out ? out->id : "none";
+}
+
+/* Best fit joined work that slows each other although other servers were idle. */
+START_TEST(work_is_kept_apart_where_there_is_room)
+{
+	struct apart a = apart_new(3, 3);
+
+	ck_assert_str_eq(place_one(&a, false), "s0");
+	ck_assert_str_eq(place_one(&a, true), "s1");
+	talloc_free(a.fleet);
+}
+END_TEST
+
+/* In a pool that is short, whole servers must stay free for gangs. */
+START_TEST(a_short_pool_keeps_best_fit)
+{
+	struct apart a = apart_new(3, 7);
+
+	run_on(&a, add_work(&a, 8, "other"), 1);
+	ck_assert_str_eq(place_one(&a, true), "s0");
+	/* of two servers with equally much left over, the one without the pair */
+	run_on(&a, add_work(&a, 7, "other"), 2);
+	ck_assert_str_eq(place_one(&a, true), "s2");
+	talloc_free(a.fleet);
+}
+END_TEST
+
+/* Nothing may wait because the only server with room runs the other workload. */
+START_TEST(no_work_waits_to_be_kept_apart)
+{
+	struct apart a = apart_new(2, 7);
+
+	run_on(&a, add_work(&a, 8, "other"), 1);
+	ck_assert_str_eq(place_one(&a, true), "s0");
+	talloc_free(a.fleet);
+}
+END_TEST
+
+/* Pools without such pairs must be scheduled as before, down to the last server. */
+START_TEST(other_pairs_change_no_decision)
+{
+	for (unsigned int n = 1; n <= 40; n++) {
+		struct apart a = apart_new(6, 1);
+		struct work_group *g =
+			sample_start(sample_job(a.fleet, 1, 1, 1 + n % 6, 1 << n % 4));
+		struct fleet_server *with[6];
+		struct fleet_server *without[6];
+
+		for (unsigned int i = 0; i < 6; i++)
+			run_on(&a, add_work(&a, 1 + (n * (i + 3)) % 7, "other"), i);
+		plan_start_round(a.scratch, a.fleet, start.now);
+		plan_place(a.scratch, a.fleet, g, &start, without);
+		learn(a.interference, a.group, a.noisy);
+		plan_use_interference(a.scratch, a.interference);
+		plan_start_round(a.scratch, a.fleet, start.now);
+		plan_place(a.scratch, a.fleet, g, &start, with);
+		ck_assert_mem_eq(with, without, g->count * sizeof(struct fleet_server *));
+		talloc_free(a.fleet);
+	}
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, work_is_kept_apart_where_there_is_room);
+	tcase_add_test(t, a_short_pool_keeps_best_fit);
+	tcase_add_test(t, no_work_waits_to_be_kept_apart);
+	tcase_add_test(t, other_pairs_change_no_decision);
 	tcase_add_test(t, urgent_work_goes_first);
 	tcase_add_test(t, jobs_past_their_deadline_go_last);
 	tcase_add_test(t, the_group_that_must_start_earliest_goes_first);
--- a/tests/test_work.c
+++ b/tests/test_work.c
@@ -166,6 +166,7 @@
 
 	job->step[0].is_gang = true;
 	job->step[0].label = talloc_strdup(job, "a");
+	job->step[0].image = talloc_strdup(job, "render:7");
 	job->times = 2;
 	job->every_ms = 100;
 	ck_assert_ptr_null(work_job_finalize(job));
@@ -173,6 +174,11 @@
 	read = work_job_decode(job, str_from(job->id), str_from(text));
 	ck_assert_ptr_nonnull(read);
 	ck_assert_str_eq(text, work_job_encode(job, read));
+	/* a new leader must recognize the workload of samples from before */
+	ck_assert_uint_eq(read->step[0].workload, job->step[0].workload);
+	read->step[0].image = NULL;
+	ck_assert_ptr_null(work_job_finalize(read));
+	ck_assert_uint_ne(read->step[0].workload, job->step[0].workload);
 	ck_assert_ptr_null(work_job_decode(job, str_from(job->id), str_from("{\"steps\":[]}")));
 	talloc_free(job);
 }
