The leader learns which workloads slow each other from the tasks that end

For each task that is done, the leader now takes a sample: declared over real run time, and the workloads that ran on its server for at least half of that time, also those that had ended. A gang gives one sample, with what ran beside any member.

--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -212,6 +212,7 @@
 	l->blame = blame_new(l);
 	l->fleet = fleet_new(l);
 	l->scratch = plan_scratch_new(l);
+	lead_interference_start(l);
 	l->agents = lead_agents_new(l);
 	talloc_set_destructor(l, lead_destructor);
 	sited_count(&d->metrics, COUNT_TERMS);
@@ -289,6 +290,7 @@
 
 		headroom += sv->is_headroom ? MAX(fleet_free_capacity(sv).accelerators, 0) : 0;
 	}
+	text = lead_append_interference(l, text);
 	return talloc_asprintf_append_buffer(
 		text,
 		"currantlane_accelerators{state=\"kept\"} %" PRId64
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -5,6 +5,7 @@
 #define SITED_LEAD_H
 
 #include "blame/blame.h"
+#include "interference/runs.h"
 #include "renewal/renewal.h"
 #include "sited.h"
 #include "starts/starts.h"
@@ -68,6 +69,8 @@
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @blame: recent crashes of servers
+ * @interference: workloads that slow each other down on one server
+ * @runs: what has run on the servers, from which the samples for @interference are taken
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -108,6 +111,8 @@
 	bool must_follow;
 	int64_t reread_version;
 	struct blame *blame;
+	struct interference *interference;
+	struct runs *runs;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
@@ -396,6 +401,18 @@
 
 /* ---- sited_tasks.c ---- */
 
+/* ---- workloads that slow each other down ---- */
+
+/** lead_interference_start() - nothing is known; placement uses what is learned */
+void lead_interference_start(struct lead *l);
+/** lead_interference_note_done() - @t is done; it and all members of its gang are on their servers
+ */
+void lead_interference_note_done(struct lead *l, const struct work_task *t);
+/** lead_interference_note_end() - @t leaves its server */
+void lead_interference_note_end(struct lead *l, const struct work_task *t);
+/** lead_append_interference() - append the gauge of known pairs */
+char *lead_append_interference(const struct lead *l, char *text);
+
 /** lead_task_start() - send the start of a stored assignment, and add it to @starts if sent */
 void lead_task_start(struct lead *l, struct work_task *t, struct starts *starts);
 /** lead_log_starts() - write the log lines of @starts */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -90,6 +90,7 @@
 
 	if (!t->server)
 		return;
+	lead_interference_note_end(l, t);
 	if (t->state == TASK_ENDING) {
 		work_task_finish(t);
 		lead_request_round(l);
@@ -566,10 +567,13 @@
 	struct work_group *g = t->group;
 
 	fleet_note_success(sv, sited_now_ms());
-	if (t->server == sv)
+	if (t->server == sv) {
+		lead_interference_note_done(l, t);
+		lead_interference_note_end(l, t);
 		work_task_finish(t);
-	else
+	} else {
 		work_task_set_ending(t);
+	}
 	/* The members of a gang end together, so the end of one counts for all. */
 	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
 		if (&g->task[i] != t)
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -4,7 +4,7 @@
 #include <check.h>
 #include <math.h>
 
-#include "interference/interference.h"
+#include "interference/runs.h"
 #include "runner.h"
 
 #define A 1
@@ -247,8 +247,31 @@
 }
 END_TEST
 
+/* A neighbour that had ended before the task was not noticed. */
+START_TEST(what_ran_beside_a_task_includes_what_has_ended)
+{
+	struct runs *r = runs_new(NULL);
+	const struct run running[] = {{A, 1400, 2000}, {C, 1600, 2000}};
+	const struct run task = {A, 1000, 2000};
+	const struct run ended[] = {{B, 900, 1300}, {B, 1300, 1550}, {C, 100, 1000}};
+	struct interference_sample s = {.beside_count = 0};
+
+	for (unsigned int i = 0; i < G_N_ELEMENTS(ended); i++)
+		runs_note_end(r, 7, &ended[i]);
+	ck_assert(runs_beside(r, 7, &task, running, 2, &s));
+	ck_assert_uint_eq(s.beside_count, 2);
+	ck_assert_uint_eq(s.beside[0], A);
+	ck_assert_uint_eq(s.beside[1], B);
+	s.beside_count = 0;
+	ck_assert(runs_beside(r, 8, &task, running, 2, &s));
+	ck_assert_uint_eq(s.beside_count, 1);
+	talloc_free(r);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, what_ran_beside_a_task_includes_what_has_ended);
 	tcase_add_test(t, a_pair_is_found_within_some_jobs);
 	tcase_add_test(t, a_pair_of_gangs_is_found);
 	tcase_add_test(t, noise_makes_no_pair);
