Interference: a pair that is kept apart stays known; slow servers make none

Now a known pair is dropped only when half of its slow-down is refuted by 2.5 standard deviations, and jobs that say nothing about servers are left out of the comparison of servers. A workload that is seen beside another only on servers where it never runs without it is no pair any more, as 88 slow servers of 350 were taken for one.

--- a/lib/interference/interference.c
+++ b/lib/interference/interference.c
@@ -18,15 +18,11 @@
 #define SLOWDOWN_MARGIN 1.1
 #define UNITS_MIN 8   /* jobs on servers, with and without the other each */
 #define JOBS_MIN 3    /* with tasks beside the other */
-#define SERVERS_MIN 4 /* with tasks beside the other */
-/*
- * Servers where the workload ran with and without the other. With fewer of them, tasks must have
- * run beside the other on more servers than a rack has, as a whole rack can be slow.
- */
-#define CONTRAST_SERVERS_MIN 4
-#define SERVERS_WITHOUT_CONTRAST_MIN 24
+#define SERVERS_MIN 4 /* where tasks ran with and without the other */
 /* of the comparison on the same servers, which only confirms that of the jobs */
 #define SERVER_SCORE_MIN 2.5
+/* Against half of a known slow-down. Less would drop pairs that are rarely seen once kept apart. */
+#define REFUTING_SCORE 2.5
 
 struct sample {
 	uint64_t job;
@@ -207,6 +203,7 @@
 /**
  * struct test - comparison of a workload with and without another beside it
  * @count: units in use
+ * @margin: logarithm of the slow-down up to which a unit does not count as slower
  * @excess: sum of the weighted differences of ranks from what chance makes expected
  * @variance: of @excess
  * @difference: for each stratum, the difference of the median paces
@@ -215,6 +212,7 @@
 struct test {
 	struct unit unit[INTERFERENCE_SAMPLES_MAX];
 	unsigned int count;
+	double margin;
 	double excess;
 	double variance;
 	struct difference {
@@ -315,7 +313,6 @@
 /* adds one stratum of the rank test of van Elteren: units that chance may exchange */
 static void add_stratum(struct test *t, const struct unit *u, unsigned int n)
 {
-	double margin = log(SLOWDOWN_MARGIN);
 	unsigned int beside = count_beside(u, n);
 	double pairs = (double)beside * (n - beside);
 	double slower = 0;
@@ -324,7 +321,7 @@
 		return;
 	for (unsigned int i = 0; i < n; i++)
 		for (unsigned int k = 0; u[i].is_beside && k < n; k++)
-			slower += !u[k].is_beside && u[i].pace + margin < u[k].pace;
+			slower += !u[k].is_beside && u[i].pace + t->margin < u[k].pace;
 	t->excess += (slower - pairs / 2) / (n + 1);
 	t->variance += pairs / (12 * (n + 1));
 	add_difference(t, u, n);
@@ -385,45 +382,64 @@
 }
 
 /*
- * Makes paces relative to the median of the job, so that servers can be compared; that of a job
- * with a single unit, such as a gang, to the median of all units.
+ * Makes paces relative to those of the job without the other, so that servers can be compared. A
+ * job with a single unit, such as a gang, is compared with all jobs. A job with several units of
+ * which none is without the other is left out: how wrong its declared run time is isn't known,
+ * and is the same for all of its units.
  */
-static void subtract_medians_of_jobs(struct test *t)
+static void subtract_paces_of_jobs(struct test *t)
 {
-	double all[INTERFERENCE_SAMPLES_MAX] = {0};
-	double middle_of_all;
+	double all = median_of(t->unit, t->count, false);
+	unsigned int kept = 0;
 	unsigned int n;
 
-	for (unsigned int i = 0; i < t->count; i++)
-		all[i] = t->unit[i].pace;
-	middle_of_all = median(all, t->count);
 	for (unsigned int first = 0; first < t->count; first += n) {
-		struct unit *u = &t->unit[first];
-		double pace[INTERFERENCE_SAMPLES_MAX];
-		double middle;
-
-		for (n = 0; first + n < t->count && u[n].job == u->job; n++)
-			pace[n] = u[n].pace;
-		middle = n > 1 ? median(pace, n) : middle_of_all;
-		for (unsigned int i = 0; i < n; i++)
-			u[i].pace -= middle;
+		const struct unit *u = &t->unit[first];
+		double usual;
+
+		for (n = 1; first + n < t->count && u[n].job == u->job;)
+			n++;
+		usual = n > 1 ? median_of(u, n, false) : all;
+		for (unsigned int k = 0; k < n && !isnan(usual); k++) {
+			t->unit[kept] = u[k];
+			t->unit[kept++].pace -= usual;
+		}
 	}
+	t->count = kept;
 }
 
-/*
- * The servers may be slow for another reason: the workload must be slower beside the other on
- * the same servers as well. Without such servers more of them are required.
- */
-static bool is_fault_of_servers(struct test *t)
+static void count_servers_beside(struct test *t)
 {
-	unsigned int contrasts = 0;
-	unsigned int n;
+	uint64_t last = 0;
 
-	subtract_medians_of_jobs(t);
 	qsort(t->unit, t->count, sizeof(*t->unit), compare_by_server);
+	for (unsigned int i = 0; i < t->count; i++) {
+		const struct unit *u = &t->unit[i];
+
+		if (!u->is_beside || (t->servers_beside && u->server == last))
+			continue;
+		t->servers_beside++;
+		last = u->server;
+	}
+	qsort(t->unit, t->count, sizeof(*t->unit), compare_by_job);
+}
+
+static void clear_strata(struct test *t)
+{
 	t->strata = 0;
 	t->excess = 0;
 	t->variance = 0;
+}
+
+/* Compares tasks on the same servers; returns the number of servers that have both kinds. */
+static unsigned int add_strata_of_servers(struct test *t)
+{
+	unsigned int contrasts = 0;
+	unsigned int n;
+
+	clear_strata(t);
+	subtract_paces_of_jobs(t);
+	qsort(t->unit, t->count, sizeof(*t->unit), compare_by_server);
 	for (unsigned int first = 0; first < t->count; first += n) {
 		const struct unit *u = &t->unit[first];
 		unsigned int beside;
@@ -431,16 +447,23 @@
 		for (n = 1; first + n < t->count && u[n].server == u->server;)
 			n++;
 		beside = count_beside(u, n);
-		t->servers_beside += beside > 0;
 		if (beside && beside < n) {
 			add_stratum(t, u, n);
 			contrasts++;
 		}
 	}
-	if (contrasts < CONTRAST_SERVERS_MIN)
-		return t->servers_beside < SERVERS_WITHOUT_CONTRAST_MIN;
-	return t->servers_beside < SERVERS_MIN || score_of(t) < SERVER_SCORE_MIN ||
-	       typical_difference(t) < log(SLOWDOWN_MARGIN);
+	return contrasts;
+}
+
+/*
+ * The servers may be slow for another reason, and work that can wait may run on slow servers by
+ * choice: the workload must be slower beside the other on the same servers as well.
+ */
+static bool is_slower_on_servers(struct test *t)
+{
+	count_servers_beside(t);
+	return add_strata_of_servers(t) >= SERVERS_MIN && score_of(t) >= SERVER_SCORE_MIN &&
+	       typical_difference(t) >= log(SLOWDOWN_MARGIN);
 }
 
 /* Samples beside another workload that is known to slow this one say nothing about @other. */
@@ -474,29 +497,28 @@
 	t->units_beside = count_beside(t->unit, t->count);
 }
 
-enum verdict {
-	TOO_FEW,    /* units to tell */
-	NOT_SLOWER, /* or not clearly enough */
-	SLOWER,
-};
+static bool has_enough_units(const struct test *t)
+{
+	return t->units_beside >= UNITS_MIN && t->count - t->units_beside >= UNITS_MIN;
+}
 
 /* whether @w is clearly slower beside @other; if so, fills @pair */
-static enum verdict compare(struct interference *in, const struct workload *w, uint64_t other,
-			    int64_t now, struct interference_pair *pair)
+static bool is_slower_beside(struct interference *in, const struct workload *w, uint64_t other,
+			     int64_t now, struct interference_pair *pair)
 {
-	struct test t = {.count = 0};
+	struct test t = {.margin = log(SLOWDOWN_MARGIN)};
 	double difference;
 	double score;
 
 	collect_units(in, w, other, now, &t);
-	if (t.units_beside < UNITS_MIN || t.count - t.units_beside < UNITS_MIN)
-		return TOO_FEW;
+	if (!has_enough_units(&t))
+		return false;
 	add_strata_of_jobs(&t);
 	score = score_of(&t);
 	difference = typical_difference(&t);
 	if (score < SCORE_MIN || difference < log(SLOWDOWN_MIN) || t.jobs_beside < JOBS_MIN ||
-	    is_fault_of_servers(&t))
-		return NOT_SLOWER;
+	    !is_slower_on_servers(&t))
+		return false;
 	*pair = (struct interference_pair){.workload = w->id,
 					   .other = other,
 					   .slowdown = exp(difference),
@@ -505,7 +527,22 @@
 					   .servers = t.servers_beside,
 					   .found_at = now,
 					   .seen_at = t.seen_at};
-	return SLOWER;
+	return true;
+}
+
+/* whether a slow-down by half of what is known is clearly not there, in jobs or on servers */
+static bool is_refuted(struct interference *in, const struct workload *w,
+		       const struct interference_pair *known, int64_t now)
+{
+	struct test t = {.margin = log(known->slowdown) / 2};
+
+	collect_units(in, w, known->other, now, &t);
+	if (!has_enough_units(&t))
+		return false;
+	add_strata_of_jobs(&t);
+	if (score_of(&t) <= -REFUTING_SCORE)
+		return true;
+	return add_strata_of_servers(&t) >= SERVERS_MIN && score_of(&t) <= -REFUTING_SCORE;
 }
 
 static unsigned int list_others(const struct workload *w, uint64_t *other)
@@ -540,16 +577,15 @@
 	forget_old_pairs(in, now);
 	for (unsigned int i = 0; i < n; i++) {
 		struct interference_pair *known = find_pair(in, w->id, other[i]);
-		enum verdict verdict = compare(in, w, other[i], now, &pair);
 
-		if (verdict == SLOWER && known) {
+		if (!is_slower_beside(in, w, other[i], now, &pair)) {
+			if (known && is_refuted(in, w, known, now))
+				*known = in->pair[--in->pair_count];
+		} else if (known) {
 			pair.found_at = known->found_at;
 			*known = pair;
-		} else if (verdict == SLOWER && pair.score > best.score) {
+		} else if (pair.score > best.score) {
 			best = pair;
-		} else if (verdict == NOT_SLOWER && known) {
-			/* more samples have refuted it */
-			*known = in->pair[--in->pair_count];
 		}
 	}
 	if (best.score <= 0 || in->pair_count == INTERFERENCE_PAIRS_MAX)
--- a/lib/interference/runs.h
+++ b/lib/interference/runs.h
@@ -8,10 +8,11 @@
 
 #include "interference.h"
 
-#define RUNS_SERVERS_MAX 4096  /* runs of all are forgotten when there are more */
-#define RUNS_KEPT_MAX 16       /* latest ended runs of one server */
-#define RUNS_BESIDE_PERCENT 50 /* a workload ran beside a task for at least this part of its time \
-				*/
+#define RUNS_SERVERS_MAX 4096 /* runs of all are forgotten when there are more */
+#define RUNS_KEPT_MAX 16      /* latest ended runs of one server */
+#define RUNS_BESIDE_PERCENT                                                   \
+	50 /* a workload ran beside a task for at least this part of its time \
+	    */
 
 /**
  * struct run - a task on a server
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -127,6 +127,7 @@
 		{.servers = SERVERS, .slowdown = 1.05, .beside = 20, .moves = true},
 		/* B runs only on servers that are slow for another reason */
 		{.servers = SERVERS, .slowdown = 1, .beside = 5, .slow = 5},
+		{.servers = 350, .slowdown = 1, .beside = 88, .slow = 88},
 	};
 
 	for (unsigned int i = 0; i < G_N_ELEMENTS(days); i++) {
@@ -197,6 +198,31 @@
 }
 END_TEST
 
+/*
+ * Once a pair is kept apart, most jobs run wholly beside the other or wholly without it. The pair
+ * was dropped, because such jobs were compared only with themselves, and work was mixed again.
+ */
+START_TEST(a_pair_that_is_kept_apart_stays_known)
+{
+	const struct day mixed = {.servers = SERVERS, .slowdown = 2, .beside = 20, .moves = true};
+	const struct day with = {.servers = SERVERS, .slowdown = 2, .beside = SERVERS};
+	const struct day without = {.servers = SERVERS, .slowdown = 1};
+
+	for (unsigned int seed = 1; seed <= 20; seed++) {
+		struct interference *in = interference_new(NULL);
+		unsigned int first;
+
+		random_state = seed;
+		first = play(in, &mixed, 40, B);
+		for (unsigned int job = first + 1; job <= first + 60; job++) {
+			play_job(in, job % 4 ? &without : &with, job);
+			ck_assert_double_gt(interference_slowdown(in, A, B, job * 500), 1);
+		}
+		talloc_free(in);
+	}
+}
+END_TEST
+
 /* Workloads change; a pair that was seen long ago must not keep work apart for ever. */
 START_TEST(a_pair_decays_without_samples)
 {
@@ -278,6 +304,7 @@
 	tcase_add_test(t, servers_that_are_slow_without_the_other_make_no_pair);
 	tcase_add_test(t, a_workload_that_is_often_beside_the_cause_is_not_blamed);
 	tcase_add_test(t, one_job_or_few_servers_are_not_enough);
+	tcase_add_test(t, a_pair_that_is_kept_apart_stays_known);
 	tcase_add_test(t, a_pair_decays_without_samples);
 	tcase_add_test(t, memory_is_bounded);
 }
