currantlane explain: where a job would go now, and why, without sending it

Operators could only tell from not_placed, after the fact, why work waits. The leader now answers POST /explain on its metrics address: it decodes the job as a caller's, tries the steps whose turn comes first with working memory of its own, and frees it. No port, row, message or state is added; at most 16 KB and 512 tasks. plan_start_trial() is the part of plan_start_round() that leaves reservations and headroom as they are.

--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -55,6 +55,12 @@
  * @now: monotonic, in ms
  */
 void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now);
+/**
+ * plan_start_trial() - prepare new working memory to try a placement between two rounds
+ *
+ * Reservations and headroom of the latest round stay in force.
+ */
+void plan_start_trial(struct plan_scratch *s, const struct fleet *fleet, int64_t now);
 /**
  * plan_place() - select servers for the waiting tasks of a group
  * @out: filled with one entry for each task of the group; NULL where no server was found
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -32,11 +32,27 @@
 	return talloc_zero(ctx, struct plan_scratch);
 }
 
-void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
+static bool is_present(const struct fleet_server *sv)
+{
+	return sv->presence == FLEET_LISTED || sv->presence == FLEET_DRAINING;
+}
+
+void plan_start_trial(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
 {
 	unsigned int on_probation = 0;
 	unsigned int present = 0;
 
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		present += is_present(sv);
+		on_probation += is_present(sv) && sv->probation_until > now;
+	}
+	s->ignores_probation = on_probation * PROBATION_SHARE > present;
+}
+
+void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
+{
 	s->unmet.count = 0;
 	s->ample_unmet.count = 0;
 	s->pool_count = 0;
@@ -45,12 +61,8 @@
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		sv->reserved_until = 0;
-		if (sv->presence != FLEET_LISTED && sv->presence != FLEET_DRAINING)
-			continue;
-		present++;
-		on_probation += sv->probation_until > now;
 	}
-	s->ignores_probation = on_probation * PROBATION_SHARE > present;
+	plan_start_trial(s, fleet, now);
 }
 
 static unsigned int siblings_on(const struct fleet_server *sv, const struct work_group *group)
--- a/src/cli.c
+++ b/src/cli.c
@@ -88,6 +88,7 @@
 	"       currantlane [options] catalogue log|show\n"
 	"       currantlane [options] catalogue undo [VERSION]\n"
 	"       currantlane [options] status IP:PORT...\n"
+	"       currantlane [options] explain QUEUE JOB-FILE IP:PORT...\n"
 	"       currantlane [options] trace TRACE-ID FILE...\n"
 	"       currantlane [options] log JOB-ID FILE...\n"
 	"       currantlane [options] log summary FILE...\n"
@@ -101,6 +102,8 @@
 		return cli_catalogue(cli, words[1], count > 2 ? words[2] : NULL);
 	if (count >= 2 && !strcmp(words[0], "status"))
 		return cli_status(cli, words + 1, count - 1);
+	if (count >= 4 && !strcmp(words[0], "explain"))
+		return cli_explain(cli, words[1], words[2], words + 3, count - 3);
 	if (count >= 3 && !strcmp(words[0], "trace"))
 		return cli_trace(cli, words[1], words + 2, count - 2);
 	if (count >= 3 && !strcmp(words[0], "log") && !strcmp(words[1], "summary"))
--- a/src/cli.h
+++ b/src/cli.h
@@ -93,6 +93,13 @@
 /** cli_log_summary() - print where the time of the jobs in the log files went */
 int cli_log_summary(struct cli *cli, const char *const *files, int count);
 
+/**
+ * cli_explain() - print where the job in the file @path would go now if sent to @queue
+ * @addresses: metrics addresses (IP:PORT) of entry VMs; the leader among them answers
+ */
+int cli_explain(struct cli *cli, const char *queue, const char *path, const char *const *addresses,
+		int count);
+
 /** cli_trace() - print the spans of trace @id in the trace files, in order of start */
 int cli_trace(struct cli *cli, const char *id, const char *const *files, int count);
 
--- a/src/sited.c
+++ b/src/sited.c
@@ -86,8 +86,13 @@
 static void on_metrics(struct httpd_request *req)
 {
 	struct sited *d = req->server_data;
-	char *text = sited_metrics_text(d, &d->metrics);
+	char *text;
 
+	if (!strcmp(req->path, "/explain")) {
+		sited_explain(d, req);
+		return;
+	}
+	text = sited_metrics_text(d, &d->metrics);
 	text = talloc_asprintf_append_buffer(
 		text,
 		"currantlane_leading %d\ncurrantlane_term %" PRId64
@@ -129,6 +134,7 @@
 	if (!d->front || !httpd_new(d, d->ev, &ready, sited_on_ready, d))
 		return false;
 	metrics.port = (uint16_t)metrics_port;
+	metrics.body_max = EXPLAIN_BODY_MAX;
 	if (metrics_port && !httpd_new(d, d->ev, &metrics, on_metrics, d))
 		log_warn("no_metrics", "cannot listen on %s:%d; continuing without metrics",
 			 metrics.ip, metrics_port);
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -401,6 +401,13 @@
 
 /* ---- sited_tasks.c ---- */
 
+/* ---- explaining ---- */
+
+#define EXPLAIN_BODY_MAX 16384 /* bytes; 64 steps without their payload */
+
+/** sited_explain() - answer where the job in the body would go now; changes nothing */
+void sited_explain(struct sited *d, struct httpd_request *req);
+
 /* ---- workloads that slow each other down ---- */
 
 /** lead_interference_start() - nothing is known; placement uses what is learned */
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -979,6 +979,27 @@
 }
 END_TEST
 
+/* ---- explaining where a job would go ---- */
+
+/* An operator's question between two rounds lifted the reservations of the round before. */
+START_TEST(a_trial_leaves_reservations_and_headroom)
+{
+	struct fleet *f = sample_fleet(NULL, 3, 3);
+	struct work_group *g = sample_start(sample_job(f, 1, 1, 3, 8));
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct fleet_server *out[3];
+
+	sample_server(f, 0)->reserved_until = start.now + 1;
+	sample_server(f, 1)->is_headroom = true;
+	plan_start_trial(s, f, start.now);
+	ck_assert_uint_eq(plan_place(s, f, g, &start, out), 1);
+	ck_assert_ptr_eq(out[0], sample_server(f, 2));
+	ck_assert_int_eq(sample_server(f, 0)->reserved_until, start.now + 1);
+	ck_assert(sample_server(f, 1)->is_headroom);
+	talloc_free(f);
+}
+END_TEST
+
 /* ---- workloads that slow each other down on one server ---- */
 
 /* makes @in know that @slow runs half as fast beside @other */
@@ -1116,6 +1137,7 @@
 
 static void add_tests(TCase *t)
 {
+	tcase_add_test(t, a_trial_leaves_reservations_and_headroom);
 	tcase_add_test(t, work_is_kept_apart_where_there_is_room);
 	tcase_add_test(t, a_short_pool_keeps_best_fit);
 	tcase_add_test(t, no_work_waits_to_be_kept_apart);
--- a/tools/site_servers.py
+++ b/tools/site_servers.py
@@ -443,6 +443,8 @@
             if time.monotonic() - run.began > GANG_WAIT_S:
                 run.server.end(run, "alone")
             return
+        if any(r.spec.get("image") == run.spec.get("slowed-by", "") for r in run.server.runs.values()):
+            passed /= 2
         run.worked += min(passed, time.monotonic() - run.began)  # it may have begun within the tick
         if run.worked * 1000 < run.spec["ms"]:
             return
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -92,6 +92,8 @@
         step = {"count": self.count, "cpu": self.cpu, "mem-mb": 100, "gpu": self.gpu, "estimate-ms": self.spec["ms"]}
         if self.spec["gang"]:
             step["gang"] = True
+        if "image" in self.spec:
+            step["image"] = self.spec["image"]
         return {"spec": json.dumps(self.spec), "steps": [step] + [dict(step, after=[0])] * (self.steps - 1)}
 
     def turn(self, done):
@@ -1568,7 +1570,7 @@
 
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
-    for i in range(60):
+    for i in range(90):
         job = site.add_job()
         job.count, job.steps, job.gpu, job.is_cancelled, job.route = 2, 1, 1, False, "batch"
         job.spec = {"ms": 300, "gang": 0, "fail": ATTEMPTS if i < 50 else 0}
@@ -1626,6 +1628,79 @@
     site.expected.append(("rows beyond the limit are stored without snapshots, %d were" % len(without), without))
 
 
+async def submit_image(site, count, spec):
+    """A job without accidents whose tasks need one accelerator."""
+    job = site.add_job()
+    job.steps, job.count, job.gpu, job.route, job.is_cancelled = 1, count, 1, "batch", False
+    job.spec = dict(spec, gang=0, fail=0)
+    site.pool.needs[job.id] = 1
+    await site.submit(job)
+    return asyncio.ensure_future(site.watch(job))
+
+
+def share_beside(runs, others):
+    """Of @runs, those beside which one of @others ran."""
+    beside = [r for r in runs if any(o.server is r.server and o.began < (r.ended or r.began) and
+                                     (o.ended or time.monotonic()) > r.began for o in others)]
+    return len(beside) / max(len(runs), 1)
+
+
+async def workloads_slow_each_other(site):
+    """Tasks were put beside those that slow them although other servers were idle."""
+    await asyncio.sleep(1)
+    site.stopping = True
+    await asyncio.sleep(4)
+    watched = []
+    for i in range(90):
+        if i % 3 == 0:
+            watched.append(await submit_image(site, 6, {"ms": 2500, "image": "train"}))
+        watched.append(await submit_image(site, 8, {"ms": 500, "image": "render", "slowed-by": "train"}))
+        await asyncio.sleep(0.4)
+    await asyncio.wait(watched, timeout=SETTLE_S)
+    found = [e for e in site.events("interference_found")
+             if (e["workload"]["image"], e["beside"]["image"]) == ("render", "train")]
+    others = [e for e in site.events("interference_found") if e not in found]
+    site.expected.append(("the pair that slows is found once, %d times" % len(found), len(found) == 1))
+    site.expected.append(("no other pair is found: %s" % others[:1], not others))
+    if not found:
+        return
+    at = found[0]["time_us"] / 1e6 - time.time() + time.monotonic()
+    render = [r for r in site.pool.runs if r.spec.get("image") == "render"]
+    train = [r for r in site.pool.runs if r.spec.get("image") == "train"]
+    before = share_beside([r for r in render if r.began < at], train)
+    after = share_beside([r for r in render if r.began >= at], train)
+    site.expected.append(("work is kept apart from then on, %.2f beside before, %.2f after" % (before, after),
+                          after < before / 2))
+
+
+async def an_operator_asks_where_a_job_would_go(site):
+    """Nothing may start, be stored or wait because an operator asked."""
+    await asyncio.sleep(1)
+    site.stopping = True
+    await asyncio.sleep(4)
+    path = os.path.join(site.dir, "asked.json")
+    leader = site.leader()
+    others = ["127.0.0.1:%d" % vm.metrics for vm in site.vms if vm is not leader]
+
+    async def ask(addresses, **step):
+        with open(path, "w") as f:
+            json.dump({"spec": "x" * 20000, "steps": [dict({"cpu": 1000, "mem-mb": 100, "estimate-ms": 500}, **step)]}, f)
+        process = await asyncio.create_subprocess_exec(
+            BUILD + "/currantlane", "--json", "explain", "urgent", path, *addresses, stdout=asyncio.subprocess.PIPE)
+        out = (await process.communicate())[0]
+        return process.returncode, json.loads(out)["steps"][0] if out else {}
+
+    code, step = await ask(others + ["127.0.0.1:%d" % leader.metrics], count=3, gpu=8)
+    site.expected.append(("tasks would go to a server each, as far as there is room: %s" % step,
+                          code == 0 and len(step["on"]) == step["placed"] == min(3, step["with_room"])))
+    code, step = await ask(["127.0.0.1:%d" % leader.metrics], count=SERVERS * 2, gpu=8, gang=True)
+    site.expected.append(("a gang that is too large has a reason: %s" % step, code == 0 and not step["on"] and step["why"]))
+    code, step = await ask(others, count=1)
+    site.expected.append(("only the leader can tell, exit %d" % code, code == 4))
+    known = [k for _, _, k in site.store.rows] + [r.task for r in site.pool.runs]
+    site.expected.append(("no row was written and no task started", not [k for k in known if k.startswith("0" * 16)]))
+
+
 async def wide_steps_change_in_one_outage(site):
     """The rows that changed in an outage, each within the limits, made a transaction of more than 1 MB."""
     job = await submit_checkpointing(site, 21, 60, 1000)
@@ -2042,7 +2117,7 @@
     refused_after_a_lost_answer, all_vms_see_the_store_return, winner_hears_of_its_win_from_others,
     servers_hang_for_a_while, all_servers_hang_for_a_while, servers_refuse_for_a_while, one_vm_is_turned_away,
     leader_wakes_after_its_time, servers_are_silent_for_a_while, server_answers_no_more, small_leader_hands_over,
-    a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
+    an_operator_asks_where_a_job_would_go, a_step_is_wider_than_a_row, wide_steps_change_in_one_outage, the_store_refuses_the_rows_of_one_job,
     history_is_lost_while_a_leader_loads, half_started_gang_is_taken_over,
     vms_start_as_the_store_returns, store_takes_no_writes_for_a_while, many_connections_fall_silent,
     configuration_outgrows_small_links, servers_change_as_a_leader_reads_them, configuration_changes_with_another_row]
@@ -2055,7 +2130,8 @@
     refused_after_a_lost_answer]
 # too long to be played with the others, or known to fail
 BY_NAME = [
-    unknown_ids_are_cancelled, late_start_reaches_a_life_not_yet_polled, late_start_reaches_a_life_that_is_cut_off,
+    workloads_slow_each_other, unknown_ids_are_cancelled, late_start_reaches_a_life_not_yet_polled,
+    late_start_reaches_a_life_that_is_cut_off,
     unlisted_servers_and_two_leaders_die, silent_servers_and_two_leaders_die,
     planned_stops_after_servers_were_cut_off, third_leader_falls_silent_after_servers_died]
 
