Speed: speeds of servers and real run times are learned from runs and ends

Servers of a pool may differ: one in four ran every task at half the speed, and nothing that the leader knew told which. Urgent jobs that ended late had run there.

lib/speed takes a sample of each attempt from its progress and its end, and fits two speeds to them. It marks servers only once samples are predicted better with the servers' estimates than without; until then speed is 1.0 and nothing changes. The leader logs server_speed and server_speeds_known, and counts servers by speed class. No decision uses the speeds yet.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -25,6 +25,17 @@
 	return names[admission];
 }
 
+const char *fleet_speed_class_name(enum fleet_speed_class speed_class)
+{
+	static const char *const names[] = {
+#define X(id, name) name,
+		FLEET_SPEED_CLASSES(X)
+#undef X
+	};
+
+	return names[speed_class];
+}
+
 static int fleet_destructor(struct fleet *f)
 {
 	for (guint i = 0; i < f->all->len; i++) {
@@ -104,6 +115,7 @@
 	sv->failure_domain = talloc_strdup(sv, "");
 	sv->presence = FLEET_UNLISTED;
 	sv->is_reachable = true;
+	sv->speed = 1;
 	sv->tasks = g_ptr_array_new();
 	g_ptr_array_add(f->all, sv);
 	g_hash_table_replace(f->by_id, sv->id, sv);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -83,6 +83,22 @@
 /** fleet_admission_name() - name as listed in FLEET_ADMISSIONS */
 const char *fleet_admission_name(enum fleet_admission admission);
 
+#define FLEET_SPEED_CLASSES(X)                                                                 \
+	X(FLEET_SPEED_UNKNOWN, "unknown") /* too few samples, or all servers have one speed */ \
+	X(FLEET_SPEED_SLOW, "slow")                                                            \
+	X(FLEET_SPEED_TYPICAL, "typical") /* as fast as most servers */                        \
+	X(FLEET_SPEED_FAST, "fast")
+
+enum fleet_speed_class {
+#define X(id, name) id,
+	FLEET_SPEED_CLASSES(X)
+#undef X
+		FLEET_SPEED_CLASS_COUNT
+};
+
+/** fleet_speed_class_name() - name as listed in FLEET_SPEED_CLASSES */
+const char *fleet_speed_class_name(enum fleet_speed_class speed_class);
+
 /**
  * struct fleet_server - one incarnation of a backend server
  * @id: id of the server, the same for all its incarnations
@@ -117,6 +133,11 @@
  *	plan
  * @failures: consecutive failures, counted once for successive failures of one job
  * @last_failed_job: id of the job that failed here last
+ * @speed: estimated speed relative to a typical server; 1.0 unless @speed_class is
+ *	FLEET_SPEED_SLOW or FLEET_SPEED_FAST. Written by speed, as are the next three
+ * @speed_class: what is known of the speed
+ * @speed_samples: run times that the estimate is based on
+ * @speed_slot: its index in struct speed, 0 before the first sample
  * @tasks: struct work_task of all tasks counted in @used or @awaiting_preemption
  * @user: opaque pointer for the owner of the fleet
  */
@@ -149,6 +170,10 @@
 	bool is_headroom;
 	unsigned int failures;
 	char *last_failed_job;
+	double speed;
+	enum fleet_speed_class speed_class;
+	unsigned int speed_samples;
+	unsigned int speed_slot;
 	GPtrArray *tasks;
 	void *user;
 };
--- /dev/null
+++ b/lib/speed/speed_fit.h
@@ -0,0 +1,180 @@
+/**
+ * DOC: speed_fit - state of the estimation of speeds
+ *
+ * Run times are compared as logarithms: the slowness of a sample is log(run time / declared
+ * run time). It is the sum of the offset of the queue, the offset of the job (its declared run
+ * time is wrong for all tasks alike), the spread of the task, and @gap where one of its servers
+ * is of the slower class.
+ */
+#ifndef SPEED_FIT_H
+#define SPEED_FIT_H
+
+#include "speed.h"
+
+#define SPEED_SIZES 6 /* by number of servers: 1, 2, 3 and 4, 5 to 8, 9 to 16, more */
+
+/**
+ * struct speed_queue - tasks of one queue
+ * @offset: typical slowness on a server of the faster class
+ * @weight, @sum: sums of the fit
+ * @share: by number of servers, share of the samples with a slow server
+ * @counted, @slow: sums of the estimation of @share
+ * @jobs: struct speed_job that refer to it
+ */
+struct speed_queue {
+	char *name;
+	double offset;
+	double weight;
+	double sum;
+	double share[SPEED_SIZES];
+	double counted[SPEED_SIZES];
+	double slow[SPEED_SIZES];
+	unsigned int jobs;
+};
+
+/**
+ * struct speed_job - a job of which there are samples
+ * @offset: of its samples from that of the queue, shrunk towards 0
+ * @weight, @sum: sums of the fit
+ * @points: struct speed_point that refer to it
+ */
+struct speed_job {
+	char id[WORK_ID_LEN + 1];
+	struct speed_queue *queue;
+	double offset;
+	double weight;
+	double sum;
+	unsigned int points;
+};
+
+/**
+ * struct speed_member - a server of a sample
+ * @slot: index of its struct speed_slot
+ * @serial: of the incarnation that the slot stood for
+ * @message: log likelihood ratio of the slower class, given what is known of the others
+ */
+struct speed_member {
+	uint16_t slot;
+	uint16_t serial;
+	float message;
+};
+
+/**
+ * struct speed_point - a sample
+ * @job: the job of its tasks
+ * @at: when it was first noted, monotonic ms
+ * @slowness: log(run time / declared run time)
+ * @tasks: number of tasks that it stands for
+ * @member: distinct servers
+ * @slow: probability that one of its servers is of the slower class
+ * @inlier: probability that it is no outlier
+ * @predicted: probability that one of its servers is slow, by what was known when it was noted
+ * @odds: likelihood if one of its servers is slow, divided by that if none is
+ */
+struct speed_point {
+	struct speed_job *job;
+	int64_t at;
+	double slowness;
+	unsigned int tasks;
+	struct speed_member *member;
+	unsigned int members;
+	double slow;
+	double inlier;
+	double predicted;
+	double odds;
+};
+
+/**
+ * struct speed_evidence - log likelihood ratio of the slower class
+ * @total: of all periods before @period
+ * @period: number of the latest period with evidence
+ * @sum: of that period
+ */
+struct speed_evidence {
+	double total;
+	int64_t period;
+	double sum;
+};
+
+/**
+ * struct speed_slot - an incarnation of a server
+ * @serial: changes when the slot is given to another incarnation
+ * @is_used: the slot stands for an incarnation
+ * @seen: number of the latest fit in which the fleet held it
+ * @folded: evidence of samples that are not kept any more
+ * @now: evidence of all samples kept
+ * @before: that of samples so old that the task at hand ran later
+ * @chance: probability of the slower class
+ * @chance_before: the same by @before
+ * @samples: number of samples
+ */
+struct speed_slot {
+	uint16_t serial;
+	bool is_used;
+	uint32_t seen;
+	double folded;
+	struct speed_evidence now;
+	struct speed_evidence before;
+	double chance;
+	double chance_before;
+	unsigned int samples;
+};
+
+/**
+ * struct speed - estimates, and the samples that they are based on
+ * @point: ring of samples; sample number n is at index n % SPEED_SAMPLES_MAX
+ * @first: number of the oldest sample kept
+ * @next: number of the next sample; numbers begin with 1
+ * @slot: slots of servers; slot 0 is not used
+ * @slots: entries of @slot in use or free
+ * @jobs: id to struct speed_job
+ * @has_news: samples have come since the latest fit
+ * @updated_at: time of the latest fit, monotonic ms; 0 before
+ * @last_at: time of the latest sample, monotonic ms
+ * @fits: number of fits
+ * @share: share of servers of the slower class
+ * @most_are_slow: the slower class is the typical one
+ * @gap: log of the ratio of the two speeds
+ * @spread: standard deviation of the slowness of tasks of one job
+ * @job_spread: standard deviation of the offsets of the jobs of a queue
+ * @score: gain in log likelihood of the samples by the knowledge of their servers
+ * @is_known: @score has become so high that chance does not explain it
+ */
+struct speed {
+	const struct fleet *fleet;
+	struct speed_watch watch;
+	struct speed_point *point;
+	uint64_t first;
+	uint64_t next;
+	struct speed_slot *slot;
+	unsigned int slots;
+	GHashTable *jobs;
+	struct speed_queue queue[SPEED_QUEUES_MAX];
+	bool has_news;
+	int64_t updated_at;
+	int64_t last_at;
+	uint32_t fits;
+	double share;
+	bool most_are_slow;
+	double gap;
+	double spread;
+	double job_spread;
+	double score;
+	bool is_known;
+};
+
+static inline struct speed_point *speed_point(const struct speed *s, uint64_t number)
+{
+	return &s->point[number % SPEED_SAMPLES_MAX];
+}
+
+/** speed_fit_init() - parameters that apply before the first sample */
+void speed_fit_init(struct speed *s);
+/** speed_fit() - estimate all parameters and the class probabilities of all slots */
+void speed_fit(struct speed *s, int64_t now);
+/** speed_predict() - probability that a server of the new sample @p is slow */
+double speed_predict(const struct speed *s, const struct speed_point *p);
+/** speed_residual() - slowness of @p beyond what queue, job and the speed of its servers explain */
+double speed_residual(const struct speed *s, const struct speed_point *p);
+
+#endif
--- a/lib/work/work.c
+++ b/lib/work/work.c
@@ -60,6 +60,7 @@
 	job->step = talloc_zero_array(job, struct work_step, step_count);
 	job->attempts = 1;
 	job->stretch = 1;
+	job->run_ratio = 1;
 	talloc_set_destructor(job, job_destructor);
 	return job;
 }
@@ -338,6 +339,8 @@
 	t->state_deadline = 0;
 	t->crash_points_unless_listed = 0;
 	t->awaits_list = false;
+	t->is_resumed = t->snapshot != NULL;
+	t->speed_sample = 0;
 	t->last_poll = 0;
 	t->percent = 0;
 	t->first_percent = -1;
@@ -373,6 +376,7 @@
 	detach_from_server(t);
 	attach_to_server(t, sv, state);
 	t->was_sent_to_former = true;
+	t->speed_sample = 0;
 	t->last_poll = 0;
 	t->percent = 0;
 	t->first_percent = -1;
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -154,6 +154,9 @@
  * @was_sent_to_former: its start was sent to an earlier incarnation of its server; the present one
  *	runs it only if its first list names it
  * @awaits_list: in TASK_ASSIGNED, the start is sent once the server has listed its runs
+ * @is_resumed: the latest attempt began from a checkpoint
+ * @speed_sample: number of the attempt's sample in struct speed, 0 before; for a gang that of its
+ *	first member counts
  * @failed_server_id: id of the server where it failed last, or NULL
  */
 struct work_task {
@@ -184,6 +187,8 @@
 	bool has_lost_start;
 	bool was_sent_to_former;
 	bool awaits_list;
+	bool is_resumed;
+	uint64_t speed_sample;
 	char *failed_server_id;
 };
 
@@ -249,6 +254,8 @@
  * @is_stored_alone: the store has rejected a transaction with rows of this job and others, so
  *	its rows are stored by a transaction of their own
  * @store_not_before: earliest time of the next transaction with rows of this job, monotonic ms
+ * @run_ratio: estimated real run time on a typical server divided by the declared one, 1.0 while
+ *	not known; see speed_job_ratio(). It is not stored
  */
 struct work_job {
 	char id[WORK_ID_LEN + 1];
@@ -275,6 +282,7 @@
 	int64_t idle_report_at;
 	bool is_stored_alone;
 	int64_t store_not_before;
+	double run_ratio;
 	struct work_row row;
 };
 
--- a/src/sited.h
+++ b/src/sited.h
@@ -20,6 +20,7 @@
  *   sited_list.c     follows the list of backend servers
  *   sited_servers.c  polls backend servers and renews leases
  *   sited_tasks.c    starts and stops tasks, and processes their ends
+ *   sited_speed.c    learns the speeds of servers from what they list
  *   sited_idle.c     reports jobs of which nothing runs although they could
  *   sited_dispatch.c sends orders to servers, directly or through agents
  *   sited_agent.c    carries out orders for the leader, as an agent
--- a/src/sited_lead.c
+++ b/src/sited_lead.c
@@ -133,6 +133,7 @@
 	if (!l->is_loaded)
 		return;
 	lead_servers_tick(l);
+	lead_speed_tick(l);
 	lead_idle_tick(l);
 	lead_request_round(l);
 }
@@ -211,6 +212,7 @@
 	l->active = g_ptr_array_new();
 	l->blame = blame_new(l);
 	l->fleet = fleet_new(l);
+	lead_speed_new(l);
 	l->scratch = plan_scratch_new(l);
 	l->agents = lead_agents_new(l);
 	talloc_set_destructor(l, lead_destructor);
@@ -289,6 +291,7 @@
 
 		headroom += sv->is_headroom ? MAX(fleet_free_capacity(sv).accelerators, 0) : 0;
 	}
+	text = lead_speed_append_gauges(l, text);
 	return talloc_asprintf_append_buffer(
 		text,
 		"currantlane_accelerators{state=\"kept\"} %" PRId64
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -6,6 +6,7 @@
 
 #include "blame/blame.h"
 #include "renewal/renewal.h"
+#include "speed/speed.h"
 #include "sited.h"
 
 /*
@@ -67,6 +68,7 @@
  * @reread_version: oldest version at which a partition's jobs were read again
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @blame: recent crashes of servers
+ * @speed: estimated speeds of servers and real run times
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -107,6 +109,7 @@
 	bool must_follow;
 	int64_t reread_version;
 	struct blame *blame;
+	struct speed *speed;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
@@ -157,6 +160,7 @@
  * @missed_since: when the first of them failed, monotonic ms; valid while @missed_polls is not 0
  * @next_poll_at: earliest next poll, monotonic ms
  * @last_poll_at: when the newest poll was sent, monotonic ms
+ * @poll_gap_ms: from the last answer before the newest poll until that was sent, in ms
  * @answered_at: when a poll was last answered, monotonic ms; 0 before
  * @timer: timer of the next poll, or NULL
  * @agent: index of the agent that carries out its orders, valid for @agent_version
@@ -190,6 +194,7 @@
 	int64_t missed_since;
 	int64_t next_poll_at;
 	int64_t last_poll_at;
+	int64_t poll_gap_ms;
 	int64_t answered_at;
 	struct mtimer *timer;
 	int agent;
@@ -393,6 +398,17 @@
 /** lead_idle_tick() - report jobs of which nothing runs although a task's turn has come */
 void lead_idle_tick(struct lead *l);
 
+/* ---- sited_speed.c ---- */
+
+/** lead_speed_new() - nothing is known of the speeds of servers */
+void lead_speed_new(struct lead *l);
+/** lead_speed_ended() - a server has listed that the newest attempt of @t is done */
+void lead_speed_ended(struct lead *l, struct work_task *t);
+/** lead_speed_tick() - estimate the speeds if there are new samples */
+void lead_speed_tick(struct lead *l);
+/** lead_speed_append_gauges() - number of servers by speed class, as lead_append_gauges() */
+char *lead_speed_append_gauges(const struct lead *l, char *text);
+
 /* ---- sited_tasks.c ---- */
 
 /** lead_task_start() - send the start of a stored assignment */
--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -674,6 +674,7 @@
 		lead_server_grant_sent(l, sv);
 	io->poll_in_flight = true;
 	io->last_poll_at = call->sent_at;
+	io->poll_gap_ms = call->sent_at - io->answered_at;
 	sited_count(&l->d->metrics, COUNT_POLLS);
 	TALLOC_FREE(io->timer);
 	lead_send_poll(l, &to, &order, on_polled, call);
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -546,6 +546,7 @@
 		t->percent = run->percent;
 		t->progress_at = sited_now_ms();
 		fleet_note_progress(sv, t->progress_at);
+		speed_note_progress(l->speed, t, t->progress_at);
 	}
 	if (t->started_at && sited_now_ms() - t->started_at >= BLAME_NEW_MS)
 		t->has_run_well = true;
@@ -625,7 +626,9 @@
 	log_task_event(is_newest ? "task_ended" : "task_ended_late", t, sv, order_end_name(e->how));
 	work_task_set_snapshot(t, e->snapshot);
 	if (e->how == END_DONE) {
-		if (!is_newest)
+		if (is_newest)
+			lead_speed_ended(l, t);
+		else
 			stop_newer_attempt(l, t);
 		handle_done(l, t, sv);
 		return t->group;
