Interference learns from the samples of lib/speed

The ratio of declared to real run time, taken so far, counts a server's own speed against the workloads on it. The leader now passes struct speed_sample's ratio on, which is relative to the pace expected on the server, and only of tasks that lib/speed can compare. Gangs on several servers thereby give no sample: they have more neighbours and wait for the slowest of more members, so that each neighbour would look guilty. The sample names the image.

--- a/lib/speed/speed.c
+++ b/lib/speed/speed.c
@@ -300,6 +300,7 @@
 {
 	struct speed_sample sample = {.server = t->server,
 				      .queue = t->group->job->queue,
+				      .image = t->group->step->image,
 				      .ratio = exp(-speed_residual(s, p)),
 				      .at = now};
 
--- a/lib/speed/speed.h
+++ b/lib/speed/speed.h
@@ -32,7 +32,7 @@
 /**
  * struct speed_sample - one finished run on one server, compared with what was expected there
  * @queue: queue of the job; valid during the callback
- * @image: what the task runs, or NULL while steps do not name it; valid during the callback
+ * @image: what the task runs, or NULL when its step does not name it; valid during the callback
  * @ratio: observed pace divided by the pace expected on that server; below 1 for a slow run
  * @at: when its end was listed, monotonic ms
  */
--- a/src/sited_interference.c
+++ b/src/sited_interference.c
@@ -1,6 +1,6 @@
 /*
- * Samples of tasks that have ended, from which the leader learns which workloads slow each other
- * down on one server. A new leader learns anew.
+ * From the samples of speed, and from what ran beside the task, the leader learns which workloads
+ * slow each other down on one server. A new leader learns anew.
  */
 #include "sited_lead.h"
 
@@ -65,36 +65,6 @@
 	return runs_beside(l->runs, server_number(t->server), &run, running, count, sample);
 }
 
-/* Tasks outside the rack of their gang or of their data are slow for that reason. */
-static bool is_in_its_rack(const struct lead *l, const struct work_task *t)
-{
-	const struct work_step *step = t->group->step;
-	unsigned int rack = t->server->rack;
-
-	if (step->data_rack && strcmp(fleet_rack_name(l->fleet, rack), step->data_rack))
-		return false;
-	return !step->same_rack || rack == t->group->task[0].server->rack;
-}
-
-/* A later attempt that began from a checkpoint has run for a part of its time only. */
-static bool is_comparable(const struct lead *l, const struct work_task *t)
-{
-	return start_is_known(t) && (t->attempt == 1 || !t->snapshot) && is_in_its_rack(l, t);
-}
-
-/* the gang runs at the pace of its slowest member, so what runs beside any of them counts */
-static bool add_beside_gang(const struct lead *l, const struct work_group *g, int64_t now,
-			    struct interference_sample *sample)
-{
-	for (unsigned int i = 0; i < g->count; i++)
-		if (!g->task[i].server)
-			return false;
-	for (unsigned int i = 0; i < g->count; i++)
-		if (!is_comparable(l, &g->task[i]) || !add_beside(l, &g->task[i], now, sample))
-			return false;
-	return true;
-}
-
 static const struct work_job *find_job_of(const struct lead *l, uint64_t workload,
 					  const char **image)
 {
@@ -133,22 +103,18 @@
 		  (int)pair->servers, "age_ms", (json_int_t)(sited_now_ms() - pair->seen_at));
 }
 
-void lead_interference_note_done(struct lead *l, const struct work_task *t)
+void lead_interference_note_sample(struct lead *l, const struct work_task *t, double ratio)
 {
 	const struct work_group *g = t->group;
-	int64_t now = sited_now_ms();
 	struct interference_sample sample = {
 		.workload = g->step->workload,
+		.ratio = ratio,
 		.job = base_hash(g->job->id, WORK_ID_LEN, g->step_index),
-		.at = now};
+		.server = server_number(t->server),
+		.at = sited_now_ms()};
 	const struct interference_pair *pair;
 
-	if (!start_is_known(t) || now <= t->started_at || !g->step->estimate_ms)
-		return;
-	sample.server = server_number(t->server);
-	sample.ratio = (double)g->step->estimate_ms / (double)(now - t->started_at);
-	if (g->step->is_gang ? !add_beside_gang(l, g, now, &sample)
-			     : !is_comparable(l, t) || !add_beside(l, t, now, &sample))
+	if (!add_beside(l, t, sample.at, &sample))
 		return;
 	pair = interference_note(l->interference, &sample);
 	if (pair)
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -73,6 +73,7 @@
  * @interference: workloads that slow each other down on one server
  * @runs: what has run on the servers, from which the samples for @interference are taken
  * @speed: estimated speeds of servers and real run times
+ * @ended: task of which the end is noted in @speed, else NULL
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -116,6 +117,7 @@
 	struct interference *interference;
 	struct runs *runs;
 	struct speed *speed;
+	const struct work_task *ended;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
@@ -428,9 +430,11 @@
 
 /** lead_interference_start() - nothing is known; placement uses what is learned */
 void lead_interference_start(struct lead *l);
-/** lead_interference_note_done() - @t is done; it and all members of its gang are on their servers
+/**
+ * lead_interference_note_sample() - @t, which is still on its server, has given a sample
+ * @ratio: see struct speed_sample
  */
-void lead_interference_note_done(struct lead *l, const struct work_task *t);
+void lead_interference_note_sample(struct lead *l, const struct work_task *t, double ratio);
 /** lead_interference_note_end() - @t leaves its server */
 void lead_interference_note_end(struct lead *l, const struct work_task *t);
 /** lead_append_interference() - append the gauge of known pairs */
--- a/src/sited_speed.c
+++ b/src/sited_speed.c
@@ -16,9 +16,17 @@
 		  (json_int_t)(sited_now_ms() - change->last_at));
 }
 
+static void on_sample(const struct speed_sample *sample, void *data)
+{
+	struct lead *l = data;
+
+	lead_interference_note_sample(l, l->ended, sample->ratio);
+}
+
 void lead_speed_new(struct lead *l)
 {
-	const struct speed_watch watch = {.on_change = log_change, .data = l};
+	const struct speed_watch watch = {
+		.on_sample = on_sample, .on_change = log_change, .data = l};
 
 	l->speed = speed_new(l, l->fleet, &watch);
 }
@@ -33,7 +41,9 @@
 
 void lead_speed_ended(struct lead *l, struct work_task *t)
 {
+	l->ended = t;
 	speed_note_end(l->speed, t, sited_now_ms(), late_ms(l, t));
+	l->ended = NULL;
 }
 
 void lead_speed_tick(struct lead *l)
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -569,7 +569,6 @@
 
 	fleet_note_success(sv, sited_now_ms());
 	if (t->server == sv) {
-		lead_interference_note_done(l, t);
 		lead_interference_note_end(l, t);
 		work_task_finish(t);
 	} else {
