--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -32,11 +32,28 @@
 	return talloc_zero(ctx, struct plan_scratch);
 }
 
-void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
+static bool is_present(const struct fleet_server *sv)
+{
+	return !sv->is_evacuated &&
+	       (sv->presence == FLEET_LISTED || sv->presence == FLEET_DRAINING);
+}
+
+void plan_start_trial(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
 {
 	unsigned int on_probation = 0;
 	unsigned int present = 0;
 
+	for (guint i = 0; i < fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
+
+		present += is_present(sv);
+		on_probation += is_present(sv) && sv->probation_until > now;
+	}
+	s->ignores_probation = on_probation * PROBATION_SHARE > present;
+}
+
+void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
+{
 	s->unmet.count = 0;
 	s->ample_unmet.count = 0;
 	s->pool_count = 0;
@@ -45,13 +62,8 @@
 		struct fleet_server *sv = g_ptr_array_index(fleet->all, i);
 
 		sv->reserved_until = 0;
-		if (sv->is_evacuated ||
-		    (sv->presence != FLEET_LISTED && sv->presence != FLEET_DRAINING))
-			continue;
-		present++;
-		on_probation += sv->probation_until > now;
 	}
-	s->ignores_probation = on_probation * PROBATION_SHARE > present;
+	plan_start_trial(s, fleet, now);
 }
 
 static unsigned int siblings_on(const struct fleet_server *sv, const struct work_group *group)
@@ -146,6 +158,7 @@
 	candidate->server = sv;
 	candidate->free_capacity = fleet_free_capacity(sv);
 	candidate->siblings = group->step->per_server_max ? siblings_on(sv, group) : 0;
+	candidate->interference = 0;
 	for (guint k = 0; stopping_is_free && k < sv->tasks->len; k++) {
 		const struct work_task *other = g_ptr_array_index(sv->tasks, k);
 
@@ -170,6 +183,7 @@
 				&s->candidates[s->rack_first[sv->rack] + s->rack_slots[sv->rack]++],
 				sv, group, stopping_is_free);
 	}
+	plan_note_interference(s, group, now);
 }
 
 static bool has_slot(const struct plan_candidate *candidate, const struct work_group *group)
@@ -186,13 +200,14 @@
  * Load pattern: a task crashes each server that starts it. From the second on, such a task goes
  * where the fewest others would be lost with it, and where none else is as likely the cause.
  */
-static int64_t leftover(const struct plan_candidate *candidate, const struct work_group *group,
-			const struct work_task *task)
+static int64_t leftover(const struct plan_scratch *s, const struct plan_candidate *candidate,
+			const struct work_group *group, const struct work_task *task)
 {
 	const struct fleet_resources *need = &group->step->need;
 	int64_t accelerators = candidate->free_capacity.accelerators - need->accelerators;
 	int64_t cpu = candidate->free_capacity.cpu - need->cpu;
-	int64_t score = accelerators * 1000000 + cpu;
+	int64_t score = accelerators * PLAN_SCORE_PER_ACCELERATOR + cpu +
+			plan_interference_score(s, candidate, group);
 
 	if (task->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		score += (int64_t)candidate->server->tasks->len * SUSPECT_SCORE_PER_TASK;
@@ -214,7 +229,7 @@
 
 		if (!has_slot(candidate, group))
 			continue;
-		score = leftover(candidate, group, task);
+		score = leftover(s, candidate, group, task);
 		if (!best || score < best_score) {
 			best = candidate;
 			best_score = score;
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -58,6 +58,8 @@
  * @is_endless: tasks run until the job is cancelled and restart however they end
  * @label: label that the server must have, or NULL
  * @data_rack: rack that holds the data, or NULL; tasks are much slower on other racks
+ * @image: names what the tasks run; tasks of one image behave alike. NULL when not given
+ * @workload: hash of the queue and @image, set by work_job_finalize()
  * @per_server_max: most tasks of the step on one server, 0 for no limit
  * @critical_path_ms: estimated length of the critical path from the start of this step to
  *	the end of the job, in ms
@@ -75,6 +77,8 @@
 	bool is_endless;
 	char *label;
 	char *data_rack;
+	char *image;
+	uint64_t workload;
 	unsigned int per_server_max;
 	int64_t critical_path_ms;
 };
@@ -154,6 +158,9 @@
  * @was_sent_to_former: its start was sent to an earlier incarnation of its server; the present one
  *	runs it only if its first list names it
  * @awaits_list: in TASK_ASSIGNED, the start is sent once the server has listed its runs
+ * @is_resumed: the latest attempt began from a checkpoint
+ * @speed_sample: number of the attempt's sample in struct speed, 0 before; for a gang that of its
+ *	first member counts
  * @failed_server_id: id of the server where it failed last, or NULL
  */
 struct work_task {
@@ -184,6 +191,8 @@
 	bool has_lost_start;
 	bool was_sent_to_former;
 	bool awaits_list;
+	bool is_resumed;
+	uint64_t speed_sample;
 	char *failed_server_id;
 };
 
@@ -252,6 +261,8 @@
  *	its rows are stored by a transaction of their own
  * @store_not_before: earliest time of the next transaction with rows of this job, monotonic ms
  * @account: account in which plan counts the job's work, see plan_share.h; NULL before, not stored
+ * @run_ratio: estimated real run time on a typical server divided by the declared one, 1.0 while
+ *	not known; see speed_job_ratio(). It is not stored
  */
 struct work_job {
 	char id[WORK_ID_LEN + 1];
@@ -279,6 +290,7 @@
 	bool is_stored_alone;
 	int64_t store_not_before;
 	struct plan_account *account;
+	double run_ratio;
 	struct work_row row;
 };
 
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -6,7 +6,9 @@
 
 #include "blame/blame.h"
 #include "plan/plan_share.h"
+#include "interference/runs.h"
 #include "renewal/renewal.h"
+#include "speed/speed.h"
 #include "sited.h"
 #include "starts/starts.h"
 
@@ -70,6 +72,10 @@
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @share: what each workspace holds and requests
  * @blame: recent crashes of servers
+ * @interference: workloads that slow each other down on one server
+ * @runs: what has run on the servers, from which the samples for @interference are taken
+ * @speed: estimated speeds of servers and real run times
+ * @ended: task of which the end is noted in @speed, else NULL
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -112,6 +118,10 @@
 	int64_t reread_version;
 	struct plan_share *share;
 	struct blame *blame;
+	struct interference *interference;
+	struct runs *runs;
+	struct speed *speed;
+	const struct work_task *ended;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
@@ -163,6 +173,7 @@
  * @missed_since: when the first of them failed, monotonic ms; valid while @missed_polls is not 0
  * @next_poll_at: earliest next poll, monotonic ms
  * @last_poll_at: when the newest poll was sent, monotonic ms
+ * @poll_gap_ms: from the last answer before the newest poll until that was sent, in ms
  * @answered_at: when a poll was last answered, monotonic ms; 0 before
  * @timer: timer of the next poll, or NULL
  * @agent: index of the agent that carries out its orders, valid for @agent_version
@@ -196,6 +207,7 @@
 	int64_t missed_since;
 	int64_t next_poll_at;
 	int64_t last_poll_at;
+	int64_t poll_gap_ms;
 	int64_t answered_at;
 	struct mtimer *timer;
 	int agent;
@@ -425,8 +437,40 @@
 /** lead_append_shares() - append the metrics of each workspace to @text */
 char *lead_append_shares(const struct lead *l, char *text);
 
+/* ---- sited_speed.c ---- */
+
+/** lead_speed_new() - nothing is known of the speeds of servers */
+void lead_speed_new(struct lead *l);
+/** lead_speed_ended() - a server has listed that the newest attempt of @t is done */
+void lead_speed_ended(struct lead *l, struct work_task *t);
+/** lead_speed_tick() - estimate the speeds if there are new samples */
+void lead_speed_tick(struct lead *l);
+/** lead_speed_append_gauges() - number of servers by speed class, as lead_append_gauges() */
+char *lead_speed_append_gauges(const struct lead *l, char *text);
+
 /* ---- sited_tasks.c ---- */
 
+/* ---- explaining ---- */
+
+#define EXPLAIN_BODY_MAX 16384 /* bytes; 64 steps without their payload */
+
+/** sited_explain() - answer where the job in the body would go now; changes nothing */
+void sited_explain(struct sited *d, struct httpd_request *req);
+
+/* ---- workloads that slow each other down ---- */
+
+/** lead_interference_start() - nothing is known; placement uses what is learned */
+void lead_interference_start(struct lead *l);
+/**
+ * lead_interference_note_sample() - @t, which is still on its server, has given a sample
+ * @ratio: see struct speed_sample
+ */
+void lead_interference_note_sample(struct lead *l, const struct work_task *t, double ratio);
+/** lead_interference_note_end() - @t leaves its server */
+void lead_interference_note_end(struct lead *l, const struct work_task *t);
+/** lead_append_interference() - append the gauge of known pairs */
+char *lead_append_interference(const struct lead *l, char *text);
+
 /** lead_task_start() - send the start of a stored assignment, and add it to @starts if sent */
 void lead_task_start(struct lead *l, struct work_task *t, struct starts *starts);
 /** lead_log_starts() - write the log lines of @starts */
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -90,6 +90,7 @@
 
 	if (!t->server)
 		return;
+	lead_interference_note_end(l, t);
 	if (t->state == TASK_ENDING) {
 		work_task_finish(t);
 		lead_request_round(l);
@@ -562,6 +563,7 @@
 		t->percent = run->percent;
 		t->progress_at = sited_now_ms();
 		fleet_note_progress(sv, t->progress_at);
+		speed_note_progress(l->speed, t, t->progress_at);
 	}
 	if (t->started_at && sited_now_ms() - t->started_at >= BLAME_NEW_MS)
 		t->has_run_well = true;
@@ -574,10 +576,12 @@
 	struct work_group *g = t->group;
 
 	fleet_note_success(sv, sited_now_ms());
-	if (t->server == sv)
+	if (t->server == sv) {
+		lead_interference_note_end(l, t);
 		work_task_finish(t);
-	else
+	} else {
 		work_task_set_ending(t);
+	}
 	/* The members of a gang end together, so the end of one counts for all. */
 	for (unsigned int i = 0; g->step->is_gang && i < g->count; i++)
 		if (&g->task[i] != t)
@@ -641,7 +645,9 @@
 	log_task_event(is_newest ? "task_ended" : "task_ended_late", t, sv, order_end_name(e->how));
 	work_task_set_snapshot(t, e->snapshot);
 	if (e->how == END_DONE) {
-		if (!is_newest)
+		if (is_newest)
+			lead_speed_ended(l, t);
+		else
 			stop_newer_attempt(l, t);
 		handle_done(l, t, sv);
 		return t->group;
