Plan: servers of known speed are chosen by it

Urgent jobs ended late because they, or one member of a gang, ran on a server of half the speed of the others. Now urgent work prefers faster servers to the best fit without waiting for them; gangs of any priority try servers of one speed first; other work takes slower servers among equally good fits as long as it ends in time there. Nothing changes while no server is known to be slow or fast.

tests/test_plan_speed: 27 checks passed; without the choice by speed 5 of its tests fail, and the decisions of 20 replays with one speed are the same with and without learning.

--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -50,6 +50,7 @@
 		present++;
 		on_probation += sv->probation_until > now;
 	}
+	plan_start_speeds(s, fleet);
 	s->ignores_probation = on_probation * PROBATION_SHARE > present;
 }
 
@@ -171,6 +172,11 @@
 	}
 }
 
+static bool has_speed(const struct plan_scratch *s, const struct plan_candidate *candidate)
+{
+	return s->speeds == PLAN_ALL_SPEEDS || (s->speeds & plan_speed_of(s, candidate->server));
+}
+
 static bool has_slot(const struct plan_candidate *candidate, const struct work_group *group)
 {
 	const struct work_step *step = group->step;
@@ -185,13 +191,14 @@
  * Load pattern: a task crashes each server that starts it. From the second on, such a task goes
  * where the fewest others would be lost with it, and where none else is as likely the cause.
  */
-static int64_t leftover(const struct plan_candidate *candidate, const struct work_group *group,
-			const struct work_task *task)
+static int64_t leftover(const struct plan_scratch *s, const struct plan_candidate *candidate,
+			const struct work_group *group, const struct work_task *task)
 {
 	const struct fleet_resources *need = &group->step->need;
 	int64_t accelerators = candidate->free_capacity.accelerators - need->accelerators;
 	int64_t cpu = candidate->free_capacity.cpu - need->cpu;
-	int64_t score = accelerators * 1000000 + cpu;
+	int64_t score =
+		accelerators * 1000000 + cpu + plan_speed_score(s, group, candidate->server);
 
 	if (task->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		score += (int64_t)candidate->server->tasks->len * SUSPECT_SCORE_PER_TASK;
@@ -211,9 +218,9 @@
 	     candidate < plan_end_candidate(s, rack); candidate++) {
 		int64_t score;
 
-		if (!has_slot(candidate, group))
+		if (!has_slot(candidate, group) || !has_speed(s, candidate))
 			continue;
-		score = leftover(candidate, group, task);
+		score = leftover(s, candidate, group, task);
 		if (!best || score < best_score) {
 			best = candidate;
 			best_score = score;
@@ -299,8 +306,11 @@
 	clear_rack_slots(s);
 	for (unsigned int i = 0; i < s->count; i++) {
 		const struct plan_candidate *candidate = &s->candidates[i];
-		unsigned int n = slots_in(&candidate->free_capacity, group, candidate->siblings);
+		unsigned int n;
 
+		if (!has_speed(s, candidate))
+			continue;
+		n = slots_in(&candidate->free_capacity, group, candidate->siblings);
 		s->rack_slots[candidate->server->rack] += n;
 		sum += n;
 	}
@@ -481,6 +491,46 @@
 	r->min_estimate_ms = min_estimate_ms;
 }
 
+static unsigned int place_on_speeds(struct plan_scratch *s, const struct fleet *fleet,
+				    const struct work_group *group, const struct plan_clock *at,
+				    struct fleet_server **out)
+{
+	if (group->step->data_rack)
+		return place_near_data(s, fleet, group, at, out);
+	if (group->step->same_rack && group->count > 1)
+		return place_in_one_rack(s, fleet, group, at->now, out);
+	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
+}
+
+/*
+ * A gang runs at the pace of its slowest member, so that one slower server slows all others down:
+ * servers of one speed are tried first.
+ */
+static unsigned int place_gang(struct plan_scratch *s, const struct fleet *fleet,
+			       const struct work_group *group, const struct plan_clock *at,
+			       struct fleet_server **out)
+{
+	const unsigned int *speeds = plan_gang_speeds(s);
+	bool needs_rack = group->step->same_rack && group->count > 1;
+	unsigned int placed = 0;
+
+	plan_save_candidates(s);
+	for (; !placed && *speeds != PLAN_ALL_SPEEDS; speeds++) {
+		s->speeds = *speeds;
+		if (plan_count_slots(s, group) < group->count ||
+		    (needs_rack && plan_tightest_rack(s, group) == PLAN_ANY_RACK))
+			continue;
+		placed = place_on_speeds(s, fleet, group, at, out);
+		if (!placed)
+			plan_restore_candidates(s);
+	}
+	s->speeds = PLAN_ALL_SPEEDS;
+	if (placed)
+		return placed;
+	plan_count_slots(s, group);
+	return place_on_speeds(s, fleet, group, at, out);
+}
+
 static unsigned int place_as_preferred(struct plan_scratch *s, const struct fleet *fleet,
 				       const struct work_group *group, const struct plan_clock *at,
 				       struct fleet_server **out)
@@ -492,6 +542,7 @@
 		s->refusal = PLAN_UNMET_BEFORE;
 		return 0;
 	}
+	plan_set_speed_preference(s, group, at);
 	plan_collect_candidates(s, fleet, group, at->now, false);
 	slots = plan_count_slots(s, group);
 	if (!slots) {
@@ -506,11 +557,9 @@
 		s->refusal = PLAN_GANG_TOO_LARGE;
 		return 0;
 	}
-	if (group->step->data_rack)
-		return place_near_data(s, fleet, group, at, out);
-	if (group->step->same_rack && group->count > 1)
-		return place_in_one_rack(s, fleet, group, at->now, out);
-	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
+	if (s->speeds_differ && group->step->is_gang && !group->step->data_rack)
+		return place_gang(s, fleet, group, at, out);
+	return place_on_speeds(s, fleet, group, at, out);
 }
 
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
--- a/lib/plan/plan_preempt.c
+++ b/lib/plan/plan_preempt.c
@@ -247,6 +247,7 @@
 	struct plan_candidate *before;
 	int64_t *capacity;
 
+	plan_set_speed_preference(s, group, at);
 	plan_collect_candidates(s, fleet, group, at->now, true);
 	if (!group->step->same_rack || group->count < 2)
 		return preempt_in_rack(s, group, PLAN_ANY_RACK, at->now, out, victims) >= 0;
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -58,6 +58,14 @@
 	bool is_mostly_free;
 };
 
+/* speeds of servers as they matter for a choice between them */
+enum plan_speed {
+	PLAN_FASTER = 1,
+	PLAN_UNKNOWN = 2,
+	PLAN_SLOWER = 4,
+	PLAN_ALL_SPEEDS = PLAN_FASTER | PLAN_UNKNOWN | PLAN_SLOWER,
+};
+
 /**
  * struct plan_scratch - working memory
  * @candidates: candidates of the current group, sorted by rack
@@ -73,6 +81,11 @@
  * @uses_headroom: headroom is a candidate of the current group
  * @uses_reserved: reserved servers are candidates of the current group
  * @uses_suspect: servers that are suspect for a stall are candidates of the current group
+ * @speeds_differ: servers of two speeds are known; otherwise speeds change no decision
+ * @typical_is_slower: some servers are faster than the typical ones
+ * @slower_speed: speed of the slower servers
+ * @speeds: enum plan_speed of the servers that the current group may use, combined
+ * @prefers_slower: the current group ends in time on slower servers too
  * @newest_arrival: when the newest first step of a job that was placed or tried became ready,
  *                  monotonic ms
  * @pool: pools whose use has been summed up in this round
@@ -94,6 +107,11 @@
 	bool uses_headroom;
 	bool uses_reserved;
 	bool uses_suspect;
+	bool speeds_differ;
+	bool typical_is_slower;
+	double slower_speed;
+	unsigned int speeds;
+	bool prefers_slower;
 	int64_t newest_arrival;
 	struct plan_pool pool[PLAN_POOLS_MAX];
 	unsigned int pool_count;
@@ -107,6 +125,19 @@
 	return group->job->priority == QUEUES_URGENT_PRIORITY;
 }
 
+/** plan_start_speeds() - at the start of a round, find out whether servers differ in speed */
+void plan_start_speeds(struct plan_scratch *s, const struct fleet *fleet);
+/** plan_set_speed_preference() - set @speeds to all and @prefers_slower for a group */
+void plan_set_speed_preference(struct plan_scratch *s, const struct work_group *group,
+			       const struct plan_clock *at);
+/** plan_speed_of() - speed of @sv compared with that of other servers */
+enum plan_speed plan_speed_of(const struct plan_scratch *s, const struct fleet_server *sv);
+/** plan_speed_score() - part of the score of a server for the current group; lower is better */
+int64_t plan_speed_score(const struct plan_scratch *s, const struct work_group *group,
+			 const struct fleet_server *sv);
+/** plan_gang_speeds() - values of @speeds to try for the current gang in order; the last is all */
+const unsigned int *plan_gang_speeds(const struct plan_scratch *s);
+
 /**
  * plan_collect_candidates() - fill @candidates with the servers that may run the group
  * @stopping_is_free: count the resources of stopping tasks as free capacity
--- a/tests/replay.h
+++ b/tests/replay.h
@@ -52,12 +52,13 @@
  * @tails: share of tasks that take 7 times as long
  * @backlog: groups that wait at any time
  * @shares: of the jobs of each kind
- * @slow: factor of the speed of all servers of a kind, by the index in @of_server
  * @of_server: speed of each server
  * @listed_at: when each server last listed its runs
  * @work_done: real work of all ended tasks, in accelerator-ms at speed 1.0
  * @urgent, @urgent_late: urgent jobs that have ended, and those that ended too late
  * @mixed, @gangs: gangs on servers of both speeds, and all gangs placed
+ * @hides_speeds: decisions do not learn of the speeds
+ * @decisions: hash of all placements
  */
 struct replay {
 	GRand *rng;
@@ -78,7 +79,8 @@
 	unsigned int urgent_late;
 	unsigned int gangs;
 	unsigned int mixed;
-	bool uses_speeds;
+	bool hides_speeds;
+	uint64_t decisions;
 };
 
 static inline double replay_random(struct replay *r)
@@ -177,7 +179,7 @@
 	bool has_fast = false;
 	double fastest = 0;
 
-	rg->g->job->run_ratio = r->uses_speeds ? speed_job_ratio(r->speed, rg->g->job) : 1;
+	rg->g->job->run_ratio = r->hides_speeds ? 1 : speed_job_ratio(r->speed, rg->g->job);
 	if (!work_group_is_ready(rg->g) || !plan_place(r->scratch, r->fleet, rg->g, &at, out))
 		return;
 	if (rg->kind->is_gang)
@@ -191,6 +193,7 @@
 			work_task_assign(t, out[i]);
 		t->state = TASK_RUNNING;
 		t->started_at = t->start_sent_at = t->progress_at = r->now;
+		r->decisions = r->decisions * 31 + replay_index(out[i]) + 1;
 		fastest = MAX(fastest, r->of_server[replay_index(out[i])]);
 	}
 	for (unsigned int i = 0; rg->kind->is_gang && i < rg->g->count; i++) {
@@ -304,6 +307,10 @@
 		if (r->now - r->listed_at[i] >= REPLAY_LIST_MS)
 			replay_list(r, sample_server(r->fleet, i));
 	speed_update(r->speed, r->now);
+	for (guint i = 0; r->hides_speeds && i < r->fleet->all->len; i++) {
+		sample_server(r->fleet, i)->speed = 1;
+		sample_server(r->fleet, i)->speed_class = FLEET_SPEED_UNKNOWN;
+	}
 }
 
 #endif
