Plan: expected run times follow the job and the speed of the server

The declared run time is now multiplied by the ratio learned from the job's own tasks, else from its queue, and divided by the server's speed; paces are compared as if each server were a typical one. Urgent work first preempts on servers that are not known to be slow. All ratios are 1.0 while speeds are not known.

--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -158,6 +158,8 @@
 
 /** plan_pace() - pace of a running task in percent per second, 0 when not known yet */
 double plan_pace(const struct work_task *t);
+/** plan_typical_pace() - the same, as if the server had the speed of a typical one */
+double plan_typical_pace(const struct work_task *t);
 /** plan_progress() - rate a running task by the progress that its server last reported */
 enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at);
 /** plan_server_is_stalled() - no task there has made progress for the minimum stall time */
--- a/lib/plan/plan_order.c
+++ b/lib/plan/plan_order.c
@@ -13,6 +13,8 @@
  */
 #include "plan.h"
 
+#include "speed/speed.h"
+
 enum tier { TIER_STARVED, TIER_IN_TIME, TIER_LATE, TIER_TOO_LATE, TIERS_PER_PRIORITY };
 
 /* multiple of its objective after which a job goes before those that came later */
@@ -23,7 +25,8 @@
 	const struct work_job *job = group->job;
 	int64_t due = work_due_ms(job, group->occurrence);
 	int64_t objective = work_objective_ms(job);
-	int64_t ends = at->wall + group->step->critical_path_ms;
+	int64_t path_ms = speed_expected_path_ms(group);
+	int64_t ends = at->wall + path_ms;
 	bool is_urgent = job->priority == QUEUES_URGENT_PRIORITY;
 	struct plan_rank rank = {.tier = is_urgent ? 0 : TIERS_PER_PRIORITY};
 
@@ -32,10 +35,10 @@
 		rank.key = due;
 	} else if (ends <= due + objective) {
 		rank.tier += TIER_IN_TIME;
-		rank.key = due + objective - group->step->critical_path_ms;
+		rank.key = due + objective - path_ms;
 	} else if (ends <= due + WORK_LATE_FACTOR * objective) {
 		rank.tier += TIER_LATE;
-		rank.key = due + WORK_LATE_FACTOR * objective - group->step->critical_path_ms;
+		rank.key = due + WORK_LATE_FACTOR * objective - path_ms;
 	} else {
 		rank.tier += TIER_TOO_LATE;
 		rank.key = due;
--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -172,11 +172,6 @@
 	}
 }
 
-static bool has_speed(const struct plan_scratch *s, const struct plan_candidate *candidate)
-{
-	return s->speeds == PLAN_ALL_SPEEDS || (s->speeds & plan_speed_of(s, candidate->server));
-}
-
 static bool has_slot(const struct plan_candidate *candidate, const struct work_group *group)
 {
 	const struct work_step *step = group->step;
@@ -218,7 +213,7 @@
 	     candidate < plan_end_candidate(s, rack); candidate++) {
 		int64_t score;
 
-		if (!has_slot(candidate, group) || !has_speed(s, candidate))
+		if (!has_slot(candidate, group) || !plan_has_allowed_speed(s, candidate->server))
 			continue;
 		score = leftover(s, candidate, group, task);
 		if (!best || score < best_score) {
@@ -308,7 +303,7 @@
 		const struct plan_candidate *candidate = &s->candidates[i];
 		unsigned int n;
 
-		if (!has_speed(s, candidate))
+		if (!plan_has_allowed_speed(s, candidate->server))
 			continue;
 		n = slots_in(&candidate->free_capacity, group, candidate->siblings);
 		s->rack_slots[candidate->server->rack] += n;
--- a/lib/plan/plan_preempt.c
+++ b/lib/plan/plan_preempt.c
@@ -8,6 +8,8 @@
  */
 #include "plan_scratch.h"
 
+#include "speed/speed.h"
+
 #include <string.h>
 
 /* stop, wait for another server and restore; in ms, weighted by the resources of the task */
@@ -19,7 +21,7 @@
  */
 static int64_t ran_ms(const struct work_task *t, int64_t now)
 {
-	return MAX(now - t->started_at, t->percent * t->group->step->estimate_ms / 100);
+	return MAX(now - t->started_at, t->percent * speed_expected_ms(t->group, t->server) / 100);
 }
 
 /* work lost by stopping this task alone, in ms times thousandths of a core */
@@ -182,6 +184,8 @@
 	     candidate < plan_end_candidate(s, rack); candidate++) {
 		int64_t cost;
 
+		if (!plan_has_allowed_speed(s, candidate->server))
+			continue;
 		if (group->step->per_server_max &&
 		    candidate->siblings >= group->step->per_server_max)
 			continue;
@@ -239,15 +243,15 @@
 	return sum;
 }
 
-bool plan_preempt(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
-		  const struct plan_clock *at, struct fleet_server **out, GPtrArray *victims)
+static bool preempt_on_speeds(struct plan_scratch *s, const struct fleet *fleet,
+			      const struct work_group *group, const struct plan_clock *at,
+			      struct fleet_server **out, GPtrArray *victims)
 {
 	unsigned int best = PLAN_ANY_RACK;
 	int64_t best_cost = -1;
 	struct plan_candidate *before;
 	int64_t *capacity;
 
-	plan_set_speed_preference(s, group, at);
 	plan_collect_candidates(s, fleet, group, at->now, true);
 	if (!group->step->same_rack || group->count < 2)
 		return preempt_in_rack(s, group, PLAN_ANY_RACK, at->now, out, victims) >= 0;
@@ -272,3 +276,20 @@
 	/* when no rack can hold the group, spread it: it runs slower but starts in time */
 	return preempt_in_rack(s, group, best, at->now, out, victims) >= 0;
 }
+
+/* urgent work is late on slower servers, so victims there are the last choice */
+bool plan_preempt(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
+		  const struct plan_clock *at, struct fleet_server **out, GPtrArray *victims)
+{
+	bool found;
+
+	plan_set_speed_preference(s, group, at);
+	if (s->speeds_differ) {
+		s->speeds = PLAN_FASTER | PLAN_UNKNOWN;
+		found = preempt_on_speeds(s, fleet, group, at, out, victims);
+		s->speeds = PLAN_ALL_SPEEDS;
+		if (found)
+			return true;
+	}
+	return preempt_on_speeds(s, fleet, group, at, out, victims);
+}
--- a/lib/plan/plan_progress.c
+++ b/lib/plan/plan_progress.c
@@ -10,9 +10,15 @@
  * Load pattern: the declared run time of a job is a tenth of the real one, and all its
  * tasks are on one server, so that there is no other pace. The declared run time then
  * causes one restart at most: the second attempt shows that no server is at fault.
+ *
+ * Load pattern: a server is always half as fast as most. Its tasks are as fast as it allows, and
+ * a stop would waste what they have done, so paces are compared as if each server had the speed
+ * of a typical one. A server that becomes slower than its own speed is noticed.
  */
 #include "plan.h"
 
+#include "speed/speed.h"
+
 /* covers two long polls and the time that members of a gang wait for each other */
 #define STALL_MIN_MS 2500
 /* of the declared run time: a task without progress for so long is stalled */
@@ -33,6 +39,11 @@
 	return (t->percent - t->first_percent) * 1000.0 / (double)observed_ms;
 }
 
+double plan_typical_pace(const struct work_task *t)
+{
+	return plan_pace(t) / t->server->speed;
+}
+
 static gint compare_pace(gconstpointer a, gconstpointer b)
 {
 	double x = *(const double *)a;
@@ -49,7 +60,10 @@
 
 	for (unsigned int i = 0; i < t->group->count; i++) {
 		const struct work_task *sibling = &t->group->task[i];
-		double pace = sibling->server != t->server ? plan_pace(sibling) : 0;
+		double pace = 0;
+
+		if (sibling->server && sibling->server != t->server)
+			pace = plan_typical_pace(sibling);
 
 		if (pace > 0)
 			g_array_append_val(paces, pace);
@@ -64,7 +78,7 @@
 static enum plan_progress rate_pace(const struct work_task *t)
 {
 	const struct work_group *g = t->group;
-	double pace = plan_pace(t);
+	double pace = plan_typical_pace(t);
 	double pace_elsewhere = pace > 0 ? siblings_pace(t) : 0;
 	double remaining_ms;
 	double restart_ms;
@@ -75,7 +89,8 @@
 	if (pace_elsewhere <= 0)
 		pace_elsewhere = g->earlier_pace;
 	if (pace_elsewhere <= 0)
-		return remaining_ms > SLOW_ALONE_FACTOR * (double)g->step->estimate_ms
+		return remaining_ms > SLOW_ALONE_FACTOR * (double)g->step->estimate_ms *
+					       MAX(g->job->run_ratio, 1)
 			       ? PROGRESS_OVERDUE
 			       : PROGRESS_NORMAL;
 	restart_ms = (g->step->checkpoints ? 100 - t->percent : 100) * 1000.0 / pace_elsewhere;
@@ -85,7 +100,9 @@
 enum plan_progress plan_progress(const struct work_task *t, const struct plan_clock *at)
 {
 	const struct work_step *step = t->group->step;
-	int64_t stall = MAX(STALL_MIN_MS, (int64_t)(STALL_SHARE * (double)step->estimate_ms));
+	int64_t run_ms = t->server ? MAX(step->estimate_ms, speed_expected_ms(t->group, t->server))
+				   : step->estimate_ms;
+	int64_t stall = MAX(STALL_MIN_MS, (int64_t)(STALL_SHARE * (double)run_ms));
 
 	if (t->state != TASK_RUNNING || !t->started_at || step->is_endless)
 		return PROGRESS_NORMAL;
--- a/lib/plan/plan_reserve.c
+++ b/lib/plan/plan_reserve.c
@@ -9,6 +9,8 @@
  */
 #include "plan_scratch.h"
 
+#include "speed/speed.h"
+
 #include <stdlib.h>
 
 #define RESERVE_AFTER_MS \
@@ -22,7 +24,7 @@
  */
 int64_t plan_remaining_ms(const struct work_task *t, int64_t now)
 {
-	int64_t estimate = t->group->step->estimate_ms;
+	int64_t estimate = speed_expected_ms(t->group, t->server);
 	int64_t observed_ms = t->progress_at - t->first_percent_at;
 	int64_t remaining;
 
--- a/lib/plan/plan_scratch.h
+++ b/lib/plan/plan_scratch.h
@@ -132,6 +132,12 @@
 			       const struct plan_clock *at);
 /** plan_speed_of() - speed of @sv compared with that of other servers */
 enum plan_speed plan_speed_of(const struct plan_scratch *s, const struct fleet_server *sv);
+/** plan_has_allowed_speed() - @speeds allows the current group to use @sv */
+static inline bool plan_has_allowed_speed(const struct plan_scratch *s,
+					  const struct fleet_server *sv)
+{
+	return s->speeds == PLAN_ALL_SPEEDS || (s->speeds & plan_speed_of(s, sv));
+}
 /** plan_speed_score() - part of the score of a server for the current group; lower is better */
 int64_t plan_speed_score(const struct plan_scratch *s, const struct work_group *group,
 			 const struct fleet_server *sv);
--- a/lib/speed/speed.c
+++ b/lib/speed/speed.c
@@ -429,3 +429,8 @@
 
 	return (int64_t)((double)group->step->estimate_ms * ratio);
 }
+
+int64_t speed_expected_path_ms(const struct work_group *group)
+{
+	return (int64_t)((double)group->step->critical_path_ms * group->job->run_ratio);
+}
--- a/lib/speed/speed.h
+++ b/lib/speed/speed.h
@@ -104,5 +104,7 @@
  * @sv: a server, or NULL for a typical one
  */
 int64_t speed_expected_ms(const struct work_group *group, const struct fleet_server *sv);
+/** speed_expected_path_ms() - critical path from the group on, on typical servers, in ms */
+int64_t speed_expected_path_ms(const struct work_group *group);
 
 #endif
--- a/lib/work/work.h
+++ b/lib/work/work.h
@@ -202,7 +202,7 @@
  * @done: number of tasks done
  * @failed_attempt: latest attempt of the gang that was counted as failed
  * @earlier_pace: highest pace of a task that was stopped for lack of progress, in percent per
- *	second; 0 before. It is not stored.
+ *	second on a typical server; 0 before. It is not stored.
  * @changes: number of changes in memory of all rows
  * @store_by: time until which storing may be deferred, monotonic ms; 0 when not set
  * @row: rows, each with the next WORK_ROW_TASKS tasks
--- a/src/sited_speed.c
+++ b/src/sited_speed.c
@@ -41,6 +41,11 @@
 	bool was_known = speed_is_known(l->speed);
 
 	speed_update(l->speed, sited_now_ms());
+	for (guint i = 0; (was_known || speed_is_known(l->speed)) && i < l->active->len; i++) {
+		struct work_job *job = g_ptr_array_index(l->active, i);
+
+		job->run_ratio = speed_job_ratio(l->speed, job);
+	}
 	if (speed_is_known(l->speed) != was_known)
 		log_event("server_speeds_known", "{sI sb}", "term", (json_int_t)l->term, "known",
 			  !was_known);
--- a/src/sited_tasks.c
+++ b/src/sited_tasks.c
@@ -498,7 +498,7 @@
 		log_task_event("task_slow", t, t->server, "far behind its declared run time");
 		break;
 	}
-	t->group->earlier_pace = MAX(t->group->earlier_pace, plan_pace(t));
+	t->group->earlier_pace = MAX(t->group->earlier_pace, plan_typical_pace(t));
 	if (t->group->step->is_gang)
 		lead_group_stop(l, t->group, "a member of its gang makes too little progress");
 	else
--- a/tests/test_plan_speed.c
+++ b/tests/test_plan_speed.c
@@ -148,6 +148,102 @@
 }
 END_TEST
 
+/* Guards against victims on a slow server, where the urgent work ends too late. */
+START_TEST(urgent_work_preempts_on_fast_servers)
+{
+	struct fleet *f = alternating_fleet(4, 4);
+	struct plan_scratch *s = plan_scratch_new(f);
+	struct work_group *g = sample_gang(f, 10, 0, 2, 8);
+	struct fleet_server *out[2];
+	GPtrArray *victims = g_ptr_array_new();
+
+	/* those on the slow servers have started last, so that their stop costs least */
+	for (unsigned int i = 0; i < 4; i++) {
+		struct work_group *other = sample_start(sample_job(f, i + 1, 2, 1, 8));
+
+		sample_run(&other->task[0], sample_server(f, i), start.now - (i % 2 ? 100 : 2000));
+	}
+	plan_start_round(s, f, start.now);
+	ck_assert(plan_preempt(s, f, g, &start, out, victims));
+	ck_assert_double_eq(out[0]->speed, 1);
+	ck_assert_double_eq(out[1]->speed, 1);
+	g_ptr_array_free(victims, TRUE);
+	talloc_free(f);
+}
+END_TEST
+
+/* ---- expected run times ---- */
+
+/* Guards against jobs that begin too late because their declared run time is too short. */
+START_TEST(the_latest_start_follows_the_expected_run_time)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct work_group *a = sample_start(sample_job(ctx, 1, 1, 1, 1));
+	struct work_group *b = sample_start(sample_job(ctx, 2, 1, 1, 1));
+	struct plan_rank first;
+	struct plan_rank second;
+
+	a->job->accepted_ms = start.wall - 100;
+	b->job->accepted_ms = start.wall;
+	first = plan_rank(a, &start);
+	second = plan_rank(b, &start);
+	ck_assert_int_lt(plan_rank_compare(&first, &second), 0);
+	b->job->run_ratio = 1.5;
+	second = plan_rank(b, &start);
+	ck_assert_int_gt(plan_rank_compare(&first, &second), 0);
+	/* it can't end in time any more */
+	b->job->run_ratio = 2.5;
+	second = plan_rank(b, &start);
+	ck_assert_int_lt(plan_rank_compare(&first, &second), 0);
+	talloc_free(ctx);
+}
+END_TEST
+
+START_TEST(the_remaining_time_follows_the_server)
+{
+	struct fleet *f = alternating_fleet(2, 2);
+	struct work_group *g = sample_start(sample_job(f, 1, 2, 2, 1));
+
+	for (unsigned int i = 0; i < 2; i++)
+		sample_run(&g->task[i], sample_server(f, i), start.now - 1000);
+	ck_assert_int_eq(plan_remaining_ms(&g->task[0], start.now), SAMPLE_ESTIMATE_MS - 1000);
+	ck_assert_int_eq(plan_remaining_ms(&g->task[1], start.now),
+			 (int64_t)(SAMPLE_ESTIMATE_MS / SLOW_SPEED) - 1000);
+	talloc_free(f);
+}
+END_TEST
+
+/* a group with 4 tasks at their usual pace and one on a slow server, at @share of that */
+static enum plan_progress rate_on_slow_server(double share)
+{
+	struct fleet *f = sample_fleet(NULL, 5, 5);
+	struct work_group *g = sample_start(sample_job(f, 1, 2, 5, 1));
+	enum plan_progress progress;
+
+	set_slow(f, 4);
+	for (unsigned int i = 0; i < 5; i++) {
+		struct work_task *t = &g->task[i];
+
+		sample_run(t, sample_server(f, i), start.now - 2000);
+		t->first_percent = 0;
+		t->first_percent_at = start.now - 2000;
+		t->progress_at = start.now;
+		t->percent = (int)(20 * (i == 4 ? share : 1));
+	}
+	progress = plan_progress(&g->task[4], &start);
+	talloc_free(f);
+	return progress;
+}
+
+/* Guards against the stop of tasks that run as fast as their server allows. */
+START_TEST(a_task_is_slow_only_relative_to_its_server)
+{
+	/* half the speed, and 30 % more work than its siblings have */
+	ck_assert_int_eq(rate_on_slow_server(SLOW_SPEED / 1.3), PROGRESS_NORMAL);
+	ck_assert_int_eq(rate_on_slow_server(SLOW_SPEED / 4), PROGRESS_SLOW);
+}
+END_TEST
+
 /* ---- a whole pool ---- */
 
 /* Guards against decisions that change where all servers have one speed. */
@@ -209,6 +305,10 @@
 	tcase_add_test(t, an_urgent_gang_takes_a_rack_where_all_members_are_fast);
 	tcase_add_test(t, work_that_can_wait_takes_slow_servers_as_long_as_it_ends_in_time);
 	tcase_add_test(t, best_fit_goes_before_speed_for_work_that_can_wait);
+	tcase_add_test(t, urgent_work_preempts_on_fast_servers);
+	tcase_add_test(t, the_latest_start_follows_the_expected_run_time);
+	tcase_add_test(t, the_remaining_time_follows_the_server);
+	tcase_add_test(t, a_task_is_slow_only_relative_to_its_server);
 	tcase_add_loop_test(t, servers_of_one_speed_are_used_as_before, 0, SEEDS);
 	tcase_add_test(t, a_full_pool_does_no_less_work);
 }
