Speed: a new leader reads what the former one knew

After a takeover speeds were learned again, which takes 10 s or more, and urgent work went to slow servers meanwhile. A new leader reads it without waiting; it counts as evidence that decays.

Where speeds are not known no row is written.

--- a/lib/speed/speed.c
+++ b/lib/speed/speed.c
@@ -44,6 +44,7 @@
 		free_point(s, speed_point(s, n));
 	g_hash_table_destroy(s->jobs);
 	g_free(s->point);
+	json_decref(s->former);
 	for (unsigned int i = 0; i < SPEED_QUEUES_MAX; i++)
 		g_free(s->queue[i].name);
 	return 0;
@@ -82,6 +83,12 @@
 	return s->slots++;
 }
 
+/* an earlier leader knew this incarnation to be of the rarer class */
+static bool was_different(const struct speed *s, const struct fleet_server *sv)
+{
+	return s->former && base_json_int(s->former, sv->id, -1) == sv->born;
+}
+
 /* index of the server's slot, 0 when there are too many servers */
 static unsigned int slot_of(struct speed *s, struct fleet_server *sv)
 {
@@ -100,6 +107,8 @@
 					 .chance = s->share,
 					 .chance_before = s->share};
 	sv->speed_slot = i;
+	if (was_different(s, sv))
+		s->slot[i].folded = s->most_are_slow ? -FOLDED_LIMIT : FOLDED_LIMIT;
 	return i;
 }
 
@@ -387,6 +396,9 @@
 		return false;
 	s->has_news = false;
 	s->fits++;
+	for (guint i = 0; s->former && i < s->fleet->all->len; i++)
+		if (was_different(s, g_ptr_array_index(s->fleet->all, i)))
+			slot_of(s, g_ptr_array_index(s->fleet->all, i));
 	free_unseen_slots(s);
 	drop_old(s, now);
 	speed_fit(s, now);
@@ -434,3 +446,63 @@
 {
 	return (int64_t)((double)group->step->critical_path_ms * group->job->run_ratio);
 }
+
+/* ---- for the next leader ---- */
+
+char *speed_encode(TALLOC_CTX *ctx, const struct speed *s)
+{
+	json_t *servers;
+	json_t *queues;
+	json_t *v;
+	char *text;
+
+	if (!s->is_known)
+		return NULL;
+	servers = json_object();
+	queues = json_object();
+	for (guint i = 0; i < s->fleet->all->len; i++) {
+		const struct fleet_server *sv = g_ptr_array_index(s->fleet->all, i);
+
+		if ((sv->speed_class == FLEET_SPEED_SLOW || sv->speed_class == FLEET_SPEED_FAST) &&
+		    sv->presence != FLEET_REPLACED &&
+		    json_object_size(servers) < SPEED_ROW_SERVERS_MAX)
+			json_object_set_new(servers, sv->id, json_integer(sv->born));
+	}
+	for (unsigned int i = 0; i < SPEED_QUEUES_MAX; i++)
+		if (s->queue[i].jobs)
+			json_object_set_new(queues, s->queue[i].name,
+					    json_real(round(s->queue[i].offset * 100) / 100));
+	v = json_pack("{sf sb so so}", "gap", round(s->gap * 100) / 100, "most_are_slow",
+		      s->most_are_slow, "servers", servers, "queues", queues);
+	text = base_json_text(ctx, v);
+	json_decref(v);
+	return text;
+}
+
+void speed_decode(struct speed *s, struct str text)
+{
+	json_t *v = json_loadb(text.ptr, text.len, 0, NULL);
+	json_t *servers = json_object_get(v, "servers");
+	const json_t *gap = json_object_get(v, "gap");
+	const char *name;
+	json_t *offset;
+
+	if (!json_is_object(servers) || json_object_size(servers) > SPEED_ROW_SERVERS_MAX ||
+	    !json_is_number(gap))
+		goto out;
+	json_decref(s->former);
+	s->former = json_incref(servers);
+	s->gap = CLAMP(json_number_value(gap), SPEED_GAP_MIN, SPEED_GAP_MAX);
+	s->most_are_slow = base_json_bool(v, "most_are_slow", false);
+	s->inherited = SPEED_SCORE_KNOWN;
+	s->has_news = true;
+	json_object_foreach(json_object_get(v, "queues"), name, offset) {
+		struct speed_queue *queue = json_is_number(offset) ? queue_of(s, name) : NULL;
+
+		if (queue && !queue->jobs)
+			queue->offset =
+				CLAMP(json_number_value(offset), -SLOWNESS_MAX, SLOWNESS_MAX);
+	}
+out:
+	json_decref(v);
+}
--- a/lib/speed/speed.h
+++ b/lib/speed/speed.h
@@ -107,4 +107,22 @@
 /** speed_expected_path_ms() - critical path from the group on, on typical servers, in ms */
 int64_t speed_expected_path_ms(const struct work_group *group);
 
+/* ---- for the next leader ---- */
+
+#define SPEED_ROW_SERVERS_MAX 1000 /* named in a row; a row holds 64 KiB */
+
+/**
+ * speed_encode() - what the next leader needs, owned by @ctx
+ *
+ * Return: {"gap": G, "most_are_slow": B, "servers": {ID: BORN}, "queues": {NAME: OFFSET}} with the
+ * servers that differ from the typical ones, or NULL while speeds are not known.
+ */
+char *speed_encode(TALLOC_CTX *ctx, const struct speed *s);
+/**
+ * speed_decode() - apply what an earlier leader knew; text that can't be read changes nothing
+ *
+ * It counts as evidence that decays; own samples outweigh it.
+ */
+void speed_decode(struct speed *s, struct str text);
+
 #endif
--- a/lib/speed/speed_fit.c
+++ b/lib/speed/speed_fit.c
@@ -24,8 +24,6 @@
 #define SHARE_MAX 0.75
 #define SHARE_PRIOR_SERVERS 10 /* weight of SHARE_START */
 #define GAP_START 0.7	       /* log 2 */
-#define GAP_MIN 0.45	       /* log 1.57: smaller differences are hidden by the spread */
-#define GAP_MAX 1.6	       /* log 5 */
 #define GAP_PRIOR 5	       /* weight of GAP_START in samples */
 #define SPREAD_START 0.3
 #define SPREAD_MIN 0.15
@@ -39,7 +37,6 @@
 #define TAIL_SHARE_MAX 0.3 /* of gangs */
 #define TAIL_MEAN 0.8	   /* outliers are mostly slow: 7 times is 1.95 */
 #define TAIL_SPREAD 1.2
-#define SCORE_KNOWN 10.0 /* odds of 20,000 to 1; it stays below 6 in pools of one speed */
 #define SHARE_ROUNDS 4
 #define QUEUE_SHARE_MIN 0.002 /* the estimation does not leave 0 or 1 again */
 
@@ -260,7 +257,8 @@
 	}
 	s->job_spread = CLAMP(sqrt(MAX(variance / weight, 0)), JOB_SPREAD_MIN, JOB_SPREAD_MAX);
 	for (unsigned int i = 0; i < SPEED_QUEUES_MAX; i++)
-		s->queue[i].offset = s->queue[i].sum / s->queue[i].weight;
+		if (s->queue[i].jobs)
+			s->queue[i].offset = s->queue[i].sum / s->queue[i].weight;
 }
 
 static void estimate_spread(struct speed *s)
@@ -286,7 +284,7 @@
 		variance += p->inlier * z * p->job->weight / (p->job->weight - 1);
 		weight += p->inlier;
 	}
-	s->gap = CLAMP(gap / gap_weight, GAP_MIN, GAP_MAX);
+	s->gap = CLAMP(gap / gap_weight, SPEED_GAP_MIN, SPEED_GAP_MAX);
 	s->spread = CLAMP(sqrt(variance / weight), SPREAD_MIN, SPREAD_MAX);
 }
 
@@ -352,7 +350,7 @@
 
 static void score(struct speed *s)
 {
-	s->score = 0;
+	s->score = s->inherited;
 	for (int round = 0; round < SHARE_ROUNDS; round++)
 		estimate_queue_shares(s);
 	for (uint64_t n = s->first; n < s->next; n++) {
@@ -362,7 +360,7 @@
 		s->score += log((p->predicted * p->odds + 1 - p->predicted) /
 				(share * p->odds + 1 - share));
 	}
-	if (s->score >= SCORE_KNOWN)
+	if (s->score >= SPEED_SCORE_KNOWN)
 		s->is_known = true;
 	else if (s->score <= 0)
 		s->is_known = false;
@@ -372,6 +370,7 @@
 {
 	double decay = s->updated_at ? age_weight(now - s->updated_at) : 1;
 
+	s->inherited *= decay;
 	for (unsigned int i = 1; i < s->slots; i++)
 		s->slot[i].folded *= decay;
 	for (int sweep = 0; sweep < SWEEPS; sweep++) {
--- a/lib/speed/speed_fit.h
+++ b/lib/speed/speed_fit.h
@@ -127,6 +127,8 @@
  * @next: number of the next sample; numbers begin with 1
  * @slot: slots of servers; slot 0 is not used
  * @slots: entries of @slot in use or free
+ * @former: id to start time of the servers that an earlier leader knew to differ; NULL when none
+ * @inherited: part of @score that an earlier leader had; it decays
  * @jobs: id to struct speed_job
  * @has_news: samples have come since the latest fit
  * @updated_at: time of the latest fit, monotonic ms; 0 before
@@ -148,6 +150,8 @@
 	uint64_t next;
 	struct speed_slot *slot;
 	unsigned int slots;
+	json_t *former;
+	double inherited;
 	GHashTable *jobs;
 	struct speed_queue queue[SPEED_QUEUES_MAX];
 	bool has_news;
@@ -168,6 +172,10 @@
 	return &s->point[number % SPEED_SAMPLES_MAX];
 }
 
+#define SPEED_GAP_MIN 0.45     /* log 1.57: smaller differences are hidden by the spread */
+#define SPEED_GAP_MAX 1.6      /* log 5 */
+#define SPEED_SCORE_KNOWN 10.0 /* odds of 20,000 to 1; it stays below 6 in pools of one speed */
+
 /** speed_fit_init() - parameters that apply before the first sample */
 void speed_fit_init(struct speed *s);
 /** speed_fit() - estimate all parameters and the class probabilities of all slots */
--- a/src/sited.h
+++ b/src/sited.h
@@ -50,6 +50,7 @@
 #define SITED_LEAD_TABLE "lead"
 #define SITED_CLAIM_TABLE "claims"
 #define SITED_GRANT_TABLE "grants"
+#define SITED_SPEED_TABLE "speeds"
 #define SITED_LEAD_KEY "scheduler"
 /*
  * A partition performs its transactions in sequence. Each takes 0.5 s when the store is
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -69,6 +69,8 @@
  * @demand: recent demand of urgent work, from which the headroom is derived
  * @blame: recent crashes of servers
  * @speed: estimated speeds of servers and real run times
+ * @speed_changes: changes of speed classes that the stored row does not show
+ * @speed_write_at: earliest time of the next write of that row, monotonic ms
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -110,6 +112,8 @@
 	int64_t reread_version;
 	struct blame *blame;
 	struct speed *speed;
+	unsigned int speed_changes;
+	int64_t speed_write_at;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -135,6 +135,7 @@
 	unsigned int jobs;
 	unsigned int told;
 	double ratio;
+	double slow_factor;
 };
 
 static void on_sample(const struct speed_sample *sample, void *data)
@@ -183,7 +184,7 @@
 	start_on(k, g, sv);
 	for (unsigned int i = 0; i < KNOWN_SERVERS; i++) {
 		double factor =
-			g_rand_double_range(k->rng, 0.8, 1.2) * (i % 4 == 0 ? SLOW_FACTOR : 1);
+			g_rand_double_range(k->rng, 0.8, 1.2) * (i % 4 == 0 ? k->slow_factor : 1);
 
 		speed_note_end(k->speed, &g->task[i],
 			       k->now + (int64_t)(factor * SAMPLE_ESTIMATE_MS), 0);
@@ -197,7 +198,8 @@
 {
 	struct known k = {.fleet = sample_fleet(NULL, KNOWN_SERVERS + 6, 10),
 			  .rng = g_rand_new_with_seed(1),
-			  .now = 100000};
+			  .now = 100000,
+			  .slow_factor = SLOW_FACTOR};
 
 	return k;
 }
@@ -451,6 +453,56 @@
 }
 END_TEST
 
+/* Guards against a new leader that sends urgent work to slow servers until it has learned again. */
+START_TEST(a_new_leader_knows_what_the_former_one_knew)
+{
+	struct known k = known_new();
+	struct known next = known_new();
+	char *text;
+
+	learn(&k);
+	text = speed_encode(k.fleet, k.speed);
+	next.speed = speed_new(next.fleet, next.fleet, NULL);
+	ck_assert_ptr_null(speed_encode(next.fleet, next.speed));
+	sample_server(next.fleet, 4)->born++;
+	speed_decode(next.speed, str_from(text));
+	speed_update(next.speed, next.now);
+	for (unsigned int i = 0; i < KNOWN_SERVERS; i++)
+		ck_assert_int_eq(sample_server(next.fleet, i)->speed_class == FLEET_SPEED_SLOW,
+				 sample_server(k.fleet, i)->speed_class == FLEET_SPEED_SLOW &&
+					 i != 4);
+	/* what it sees itself counts for more: the servers have one speed now */
+	next.slow_factor = 1;
+	for (int i = 0; i < 8; i++)
+		run_round(&next);
+	for (unsigned int i = 0; i < KNOWN_SERVERS; i++)
+		ck_assert_int_ne(sample_server(next.fleet, i)->speed_class, FLEET_SPEED_SLOW);
+	known_free(&k);
+	known_free(&next);
+}
+END_TEST
+
+/* Guards against bytes of any kind in the row. */
+START_TEST(a_malformed_row_changes_nothing)
+{
+	static const char *const texts[] = {"",
+					    "[",
+					    "7",
+					    "{\"gap\":\"x\",\"servers\":{}}",
+					    "{\"gap\":1}",
+					    "{\"gap\":1,\"servers\":[1]}"};
+	struct known k = known_new();
+
+	k.speed = speed_new(k.fleet, k.fleet, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		speed_decode(k.speed, str_from(texts[i]));
+		ck_assert(!speed_update(k.speed, k.now + 1000 * (int64_t)i));
+		ck_assert(!speed_is_known(k.speed));
+	}
+	known_free(&k);
+}
+END_TEST
+
 /* Guards against memory that grows with the number of jobs and queues. */
 START_TEST(memory_is_bounded)
 {
@@ -501,6 +553,8 @@
 	tcase_add_test(t, a_resumed_task_counts_by_its_pace);
 	tcase_add_test(t, an_end_that_is_listed_late_gives_no_sample);
 	tcase_add_test(t, expected_run_times_follow_the_job_and_the_server);
+	tcase_add_test(t, a_new_leader_knows_what_the_former_one_knew);
+	tcase_add_test(t, a_malformed_row_changes_nothing);
 	tcase_add_test(t, memory_is_bounded);
 }
 
