--- a/lib/speed/speed_fit.c
+++ b/lib/speed/speed_fit.c
@@ -307,13 +307,17 @@
 /*
  * Each sample was predicted with what earlier periods told of its servers. That is compared with
  * the best prediction that does not know the servers: the share of samples with a slow server
- * that fits all samples of the queue and size best. Where the servers have one speed, the former
+ * that fits all samples of the queue and size best; servers of which nothing is known are
+ * predicted alike by both. Where the servers have one speed, the former
  * is not better on average, whatever the distribution of run times is. It must not depend on the
  * sample, so it is kept from before the sample is known.
  */
 double speed_predict(const struct speed *s, const struct speed_point *p)
 {
-	return 1 - all_fast(s, p, true);
+	double fast = all_fast(s, p, true);
+	double unknown = pow(1 - s->share, p->members);
+
+	return log((1 - fast) / fast) - log((1 - unknown) / unknown);
 }
 
 static unsigned int size_of(const struct speed_point *p)
@@ -356,9 +360,10 @@
 	for (uint64_t n = s->first; n < s->next; n++) {
 		const struct speed_point *p = speed_point(s, n);
 		double share = p->job->queue->share[size_of(p)];
+		double predicted = 1 / (1 + (1 - share) / share * exp(-p->predicted));
 
-		s->score += log((p->predicted * p->odds + 1 - p->predicted) /
-				(share * p->odds + 1 - share));
+		s->score +=
+			log((predicted * p->odds + 1 - predicted) / (share * p->odds + 1 - share));
 	}
 	if (s->score >= SPEED_SCORE_KNOWN)
 		s->is_known = true;
--- a/lib/speed/speed_fit.h
+++ b/lib/speed/speed_fit.h
@@ -68,7 +68,8 @@
  * @member: distinct servers
  * @slow: probability that one of its servers is of the slower class
  * @inlier: probability that it is no outlier
- * @predicted: probability that one of its servers is slow, by what was known when it was noted
+ * @predicted: log of the factor by which the odds that one of its servers is slow differed from
+ *	those of unknown servers, by what was known when it was noted
  * @odds: likelihood if one of its servers is slow, divided by that if none is
  */
 struct speed_point {
@@ -174,13 +175,13 @@
 
 #define SPEED_GAP_MIN 0.45     /* log 1.57: smaller differences are hidden by the spread */
 #define SPEED_GAP_MAX 1.6      /* log 5 */
-#define SPEED_SCORE_KNOWN 10.0 /* odds of 20,000 to 1; it stays below 6 in pools of one speed */
+#define SPEED_SCORE_KNOWN 10.0 /* odds of 20,000 to 1; replays with one speed reach 5.8 */
 
 /** speed_fit_init() - parameters that apply before the first sample */
 void speed_fit_init(struct speed *s);
 /** speed_fit() - estimate all parameters and the class probabilities of all slots */
 void speed_fit(struct speed *s, int64_t now);
-/** speed_predict() - probability that a server of the new sample @p is slow */
+/** speed_predict() - @predicted of the new sample @p */
 double speed_predict(const struct speed *s, const struct speed_point *p);
 /** speed_residual() - slowness of @p beyond what queue, job and the speed of its servers explain */
 double speed_residual(const struct speed *s, const struct speed_point *p);
