--- a/lib/plan/plan_place.c
+++ b/lib/plan/plan_place.c
@@ -50,6 +50,7 @@
 		on_probation += is_present(sv) && sv->probation_until > now;
 	}
 	s->ignores_probation = on_probation * PROBATION_SHARE > present;
+	plan_start_speeds(s, fleet);
 }
 
 void plan_start_round(struct plan_scratch *s, const struct fleet *fleet, int64_t now)
@@ -207,7 +208,8 @@
 	int64_t accelerators = candidate->free_capacity.accelerators - need->accelerators;
 	int64_t cpu = candidate->free_capacity.cpu - need->cpu;
 	int64_t score = accelerators * PLAN_SCORE_PER_ACCELERATOR + cpu +
-			plan_interference_score(s, candidate, group);
+			plan_interference_score(s, candidate, group) +
+			plan_speed_score(s, group, candidate->server);
 
 	if (task->crash_points >= WORK_CRASH_SUSPECT_POINTS)
 		score += (int64_t)candidate->server->tasks->len * SUSPECT_SCORE_PER_TASK;
@@ -227,7 +229,7 @@
 	     candidate < plan_end_candidate(s, rack); candidate++) {
 		int64_t score;
 
-		if (!has_slot(candidate, group))
+		if (!has_slot(candidate, group) || !plan_has_allowed_speed(s, candidate->server))
 			continue;
 		score = leftover(s, candidate, group, task);
 		if (!best || score < best_score) {
@@ -315,8 +317,11 @@
 	clear_rack_slots(s);
 	for (unsigned int i = 0; i < s->count; i++) {
 		const struct plan_candidate *candidate = &s->candidates[i];
-		unsigned int n = slots_in(&candidate->free_capacity, group, candidate->siblings);
+		unsigned int n;
 
+		if (!plan_has_allowed_speed(s, candidate->server))
+			continue;
+		n = slots_in(&candidate->free_capacity, group, candidate->siblings);
 		s->rack_slots[candidate->server->rack] += n;
 		sum += n;
 	}
@@ -519,6 +524,46 @@
 	r->min_estimate_ms = min_estimate_ms;
 }
 
+static unsigned int place_on_speeds(struct plan_scratch *s, const struct fleet *fleet,
+				    const struct work_group *group, const struct plan_clock *at,
+				    struct fleet_server **out)
+{
+	if (group->step->data_rack)
+		return place_near_data(s, fleet, group, at, out);
+	if (group->step->same_rack && group->count > 1)
+		return place_in_one_rack(s, fleet, group, at->now, out);
+	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
+}
+
+/*
+ * A gang runs at the pace of its slowest member, so that one slower server slows all others down:
+ * servers of one speed are tried first.
+ */
+static unsigned int place_gang(struct plan_scratch *s, const struct fleet *fleet,
+			       const struct work_group *group, const struct plan_clock *at,
+			       struct fleet_server **out)
+{
+	const unsigned int *speeds = plan_gang_speeds(s);
+	bool needs_rack = group->step->same_rack && group->count > 1;
+	unsigned int placed = 0;
+
+	plan_save_candidates(s);
+	for (; !placed && *speeds != PLAN_ALL_SPEEDS; speeds++) {
+		s->speeds = *speeds;
+		if (plan_count_slots(s, group) < group->count ||
+		    (needs_rack && plan_tightest_rack(s, group) == PLAN_ANY_RACK))
+			continue;
+		placed = place_on_speeds(s, fleet, group, at, out);
+		if (!placed)
+			plan_restore_candidates(s);
+	}
+	s->speeds = PLAN_ALL_SPEEDS;
+	if (placed)
+		return placed;
+	plan_count_slots(s, group);
+	return place_on_speeds(s, fleet, group, at, out);
+}
+
 static unsigned int place_as_preferred(struct plan_scratch *s, const struct fleet *fleet,
 				       const struct work_group *group, const struct plan_clock *at,
 				       struct fleet_server **out)
@@ -530,6 +575,7 @@
 		s->refusal = PLAN_UNMET_BEFORE;
 		return 0;
 	}
+	plan_set_speed_preference(s, group, at);
 	plan_collect_candidates(s, fleet, group, at->now, false);
 	slots = plan_count_slots(s, group);
 	if (!slots) {
@@ -544,11 +590,9 @@
 		s->refusal = PLAN_GANG_TOO_LARGE;
 		return 0;
 	}
-	if (group->step->data_rack)
-		return place_near_data(s, fleet, group, at, out);
-	if (group->step->same_rack && group->count > 1)
-		return place_in_one_rack(s, fleet, group, at->now, out);
-	return plan_assign_waiting(s, group, PLAN_ANY_RACK, out);
+	if (s->speeds_differ && group->step->is_gang && !group->step->data_rack)
+		return place_gang(s, fleet, group, at, out);
+	return place_on_speeds(s, fleet, group, at, out);
 }
 
 unsigned int plan_place(struct plan_scratch *s, const struct fleet *fleet,
--- a/src/sited_lead.h
+++ b/src/sited_lead.h
@@ -76,6 +76,8 @@
  * @runs: what has run on the servers, from which the samples for @interference are taken
  * @speed: estimated speeds of servers and real run times
  * @ended: task of which the end is noted in @speed, else NULL
+ * @speed_changes: changes of speed classes that the stored row does not show
+ * @speed_write_at: earliest time of the next write of that row, monotonic ms
  * @agents: entry VMs that carry out orders
  * @probes: polls in flight of servers that are unconfirmed or missed their last poll
  * @doubt_probes: first polls in flight of servers that may be cut off
@@ -122,6 +124,8 @@
 	struct runs *runs;
 	struct speed *speed;
 	const struct work_task *ended;
+	unsigned int speed_changes;
+	int64_t speed_write_at;
 	struct agents *agents;
 	unsigned int probes;
 	unsigned int doubt_probes;
