--- a/lib/plan/plan_preempt.c
+++ b/lib/plan/plan_preempt.c
@@ -277,14 +277,14 @@
 	return preempt_in_rack(s, group, best, at->now, out, victims) >= 0;
 }
 
-/* urgent work is late on slower servers, so victims there are the last choice */
+/* urgent work is late on servers slower than the typical ones: victims there are the last choice */
 bool plan_preempt(struct plan_scratch *s, const struct fleet *fleet, const struct work_group *group,
 		  const struct plan_clock *at, struct fleet_server **out, GPtrArray *victims)
 {
 	bool found;
 
 	plan_set_speed_preference(s, group, at);
-	if (s->speeds_differ) {
+	if (s->speeds_differ && !s->typical_is_slower) {
 		s->speeds = PLAN_FASTER | PLAN_UNKNOWN;
 		found = preempt_on_speeds(s, fleet, group, at, out, victims);
 		s->speeds = PLAN_ALL_SPEEDS;
--- a/lib/plan/plan_speed.c
+++ b/lib/plan/plan_speed.c
@@ -4,6 +4,9 @@
  * Load pattern: one server in four is half as fast as the others. Urgent tasks run 2 s with an
  * objective of 1.5 times that, so one on a slow server is late, and so is a gang with one slow
  * member. Urgent work therefore prefers faster servers to all else, but does not wait for them.
+ * Where one server in four is faster than the typical ones, urgent work ends in time on these as
+ * well: it uses faster servers that have room, but best fit and the cost of victims come first.
+ * Without that, urgent work stopped gangs on the few faster servers while others had room.
  * Other work uses slower servers first as long as it ends in time there, among those that leave
  * the same number of accelerators free: it holds capacity longer there, but capacity that urgent
  * work can't use.
@@ -71,7 +74,8 @@
 		return 0;
 	speed = plan_speed_of(s, sv);
 	steps = speed == avoided ? 2 : speed == PLAN_UNKNOWN ? 1 : 0;
-	return steps * (plan_is_urgent(group) ? URGENT_SPEED_SCORE : SPEED_SCORE);
+	return steps *
+	       (plan_is_urgent(group) && !s->typical_is_slower ? URGENT_SPEED_SCORE : SPEED_SCORE);
 }
 
 const unsigned int *plan_gang_speeds(const struct plan_scratch *s)
