Soak: a scenario looks for events by their full names

Cause: settings_ask_for_no_evacuation looked for events by the start of their names, which finds none, so that half of what it expects was always so.

Change: it names the events.

--- a/tools/soak_evacuation.py
+++ b/tools/soak_evacuation.py
@@ -323,7 +323,7 @@
     await site.store.put("op", "evacuate/" + zone, "")
     await asyncio.sleep(EVACUATE_S + AFTER_S)
     late = runs_in(site, zone, began + EVACUATE_S)
-    known = [e["vm"] for name in ("evacuation", "start_refused") for e in site.events(name)]
+    known = [e["vm"] for name in ("evacuation_taken", "evacuations_known", "start_refused") for e in site.events(name)]
     site.expected.append(("%d tasks start in %s, and no VM tells of evacuations: %s" % (len(late), zone, known),
                           late and not known))
 
