Evacuation: more rows than fit, seen during a read

Cause: a row that found no place while a read was in progress was forgotten when that read, which had begun before the row was written, ended: the domain counted as not evacuated, and its feed had passed on. A read with more rows than fit reported evacuation_over for rows that it left out.

Change: a read during which a row found no place keeps all domains evacuated and is followed by another one. A read with more rows than fit ends no evacuation.

--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -18,6 +18,7 @@
  * @is_incomplete: there were more rows than the set holds, so that all domains count
  * @read: rows of the read in progress
  * @read_exceeds: the read has shown more rows than fit
+ * @exceeds_since_read: a row did not fit since the read began, which may not show it
  * @losses: number of losses up to now, 1 at first: nothing is known before a read
  * @read_losses: value of @losses as the read in progress began
  * @covered_losses: value of @losses as the last complete read began
@@ -30,6 +31,7 @@
 	struct read_row read[EVACUATION_DOMAINS_MAX];
 	unsigned int read_count;
 	bool read_exceeds;
+	bool exceeds_since_read;
 	uint64_t losses;
 	uint64_t read_losses;
 	uint64_t covered_losses;
@@ -109,8 +111,11 @@
 		evacuations_lose(set);
 	if (!e) {
 		e = find_place(set);
+		if (!e && is_removed)
+			return;
 		if (!e) {
-			set->is_incomplete |= !is_removed;
+			set->is_incomplete = true;
+			set->exceeds_since_read = true;
 			return;
 		}
 		*e = (struct evacuation){.domain = str_dup(set, domain)};
@@ -126,6 +131,7 @@
 		TALLOC_FREE(set->read[i].domain);
 	set->read_count = 0;
 	set->read_exceeds = false;
+	set->exceeds_since_read = false;
 	set->read_losses = set->losses;
 }
 
@@ -162,11 +168,16 @@
 		/* a feed may know a version that is newer than the read */
 		if (!e->is_in_force || e->version > version || read_shows(set, e->domain))
 			continue;
+		/* the row may be one of those that the read had no place for */
+		if (set->read_exceeds)
+			continue;
 		e->version = version;
 		e->seen_at = sent_at;
 		set_state(set, e, false);
 	}
-	set->is_incomplete = set->read_exceeds;
+	set->is_incomplete = set->read_exceeds || set->exceeds_since_read;
+	if (set->exceeds_since_read)
+		evacuations_lose(set);
 	for (unsigned int i = 0; i < set->read_count; i++)
 		evacuations_apply(set, str_from(set->read[i].domain), set->read[i].version, false,
 				  sent_at);
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -218,6 +218,66 @@
 }
 END_TEST
 
+static const char *filled_name(int i)
+{
+	static char name[8];
+
+	snprintf(name, sizeof(name), "z%d", i);
+	return name;
+}
+
+/* a row that a full read left out was reported as the end of an evacuation */
+START_TEST(a_row_that_does_not_fit_into_a_read_is_not_taken_for_removed)
+{
+	struct evacuations *set = empty();
+
+	fill(set, 11);
+	evacuations_read_begin(set);
+	evacuations_read_row(set, str_from("a"), 90);
+	for (int i = 0; i < EVACUATION_DOMAINS_MAX; i++)
+		evacuations_read_row(set, str_from(filled_name(i)), 11 + i);
+	evacuations_read_end(set, 91, 3000);
+	ck_assert(!evacuations_are_complete(set));
+	ck_assert(evacuations_contain(set, "z31"));
+	ck_assert_uint_eq(seen.count, EVACUATION_DOMAINS_MAX);
+	removal(set, "a", 92);
+	evacuations_read_begin(set);
+	for (int i = 0; i < EVACUATION_DOMAINS_MAX; i++)
+		evacuations_read_row(set, str_from(filled_name(i)), 11 + i);
+	evacuations_read_end(set, 92, 3100);
+	ck_assert(evacuations_are_complete(set));
+	ck_assert(evacuations_contain(set, "z31"));
+	ck_assert_uint_eq(evacuations_count(set), EVACUATION_DOMAINS_MAX);
+	talloc_free(set);
+}
+END_TEST
+
+/* a read that began before the row was written ended the state in which all domains count */
+START_TEST(a_row_that_does_not_fit_during_a_read_is_not_forgotten)
+{
+	struct evacuations *set = empty();
+
+	fill(set, 11);
+	evacuations_read_begin(set);
+	for (int i = 0; i < EVACUATION_DOMAINS_MAX; i++)
+		evacuations_read_row(set, str_from(filled_name(i)), 11 + i);
+	row(set, "further", 90);
+	evacuations_read_end(set, 60, 3000);
+	ck_assert(evacuations_contain(set, "further"));
+	ck_assert(evacuations_must_read(set));
+	evacuations_read_begin(set);
+	for (int i = 1; i < EVACUATION_DOMAINS_MAX; i++)
+		evacuations_read_row(set, str_from(filled_name(i)), 11 + i);
+	evacuations_read_row(set, str_from("further"), 90);
+	evacuations_read_end(set, 91, 3100);
+	ck_assert(!evacuations_must_read(set));
+	ck_assert(evacuations_are_complete(set));
+	ck_assert(evacuations_contain(set, "further"));
+	ck_assert(!evacuations_contain(set, "other"));
+	talloc_free(set);
+}
+END_TEST
+
 START_TEST(removed_rows_make_room)
 {
 	struct evacuations *set = empty();
@@ -338,6 +398,8 @@
 	tcase_add_test(t, rows_of_an_unfinished_read_do_not_count);
 	tcase_add_test(t, a_key_that_names_no_domain_is_ignored);
 	tcase_add_test(t, with_more_rows_than_fit_all_domains_count_as_evacuated);
+	tcase_add_test(t, a_row_that_does_not_fit_into_a_read_is_not_taken_for_removed);
+	tcase_add_test(t, a_row_that_does_not_fit_during_a_read_is_not_forgotten);
 	tcase_add_test(t, removed_rows_make_room);
 	tcase_add_test(t, nothing_starts_before_the_first_read);
 	tcase_add_test(t, a_view_of_an_earlier_term_does_not_do);
