Agents of an earlier version get plain starts

Cause: an agent that does not know LEAD_START_IN rejected each start. The leader took that for a silent agent, avoided it for 2 s with all its orders, and suspected the server for 1 s, again and again while the versions were mixed.

Change: after such a rejection the agent gets LEAD_START for 60 s. It cannot refuse these starts, but their leases end evacuate-ms after the view was confirmed all the same.

--- a/src/sited_dispatch.c
+++ b/src/sited_dispatch.c
@@ -18,8 +18,9 @@
 #include <string.h>
 
 #define AGENTS_MAX 512
-#define AGENT_ANSWER_MARGIN_MS 400 /* for the agent's answer, beyond the server's deadline */
-#define AGENT_AVOIDANCE_MS 2000	   /* time without orders for an agent that did not answer one */
+#define AGENT_ANSWER_MARGIN_MS 400  /* for the agent's answer, beyond the server's deadline */
+#define AGENT_AVOIDANCE_MS 2000	    /* time without orders for an agent that did not answer one */
+#define AGENT_PLAIN_STARTS_MS 60000 /* an agent of an earlier version is updated within minutes */
 
 /**
  * struct agent - an entry VM that carries out orders
@@ -28,6 +29,8 @@
  * @avoid_until: earliest time of its next order, on base_now_ns()'s clock
  * @payloads: ids of jobs whose payload it has, so that the payload of a wide job is sent once
  * @payloads_since: when @payloads was last reset, on base_now_ns()'s clock
+ * @plain_starts_until: it has rejected SITED_PROC_START_IN, as an earlier version does; until then,
+ *	on base_now_ns()'s clock, it gets SITED_PROC_START instead
  */
 struct agent {
 	struct sited *d;
@@ -39,6 +42,7 @@
 	int64_t avoid_until;
 	GHashTable *payloads;
 	int64_t payloads_since;
+	int64_t plain_starts_until;
 };
 
 /**
@@ -208,6 +212,17 @@
 	update_usable(l);
 }
 
+static void use_plain_starts(struct lead *l, const char *vm)
+{
+	struct agent *agent = find_agent(l->agents, vm);
+
+	if (!agent)
+		return;
+	agent->plain_starts_until = base_deadline_in(AGENT_PLAIN_STARTS_MS);
+	log_event("agent_of_earlier_version", "{ss si}", "vm", vm, "plain_starts_ms",
+		  AGENT_PLAIN_STARTS_MS);
+}
+
 /* ---- orders ---- */
 
 /* An order in flight to an agent. */
@@ -314,7 +329,9 @@
 	/* A restarted agent has lost its payloads. */
 	if (call->is_start && !order_was_answered(r.status) && l)
 		forget_payloads(l, call->vm);
-	if (result != ONC_OK && l)
+	if (result == ONC_REJECTED && call->proc == SITED_PROC_START_IN && l)
+		use_plain_starts(l, call->vm);
+	else if (result != ONC_OK && l)
 		avoid_agent(l, call->vm, result);
 	call->done(&r, call->data);
 	talloc_free(call);
@@ -380,6 +397,14 @@
 	return had;
 }
 
+/* An agent that is not told the domain can't refuse the start; its lease bounds it all the same. */
+static bool names_domain(const struct lead *l, const struct agent *agent,
+			 const struct fleet_server *sv)
+{
+	return l->d->site->evacuate_ms && strlen(sv->failure_domain) <= CL_ID_MAX &&
+	       agent->plain_starts_until <= base_now_ns();
+}
+
 void lead_send_start(struct lead *l, const struct lead_order_target *to,
 		     const struct order_start *start, order_done *done, void *data)
 {
@@ -394,7 +419,7 @@
 
 	if (agent && agent_has_payload(agent, start->task))
 		args.payload = "";
-	if (agent && l->d->site->evacuate_ms && strlen(to->sv->failure_domain) <= CL_ID_MAX) {
+	if (agent && names_domain(l, agent, to->sv)) {
 		cl_start_in_args in = {args, to->sv->failure_domain};
 
 		send_by_agent(l, agent, to, SITED_PROC_START_IN, &in, done, data);
