Servers: the lease of a start is bounded with a long evacuate-ms too

Cause: with evacuate-ms above hold-max-ms, the bound of a start was not applied. The lease that is named may then lie up to 4 s beyond the longest one from now on, as an agent may have renewed alone, so a start that was held back could be carried out after the bound.

Change: the lease of each start ends within the bound.

--- a/src/sited_servers.c
+++ b/src/sited_servers.c
@@ -95,7 +95,8 @@
 	int64_t lease = lead_server_lease(l, sv);
 	int64_t within = sited_start_within_ms(l->d, boottime_ms() - io->clock_boot_ms);
 
-	return within < l->d->site->lease_max_ms ? MIN(lease, server_clock(io) + within) : lease;
+	/* an agent may have renewed beyond the longest lease from now on */
+	return within < INT64_MAX ? MIN(lease, server_clock(io) + within) : lease;
 }
 
 /*
