Reads of a range: pages that begin early or that stall

Cause: a page of the read of evacuations has 3 rows, and a row without the prefix ended the read. When three keys that are no valid text filled a page, a store that sorts keys by bytes gave the same page for ever: a VM that had started then led and started no task. When the store gave a page from before the prefix, the read ended without rows, so that a new leader took all evacuations for over.

Change: after a page that does not advance, pages with and without a limit take turns. A page that begins before the prefix is asked for again like one that does not advance.

--- a/src/sited_table.c
+++ b/src/sited_table.c
@@ -22,6 +22,7 @@
  * @version: for a read, the newest version known before it was sent, -1 while none is known;
  *           for a feed, the version up to which changes have been received
  * @wait_ms: for a feed, how long one call waits for a change, in ms
+ * @page_rows: for a read, rows of a page, 0 for as many as the store gives
  * @is_failing: the last call failed
  */
 struct table {
@@ -36,6 +37,7 @@
 	struct str from;
 	int64_t version;
 	int64_t wait_ms;
+	unsigned int page_rows;
 	bool is_failing;
 	table_rows_fn *on_rows;
 	table_read_done_fn *on_end;
@@ -99,13 +101,15 @@
 /* sets where the next page starts */
 static enum advance advance_page(struct table *t, const struct store_result *r)
 {
+	bool begins_early; /* the range was not observed; rows with the prefix may follow */
 	struct str last;
 	char *from;
 
-	if (t->key || !r->has_more || count_with_prefix(t, r) < r->count)
+	begins_early = t->prefix && r->count && is_before(r->rows[0].key, str_from(t->prefix));
+	if (!begins_early && (t->key || !r->has_more || count_with_prefix(t, r) < r->count))
 		return ADVANCE_END;
 	last = r->count ? r->rows[r->count - 1].key : t->from;
-	if (!is_before(t->from, last)) {
+	if (begins_early || !is_before(t->from, last)) {
 		log_warn("read_stalled",
 			 "table %s, part %s: the page that starts at key %s ends at key %s, and "
 			 "more are said to follow",
@@ -194,6 +198,8 @@
 		send_call(t);
 		break;
 	case ADVANCE_STALLED:
+		/* keys that were repaired sort elsewhere; a larger page may get past them */
+		t->page_rows = t->prefix && !t->page_rows ? PREFIX_PAGE_ROWS : 0;
 		mtimer_add(t, t->ev, base_deadline_in(STALLED_RETRY_MS), on_retry, t);
 		break;
 	}
@@ -205,9 +211,7 @@
 {
 	struct table_call *call = talloc_zero(t->store, struct table_call);
 	struct store_range range = {t->name, t->part, t->key ? str_from(t->key) : t->from,
-				    t->key	? 1
-				    : t->prefix ? PREFIX_PAGE_ROWS
-						: 0};
+				    t->key ? 1 : t->page_rows};
 	/* without a wait, the first answer after an outage comes at once */
 	int64_t wait_ms = t->is_failing ? 0 : t->wait_ms;
 
@@ -261,6 +265,7 @@
 	t->part = talloc_strdup(t, source->part ? source->part : "");
 	t->key = source->key ? talloc_strdup(t, source->key) : NULL;
 	t->prefix = mode == TABLE_READ && source->prefix ? talloc_strdup(t, source->prefix) : NULL;
+	t->page_rows = t->prefix ? PREFIX_PAGE_ROWS : 0;
 	t->from = str_from(talloc_strdup(t, t->prefix ? t->prefix : ""));
 	t->on_rows = on_rows;
 	t->data = data;
--- a/tools/site_store.py
+++ b/tools/site_store.py
@@ -53,6 +53,8 @@
         self.answers_late = 0.0  # seconds between a write and its answer
         self.reads_late = 0.0    # seconds until the rows that a call asks for are read
         self.repeats_pages = False  # a read begins at the first key, whatever key its range names
+        self.ignores_ranges_of = None  # a table of which each read begins so, also with a limit
+        self.sorts_bytes = False    # keys are bytes that need be no text, and sort as bytes
         self.forgets_after_lead = None  # seconds after the next win of a leader, loses the history then
         self.leads = {}   # version of a row that says who leads -> its document
         self.names_newest = False  # answers name the store's newest version as they leave, not that of their rows
@@ -178,11 +180,12 @@
             return 200, {"ver": version}
 
     def read(self, query):
-        if self.repeats_pages and "limit" not in query:
+        if query["table"] == self.ignores_ranges_of or (self.repeats_pages and "limit" not in query):
             query = {name: text for name, text in query.items() if name != "from"}
         limit = min(int(query.get("limit", PAGE_ROWS)), PAGE_ROWS)
-        keys = sorted(k for t, p, k in self.rows if t == query["table"] and p == query.get("part", "")
-                      and k >= query.get("from", ""))
+        order = (lambda key: key.encode("utf-8", "surrogateescape")) if self.sorts_bytes else str
+        keys = sorted((k for t, p, k in self.rows if t == query["table"] and p == query.get("part", "")
+                       and order(k) >= order(query.get("from", ""))), key=order)
         rows, size = [], 0
         for key in keys[:limit]:
             row = self.row(query["table"], query.get("part", ""), key)
--- a/tools/soak_evacuation.py
+++ b/tools/soak_evacuation.py
@@ -272,6 +272,42 @@
     await take_back(site, zone)
 
 
+async def odd_rows_fill_a_page(site):
+    """Their keys, once repaired, sort before themselves: VMs read a page again and again, and no leader started a task."""
+    site.store.sorts_bytes = True
+    for byte in range(0xf1, 0xf8):
+        await site.store.put("op", "evacuate/" + chr(0xdc00 + byte), "")
+    site.faults += ["kill"] * len(site.vms)
+    for vm in site.vms:
+        vm.send(signal.SIGKILL)
+        vm.process.wait()
+    for vm in site.vms:
+        vm.start()
+    await asyncio.sleep(AFTER_S)
+    job = await submit_whole(site, len(site.pool.servers), 300)
+    await asyncio.wait([asyncio.ensure_future(site.watch(job))], timeout=10)
+    site.expected.append(("a job on all servers is done", "complete" in job.seen))
+    zone = other_zone(site)
+    await site.pool.evacuate(zone)
+    await asyncio.sleep(EVACUATE_S + AFTER_S)
+    await take_back(site, zone)
+
+
+async def pages_begin_before_the_rows_of_evacuations(site):
+    """A new leader took a page of other rows for the end of all evacuations."""
+    zone = other_zone(site)
+    await site.pool.evacuate(zone)
+    await asyncio.sleep(EVACUATE_S)
+    site.store.ignores_ranges_of = "op"
+    await site.kill(site.leader())
+    await asyncio.sleep(3)
+    await submit_whole(site, len(site.pool.servers), 300)
+    await asyncio.sleep(AFTER_S)
+    site.store.ignores_ranges_of = None
+    await asyncio.sleep(AFTER_S)
+    await take_back(site, zone)
+
+
 async def agents_wake_in_an_evacuated_domain(site):
     """An agent that was paused carried out a start seconds after the request."""
     zone = other_zone(site)
@@ -334,6 +370,7 @@
     leader_is_cut_off_as_a_domain_is_evacuated, store_is_away_as_a_domain_is_evacuated, domain_is_evacuated_and_cut_off,
     start_is_carried_out_after_the_bound, answers_to_starts_are_lost_in_an_evacuation, two_domains_are_evacuated,
     all_domains_are_evacuated, tasks_run_on_in_an_evacuated_domain, odd_rows_beside_an_evacuation,
-    evacuation_comes_with_a_large_configuration, settings_ask_for_no_evacuation]
+    odd_rows_fill_a_page, pages_begin_before_the_rows_of_evacuations, evacuation_comes_with_a_large_configuration,
+    settings_ask_for_no_evacuation]
 NOT_ASKED_FOR = [settings_ask_for_no_evacuation]
 IN_CHECK = [leader_dies_as_a_domain_is_evacuated, start_is_carried_out_after_the_bound]
