HTTP server: clients that send without a pause hold up nothing else

A client that kept a connection readable (requests one after the other, or chunks of one byte) left work for the next MHD_run(), which was scheduled as an immediate event. tevent serves immediate events before all timers and descriptors, so as long as such clients sent, a process ran no timer and read nothing from the store, from peers or from servers: it did not check for overdue requests or renew its leadership either.

The next run now comes from a descriptor that is always readable, which tevent serves in turn with the others.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -4,6 +4,7 @@
 #include <malloc.h>
 #include <microhttpd.h>
 #include <string.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,11 +26,13 @@
 	struct tevent_context *ev;
 	struct MHD_Daemon *mhd;
 	struct tevent_fd *fde;
+	struct tevent_fd *unfinished; /* always readable; enabled while work is left */
 	struct tevent_immediate *scheduled_run;
 	struct httpd_options opt;
 	httpd_handler *handler;
 	void *data;
 	bool is_run_scheduled;
+	bool has_unfinished_work;
 	struct budget budget;
 	struct httpd_stats stats;
 	size_t peak_charged; /* since unused memory was last returned to the system */
@@ -69,19 +72,30 @@
 	} header[4];
 };
 
-static void httpd_schedule_run(struct httpd *server);
+/*
+ * Runs MHD_run() again after the other events that are due. An immediate event would come before
+ * all timers and descriptors, and clients that send without a pause would hold these up for as
+ * long as they send.
+ */
+static void httpd_run_again(struct httpd *server)
+{
+	server->has_unfinished_work = true;
+	tevent_fd_set_flags(server->unfinished, TEVENT_FD_READ);
+}
 
 /*
  * libmicrohttpd's epoll is edge-triggered: work that MHD_run() has left
- * unfinished raises no new event, so another run is scheduled for it.
+ * unfinished raises no new event, so another run follows.
  */
 static void httpd_run(struct httpd *server)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
+	server->has_unfinished_work = false;
 	MHD_run(server->mhd);
 	if (MHD_get_timeout(server->mhd, &wait_ms) == MHD_YES && wait_ms == 0)
-		httpd_schedule_run(server);
+		server->has_unfinished_work = true;
+	tevent_fd_set_flags(server->unfinished, server->has_unfinished_work ? TEVENT_FD_READ : 0);
 }
 
 static void on_scheduled_run(struct tevent_context *ev G_GNUC_UNUSED,
@@ -145,7 +159,7 @@
 		call_free_body(conn->call);
 	if (info)
 		shutdown(info->connect_fd, SHUT_RDWR);
-	httpd_schedule_run(server);
+	httpd_run_again(server);
 }
 
 /* libmicrohttpd closes silent connections, this one those that send a byte now and then. */
@@ -462,7 +476,7 @@
 	}
 	/* At its limit, libmicrohttpd accepts again only in a run after this one. */
 	if (server->budget.conns.length >= server->opt.connections_max)
-		httpd_schedule_run(server);
+		httpd_run_again(server);
 	budget_remove(&server->budget, &conn->budget);
 	g_free(conn);
 	*context = NULL;
@@ -496,6 +510,18 @@
 	       !setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
 }
 
+/* False when no descriptor is left. */
+static bool watch_unfinished_work(struct httpd *server)
+{
+	int fd = eventfd(1, EFD_CLOEXEC | EFD_NONBLOCK);
+
+	if (fd < 0)
+		return false;
+	server->unfinished = tevent_add_fd(server->ev, server, fd, 0, on_readable, server);
+	tevent_fd_set_auto_close(server->unfinished);
+	return true;
+}
+
 static int httpd_destructor(struct httpd *server)
 {
 	TALLOC_FREE(server->fde);
@@ -532,6 +558,8 @@
 		(struct budget_limits){.connections_max = opt->connections_max,
 				       .bodies_max = opt->bodies_max ? opt->bodies_max : SIZE_MAX};
 	server->scheduled_run = tevent_create_immediate(server);
+	if (!watch_unfinished_work(server))
+		goto fail;
 	server->mhd = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, opt->port, NULL, NULL, on_access, server,
 		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa, MHD_OPTION_ARRAY, reuse,
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -5,7 +5,9 @@
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +29,7 @@
 	struct httpc *http;
 	struct httpd_request *held;
 	int aborted;
+	int ticks;
 	int done;
 	unsigned int status;
 	enum httpc_result result;
@@ -408,6 +411,76 @@
 }
 END_TEST
 
+/* ---- clients that send without a pause ---- */
+
+#define SENDERS 20
+#define TICKS 5
+#define SENDING_MAX_MS 5000
+
+struct senders {
+	pthread_t thread;
+	int fd[SENDERS];
+	atomic_bool is_ended;
+};
+
+/* Sends requests, whole or in parts, as fast as the server takes them, and drops the answers. */
+static void *send_requests(void *data)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+	const size_t len = strlen(request);
+	struct senders *s = data;
+	size_t sent[SENDERS] = {0};
+	char text[4096];
+
+	while (!atomic_load(&s->is_ended)) {
+		for (int i = 0; i < SENDERS; i++) {
+			ssize_t n = send(s->fd[i], request + sent[i] % len, len - sent[i] % len,
+					 MSG_NOSIGNAL);
+
+			sent[i] += (size_t)MAX(n, 0);
+			while (recv(s->fd[i], text, sizeof(text), 0) > 0)
+				;
+		}
+	}
+	return NULL;
+}
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te G_GNUC_UNUSED,
+		    struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct fixture *f = data;
+
+	if (++f->ticks < TICKS)
+		tevent_add_timer(ev, f, base_timeval_in_ms(1), on_tick, f);
+}
+
+/*
+ * Guards against clients that keep the loop busy: the timers and connections of the rest of the
+ * process, such as those for the store, stood still for as long as the clients sent.
+ */
+START_TEST(clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection)
+{
+	struct fixture *f = fixture_new();
+	struct senders s = {.is_ended = false};
+	int64_t end = base_deadline_in(SENDING_MAX_MS);
+
+	for (int i = 0; i < SENDERS; i++)
+		s.fd[i] = client_open("", 0);
+	ck_assert_int_eq(pthread_create(&s.thread, NULL, send_requests, &s), 0);
+	tevent_add_timer(f->ev, f, base_timeval_in_ms(1), on_tick, f);
+	start(f, URL "/", str_from("hello"), SENDING_MAX_MS);
+	while ((f->ticks < TICKS || !f->done) && base_now_ns() < end)
+		tevent_loop_once(f->ev);
+	atomic_store(&s.is_ended, true);
+	pthread_join(s.thread, NULL);
+	ck_assert_int_eq(f->ticks, TICKS);
+	ck_assert_uint_eq(f->status, 200);
+	for (int i = 0; i < SENDERS; i++)
+		close(s.fd[i]);
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_body_comes_back_whole);
@@ -423,6 +496,7 @@
 	tcase_add_test(t, stopped_requests_on_all_connections_end);
 	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
 	tcase_add_test(t, the_limit_at_present_applies);
+	tcase_add_test(t, clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection);
 }
 
 int main(void)
