Callers: a connection with a request on its way is not replaced

A new connection beyond the limit replaced the one that was idle for longest, also when that one had just been opened or its next request was already in the socket. When more callers connected at once than the limit, many lost their connections without an answer, although room for them was milliseconds away.

The server now looks for unread bytes before it closes a connection for a new one, and leaves it for 500 ms when there are some.

The new test of the HTTP server failed before and passes.

--- a/lib/budget/budget.c
+++ b/lib/budget/budget.c
@@ -119,6 +119,8 @@
 {
 	if (c->is_closing || c->state == BUDGET_HANDLING)
 		return CLOSE_NEVER;
+	if (c->unread_at && now - c->unread_at < BUDGET_STALL_MS * BASE_NS_PER_MS)
+		return CLOSE_NEVER;
 	if (c->state != BUDGET_IDLE)
 		return is_stalled(c, now) ? CLOSE_STALLED : CLOSE_NEVER;
 	if (!c->has_been_served && now - c->progress_at >= BUDGET_STALL_MS * BASE_NS_PER_MS)
--- a/lib/budget/budget.h
+++ b/lib/budget/budget.h
@@ -81,6 +81,8 @@
  *	progress
  * @unmarked: bytes received since @progress_at
  * @charged: bytes of the shared budget that its request holds
+ * @unread_at: when bytes were last found that it has sent and nobody has read; 0 for never.
+ *	Set by the server before it closes the connection for a new one
  */
 struct budget_conn {
 	GList link;
@@ -91,6 +93,7 @@
 	int64_t progress_at;
 	size_t unmarked;
 	size_t charged;
+	int64_t unread_at;
 };
 
 /**
@@ -142,7 +145,7 @@
  *
  * Stalled requests go first, then connections that have sent no request for BUDGET_STALL_MS
  * after they were opened, then those idle for longest. Requests that make progress or are being
- * handled stay.
+ * handled stay, and for BUDGET_STALL_MS connections with unread bytes: a request is on its way.
  */
 struct budget_conn *budget_excess(const struct budget *b, const struct budget_conn *newest,
 				  int64_t now);
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -174,14 +174,29 @@
 	}
 }
 
+/* True when the client has sent something that libmicrohttpd has not read yet. */
+static bool conn_has_unread(const struct conn *conn)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+
+	return info && recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* @newest is the connection just opened, or NULL. */
 static void close_excess(struct httpd *server, const struct budget_conn *newest)
 {
+	int64_t now = base_now_ns();
 	struct budget_conn *c;
 
 	if (!server->opt.close_for_new)
 		return;
-	while ((c = budget_excess(&server->budget, newest, base_now_ns()))) {
+	while ((c = budget_excess(&server->budget, newest, now))) {
+		if (conn_has_unread((struct conn *)c)) {
+			c->unread_at = now;
+			continue;
+		}
 		server->stats.closed_for_connection++;
 		conn_close(server, (struct conn *)c, "replaced by a new connection");
 	}
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -108,6 +108,21 @@
 }
 END_TEST
 
+/* Guards against closing a caller whose request has arrived, and against one that stays for ever.
+ */
+START_TEST(a_connection_with_unread_bytes_stays_for_a_while)
+{
+	struct fixture f = fixture_of(3, LARGE);
+
+	add_all(&f);
+	f.conn[0].unread_at = 1000 * MS;
+	ck_assert_ptr_eq(budget_excess(&f.budget, &f.conn[3], 1000 * MS), &f.conn[1]);
+	f.conn[1].unread_at = f.conn[2].unread_at = 1000 * MS;
+	ck_assert_ptr_null(budget_excess(&f.budget, &f.conn[3], 1499 * MS));
+	ck_assert_ptr_eq(budget_excess(&f.budget, &f.conn[3], 1500 * MS), &f.conn[0]);
+}
+END_TEST
+
 /* Guards against closing a caller before its first request arrives. */
 START_TEST(a_regular_check_leaves_new_connections)
 {
@@ -157,6 +172,7 @@
 	tcase_add_test(t, bodies_that_progress_or_are_complete_stay);
 	tcase_add_test(t, nothing_is_closed_for_a_body_that_does_not_fit_then);
 	tcase_add_test(t, a_newcomer_replaces_the_least_useful_connection);
+	tcase_add_test(t, a_connection_with_unread_bytes_stays_for_a_while);
 	tcase_add_test(t, a_regular_check_leaves_new_connections);
 	tcase_add_test(t, incomplete_requests_are_overdue_whatever_they_send);
 	tcase_add_test(t, limits_follow_the_memory_and_one_body_always_fits);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -389,6 +389,22 @@
 }
 END_TEST
 
+/* Guards against callers that lose their connections to others when many connect at once. */
+START_TEST(callers_that_connect_at_once_are_all_answered)
+{
+	struct fixture *f = fixture_with_room();
+	int fd[60];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		fd[i] = client_open(post_small, 5000);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+		ck_assert_ptr_nonnull(strstr(client_answer(f, fd[i]), " 200 "));
+		close(fd[i]);
+	}
+	talloc_free(f);
+}
+END_TEST
+
 static size_t small_limit(void *data G_GNUC_UNUSED)
 {
 	return 10;
@@ -496,6 +512,7 @@
 	tcase_add_test(t, stopped_requests_on_all_connections_end);
 	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
 	tcase_add_test(t, the_limit_at_present_applies);
+	tcase_add_test(t, callers_that_connect_at_once_are_all_answered);
 	tcase_add_test(t, clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection);
 }
 
