HTTP server: a stop with requests in progress does not end the process

Freeing a server while a request waited for its answer ended the process ("MHD_stop_daemon() called while we have suspended connections"), although httpd_new() says that talloc_free() stops it. No program of the project does this today: they exit.

The server resumes these connections first, so each request is aborted as documented. The new test failed before (signal 6) and passes.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -537,9 +537,23 @@
 	return true;
 }
 
+/* libmicrohttpd ends the process when it is stopped with suspended connections. */
+static void resume_all(struct httpd *server)
+{
+	for (const GList *l = server->budget.conns.head; l; l = l->next) {
+		struct call *call = ((struct conn *)l->data)->call;
+
+		if (!call || !call->is_suspended)
+			continue;
+		call->is_suspended = false;
+		MHD_resume_connection(call->mhd);
+	}
+}
+
 static int httpd_destructor(struct httpd *server)
 {
 	TALLOC_FREE(server->fde);
+	resume_all(server);
 	if (server->mhd)
 		MHD_stop_daemon(server->mhd);
 	server->mhd = NULL;
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -194,6 +194,22 @@
 }
 END_TEST
 
+/* Guards against a process that ends because a request has no answer yet. */
+START_TEST(a_request_without_an_answer_is_aborted_when_the_server_stops)
+{
+	struct fixture *f = fixture_new();
+
+	start(f, URL "/hold", str_from("x"), 2000);
+	while (!f->held)
+		tevent_loop_once(f->ev);
+	TALLOC_FREE(f->server);
+	ck_assert_int_eq(f->aborted, 1);
+	wait_done(f, 1);
+	ck_assert_int_eq(f->result, HTTPC_LOST);
+	talloc_free(f);
+}
+END_TEST
+
 /* ---- clients outside the limits ---- */
 
 #define ROOM 30000  /* bytes of bodies; enough for one of LARGE */
@@ -504,6 +520,7 @@
 	tcase_add_test(t, no_answer_waits_for_the_idle_tick);
 	tcase_add_test(t, a_deferred_answer_arrives);
 	tcase_add_test(t, a_dropped_request_is_told_as_lost);
+	tcase_add_test(t, a_request_without_an_answer_is_aborted_when_the_server_stops);
 	tcase_add_test(t, a_body_announced_far_above_the_limit_is_not_read);
 	tcase_add_test(t, a_chunked_body_above_the_limit_is_cut_off);
 	tcase_add_test(t, a_stopped_body_delays_large_ones_and_no_small_one);
