Settings: a max-fds that is no number of descriptors has the default

max-fds was converted from a floating-point number without a check. For -1 or 1e30 the result differs between processors (0 on arm64), and callers' connections are derived from it now.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -45,6 +45,26 @@
 }
 END_TEST
 
+/* Guards against limits derived from a value whose conversion differs between processors. */
+START_TEST(a_number_of_descriptors_that_is_none_has_the_default)
+{
+	static const char *const invalid[] = {"max-fds = -1", "max-fds = 1e30", "max-fds = 0"};
+	char **parts = g_strsplit(valid_settings, "max-fds = 4096", 2);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		char *error;
+		char *text = g_strjoin(invalid[i], parts[0], parts[1], NULL);
+		struct site *s = load(text, &error);
+
+		ck_assert_ptr_nonnull(s);
+		ck_assert_uint_eq(s->descriptors_max, 4100);
+		talloc_free(s);
+		g_free(text);
+	}
+	g_strfreev(parts);
+}
+END_TEST
+
 /* decisions are as before in a deployment that does not ask for it */
 START_TEST(evacuations_are_off_unless_the_settings_bound_them)
 {
@@ -89,6 +109,7 @@
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, settings_are_read_and_omitted_ones_have_defaults);
+	tcase_add_test(t, a_number_of_descriptors_that_is_none_has_the_default);
 	tcase_add_test(t, evacuations_are_off_unless_the_settings_bound_them);
 	tcase_add_test(t, a_missing_address_is_reported_by_key);
 	tcase_add_test(t, invalid_toml_is_reported_with_its_line);
