HTTP server: a body that needs all of the room is taken

A request was charged one byte more for its copies than the limit allows for: the byte after the end of the body. Where the budget is what one body of the largest size needs (rows of the store far above 64 KB, little memory), such a body was rejected each time although it was sent alone. The new test failed before and passes.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -685,8 +685,8 @@
 bool httpd_charge(struct httpd_request *req, size_t bytes)
 {
 	struct call *call = (struct call *)req;
-	bool has_room =
-		call->body_len <= BUDGET_SMALL_BYTES || call_charge(call, call->body_cap + bytes);
+	bool has_room = call->body_len <= BUDGET_SMALL_BYTES ||
+			call_charge(call, call->body_cap - 1 + bytes);
 
 	call->server->stats.busy += !has_room;
 	return has_room;
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -59,6 +59,10 @@
 		req->on_abort = on_abort;
 		return;
 	}
+	if (!strcmp(req->path, "/copy") && !httpd_charge(req, req->body.len)) {
+		httpd_reply(req, 503, str_from(""));
+		return;
+	}
 	httpd_reply(req, 200, req->body);
 }
 
@@ -344,6 +348,25 @@
 }
 END_TEST
 
+/* Guards against a largest body that is always rejected although it was sent alone. */
+START_TEST(a_body_that_needs_all_of_the_room_is_taken)
+{
+	static const char post_copy[] =
+		"POST /copy HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\n";
+	struct httpd_options opt = usual_options;
+	struct fixture *f;
+	int fd;
+
+	opt.body_max = LARGE;
+	opt.bodies_max = 2 * LARGE;
+	f = fixture_of(&opt);
+	fd = client_open(post_copy, LARGE);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 200 "));
+	close(fd);
+	talloc_free(f);
+}
+END_TEST
+
 /* Guards against idle connections that keep new callers out. */
 START_TEST(new_connections_replace_idle_ones)
 {
@@ -525,6 +548,7 @@
 	tcase_add_test(t, a_chunked_body_above_the_limit_is_cut_off);
 	tcase_add_test(t, a_stopped_body_delays_large_ones_and_no_small_one);
 	tcase_add_test(t, a_body_without_memory_is_rejected);
+	tcase_add_test(t, a_body_that_needs_all_of_the_room_is_taken);
 	tcase_add_test(t, new_connections_replace_idle_ones);
 	tcase_add_test(t, stopped_requests_on_all_connections_end);
 	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
