Callers: a connection that reads no answers is replaced whatever it has sent

While an answer is being sent, libmicrohttpd reads nothing. Unread bytes now count only while the server reads.

The new test (16 such clients with a limit of 4, then an ordinary caller) failed without this change (no answer in 10 s) and passes.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -174,14 +174,18 @@
 	}
 }
 
-/* True when the client has sent something that libmicrohttpd has not read yet. */
+/*
+ * True when the client has sent something that libmicrohttpd is about to read. While an answer is
+ * being sent, it reads nothing: a client that does not read answers is not protected by this.
+ */
 static bool conn_has_unread(const struct conn *conn)
 {
 	const union MHD_ConnectionInfo *info =
 		MHD_get_connection_info(conn->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 	char byte;
 
-	return info && recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	return info && conn->budget.state != BUDGET_ANSWERING &&
+	       recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 /* @newest is the connection just opened, or NULL. */
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -444,6 +444,45 @@
 }
 END_TEST
 
+/* Guards against clients that send requests, read no answers and keep their connections for that.
+ */
+START_TEST(clients_that_read_no_answers_give_way)
+{
+	struct httpd_options opt = usual_options;
+	char *body = g_strnfill(LARGE, 'x');
+	char *request = g_strconcat(post_large, body, NULL);
+	size_t len = strlen(request);
+	int fd[4 + HTTPD_CONNECTIONS_EXTRA + 4];
+	size_t sent[G_N_ELEMENTS(fd)] = {0};
+	struct fixture *f;
+
+	opt.body_max = LARGE;
+	opt.connections_max = 4;
+	opt.close_for_new = true;
+	f = fixture_of(&opt);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		fd[i] = client_open("", 0);
+	for (int round = 0; round < 1000; round++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+			ssize_t n = send(fd[i], request + sent[i] % len, len - sent[i] % len,
+					 MSG_NOSIGNAL);
+
+			sent[i] += (size_t)MAX(n, 0);
+		}
+		tevent_add_timer(f->ev, f, base_timeval_in_ms(1), on_wake, NULL);
+		tevent_loop_once(f->ev);
+	}
+	start(f, URL "/", str_from("hello"), 10000);
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		close(fd[i]);
+	g_free(request);
+	g_free(body);
+	talloc_free(f);
+}
+END_TEST
+
 static size_t small_limit(void *data G_GNUC_UNUSED)
 {
 	return 10;
@@ -554,6 +593,7 @@
 	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
 	tcase_add_test(t, the_limit_at_present_applies);
 	tcase_add_test(t, callers_that_connect_at_once_are_all_answered);
+	tcase_add_test(t, clients_that_read_no_answers_give_way);
 	tcase_add_test(t, clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection);
 }
 
