--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -5,7 +5,9 @@
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +29,7 @@
 	struct httpc *http;
 	struct httpd_request *held;
 	int aborted;
+	int ticks;
 	int done;
 	unsigned int status;
 	enum httpc_result result;
@@ -56,6 +59,10 @@
 		req->on_abort = on_abort;
 		return;
 	}
+	if (!strcmp(req->path, "/copy") && !httpd_charge(req, req->body.len)) {
+		httpd_reply(req, 503, str_from(""));
+		return;
+	}
 	httpd_reply(req, 200, req->body);
 }
 
@@ -191,6 +198,22 @@
 }
 END_TEST
 
+/* Guards against a process that ends because a request has no answer yet. */
+START_TEST(a_request_without_an_answer_is_aborted_when_the_server_stops)
+{
+	struct fixture *f = fixture_new();
+
+	start(f, URL "/hold", str_from("x"), 2000);
+	while (!f->held)
+		tevent_loop_once(f->ev);
+	TALLOC_FREE(f->server);
+	ck_assert_int_eq(f->aborted, 1);
+	wait_done(f, 1);
+	ck_assert_int_eq(f->result, HTTPC_LOST);
+	talloc_free(f);
+}
+END_TEST
+
 /* ---- clients outside the limits ---- */
 
 #define ROOM 30000  /* bytes of bodies; enough for one of LARGE */
@@ -325,6 +348,25 @@
 }
 END_TEST
 
+/* Guards against a largest body that is always rejected although it was sent alone. */
+START_TEST(a_body_that_needs_all_of_the_room_is_taken)
+{
+	static const char post_copy[] =
+		"POST /copy HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\n";
+	struct httpd_options opt = usual_options;
+	struct fixture *f;
+	int fd;
+
+	opt.body_max = LARGE;
+	opt.bodies_max = 2 * LARGE;
+	f = fixture_of(&opt);
+	fd = client_open(post_copy, LARGE);
+	ck_assert_ptr_nonnull(strstr(client_answer(f, fd), " 200 "));
+	close(fd);
+	talloc_free(f);
+}
+END_TEST
+
 /* Guards against idle connections that keep new callers out. */
 START_TEST(new_connections_replace_idle_ones)
 {
@@ -386,6 +428,61 @@
 }
 END_TEST
 
+/* Guards against callers that lose their connections to others when many connect at once. */
+START_TEST(callers_that_connect_at_once_are_all_answered)
+{
+	struct fixture *f = fixture_with_room();
+	int fd[60];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		fd[i] = client_open(post_small, 5000);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+		ck_assert_ptr_nonnull(strstr(client_answer(f, fd[i]), " 200 "));
+		close(fd[i]);
+	}
+	talloc_free(f);
+}
+END_TEST
+
+/* Guards against clients that send requests, read no answers and keep their connections for that.
+ */
+START_TEST(clients_that_read_no_answers_give_way)
+{
+	struct httpd_options opt = usual_options;
+	char *body = g_strnfill(LARGE, 'x');
+	char *request = g_strconcat(post_large, body, NULL);
+	size_t len = strlen(request);
+	int fd[4 + HTTPD_CONNECTIONS_EXTRA + 4];
+	size_t sent[G_N_ELEMENTS(fd)] = {0};
+	struct fixture *f;
+
+	opt.body_max = LARGE;
+	opt.connections_max = 4;
+	opt.close_for_new = true;
+	f = fixture_of(&opt);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		fd[i] = client_open("", 0);
+	for (int round = 0; round < 1000; round++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(fd); i++) {
+			ssize_t n = send(fd[i], request + sent[i] % len, len - sent[i] % len,
+					 MSG_NOSIGNAL);
+
+			sent[i] += (size_t)MAX(n, 0);
+		}
+		tevent_add_timer(f->ev, f, base_timeval_in_ms(1), on_wake, NULL);
+		tevent_loop_once(f->ev);
+	}
+	start(f, URL "/", str_from("hello"), 10000);
+	wait_done(f, 1);
+	ck_assert_uint_eq(f->status, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(fd); i++)
+		close(fd[i]);
+	g_free(request);
+	g_free(body);
+	talloc_free(f);
+}
+END_TEST
+
 static size_t small_limit(void *data G_GNUC_UNUSED)
 {
 	return 10;
@@ -408,6 +505,76 @@
 }
 END_TEST
 
+/* ---- clients that send without a pause ---- */
+
+#define SENDERS 20
+#define TICKS 5
+#define SENDING_MAX_MS 5000
+
+struct senders {
+	pthread_t thread;
+	int fd[SENDERS];
+	atomic_bool is_ended;
+};
+
+/* Sends requests, whole or in parts, as fast as the server takes them, and drops the answers. */
+static void *send_requests(void *data)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+	const size_t len = strlen(request);
+	struct senders *s = data;
+	size_t sent[SENDERS] = {0};
+	char text[4096];
+
+	while (!atomic_load(&s->is_ended)) {
+		for (int i = 0; i < SENDERS; i++) {
+			ssize_t n = send(s->fd[i], request + sent[i] % len, len - sent[i] % len,
+					 MSG_NOSIGNAL);
+
+			sent[i] += (size_t)MAX(n, 0);
+			while (recv(s->fd[i], text, sizeof(text), 0) > 0)
+				;
+		}
+	}
+	return NULL;
+}
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te G_GNUC_UNUSED,
+		    struct timeval now G_GNUC_UNUSED, void *data)
+{
+	struct fixture *f = data;
+
+	if (++f->ticks < TICKS)
+		tevent_add_timer(ev, f, base_timeval_in_ms(1), on_tick, f);
+}
+
+/*
+ * Guards against clients that keep the loop busy: the timers and connections of the rest of the
+ * process, such as those for the store, stood still for as long as the clients sent.
+ */
+START_TEST(clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection)
+{
+	struct fixture *f = fixture_new();
+	struct senders s = {.is_ended = false};
+	int64_t end = base_deadline_in(SENDING_MAX_MS);
+
+	for (int i = 0; i < SENDERS; i++)
+		s.fd[i] = client_open("", 0);
+	ck_assert_int_eq(pthread_create(&s.thread, NULL, send_requests, &s), 0);
+	tevent_add_timer(f->ev, f, base_timeval_in_ms(1), on_tick, f);
+	start(f, URL "/", str_from("hello"), SENDING_MAX_MS);
+	while ((f->ticks < TICKS || !f->done) && base_now_ns() < end)
+		tevent_loop_once(f->ev);
+	atomic_store(&s.is_ended, true);
+	pthread_join(s.thread, NULL);
+	ck_assert_int_eq(f->ticks, TICKS);
+	ck_assert_uint_eq(f->status, 200);
+	for (int i = 0; i < SENDERS; i++)
+		close(s.fd[i]);
+	talloc_free(f);
+}
+END_TEST
+
 static void add_tests(TCase *t)
 {
 	tcase_add_test(t, a_body_comes_back_whole);
@@ -415,14 +582,19 @@
 	tcase_add_test(t, no_answer_waits_for_the_idle_tick);
 	tcase_add_test(t, a_deferred_answer_arrives);
 	tcase_add_test(t, a_dropped_request_is_told_as_lost);
+	tcase_add_test(t, a_request_without_an_answer_is_aborted_when_the_server_stops);
 	tcase_add_test(t, a_body_announced_far_above_the_limit_is_not_read);
 	tcase_add_test(t, a_chunked_body_above_the_limit_is_cut_off);
 	tcase_add_test(t, a_stopped_body_delays_large_ones_and_no_small_one);
 	tcase_add_test(t, a_body_without_memory_is_rejected);
+	tcase_add_test(t, a_body_that_needs_all_of_the_room_is_taken);
 	tcase_add_test(t, new_connections_replace_idle_ones);
 	tcase_add_test(t, stopped_requests_on_all_connections_end);
 	tcase_add_test(t, a_request_in_progress_is_answered_whoever_connects);
 	tcase_add_test(t, the_limit_at_present_applies);
+	tcase_add_test(t, callers_that_connect_at_once_are_all_answered);
+	tcase_add_test(t, clients_that_read_no_answers_give_way);
+	tcase_add_test(t, clients_that_send_without_pause_hold_up_no_timer_and_no_other_connection);
 }
 
 int main(void)
