Speed: a rare faster class is learned as soon as a rare slower one

With one fast server in four the estimation began with a share of 0.15 slow servers and took the slowest third of the slower class for the whole class.

While speeds are not known, each fit starts from the effects of the servers within jobs, split in two, so that neither class is preferred. Whether the servers differ is decided by the mean product of the deviations of two tasks on one server; it replaces the prediction of samples and the shares by queue and size. A period gives odds of at most 55 to 1, and a class needs a probability of 0.95 in both directions. The excess of gangs is computed once for each sample.

--- a/lib/speed/speed.c
+++ b/lib/speed/speed.c
@@ -17,11 +17,9 @@
 #define FOLDED_LIMIT 4.0    /* of the evidence of samples that are not kept */
 /* of the evidence that a sample gave, as the limit for a period no longer applies to it */
 #define FOLD_SHARE 0.6
-/* bounds of the probability of the slower class, with hysteresis */
-#define SLOW_ENTER 0.85
-#define SLOW_LEAVE 0.6
-#define FAST_ENTER 0.1
-#define FAST_LEAVE 0.3
+/* least probability of a class, with hysteresis */
+#define CLASS_ENTER 0.95
+#define CLASS_LEAVE 0.7
 /* share of servers of the slower class, with hysteresis, from which that is the typical one */
 #define MOST_ENTER 0.55
 #define MOST_LEAVE 0.45
@@ -94,11 +92,8 @@
 	if (!i)
 		return 0;
 	serial = (uint16_t)(s->slot[i].serial + 1);
-	s->slot[i] = (struct speed_slot){.serial = serial,
-					 .is_used = true,
-					 .seen = s->fits,
-					 .chance = s->share,
-					 .chance_before = s->share};
+	s->slot[i] = (struct speed_slot){
+		.serial = serial, .is_used = true, .seen = s->fits, .chance = s->share};
 	sv->speed_slot = i;
 	return i;
 }
@@ -242,7 +237,7 @@
 				  .members = members,
 				  .slow = s->share,
 				  .inlier = 1};
-	p->predicted = speed_predict(s, p);
+	p->excess = speed_excess(p->tasks);
 	sampled(t)->speed_sample = s->next++;
 	return p;
 }
@@ -335,9 +330,9 @@
 
 	if (!s->is_known)
 		return FLEET_SPEED_UNKNOWN;
-	if (chance >= (sv->speed_class == slower ? SLOW_LEAVE : SLOW_ENTER))
+	if (chance >= (sv->speed_class == slower ? CLASS_LEAVE : CLASS_ENTER))
 		return slower;
-	if (chance <= (sv->speed_class == faster ? FAST_LEAVE : FAST_ENTER))
+	if (1 - chance >= (sv->speed_class == faster ? CLASS_LEAVE : CLASS_ENTER))
 		return faster;
 	return FLEET_SPEED_UNKNOWN;
 }
@@ -390,8 +385,8 @@
 	free_unseen_slots(s);
 	drop_old(s, now);
 	speed_fit(s, now);
-	if (s->share > MOST_ENTER || s->share < MOST_LEAVE)
-		s->most_are_slow = s->share > MOST_ENTER;
+	if (!s->is_known || s->share > MOST_ENTER || s->share < MOST_LEAVE)
+		s->most_are_slow = s->share > 0.5;
 	s->updated_at = now;
 	for (guint i = 0; i < s->fleet->all->len; i++) {
 		struct fleet_server *sv = g_ptr_array_index(s->fleet->all, i);
--- a/lib/speed/speed_fit.c
+++ b/lib/speed/speed_fit.c
@@ -16,17 +16,20 @@
 
 #define SWEEPS 3
 #define PERIOD_MS 5000	 /* samples within it are not independent */
-#define PERIOD_LIMIT 3.0 /* most evidence of one period: odds of 20 to 1 */
+#define PERIOD_LIMIT 4.0 /* most evidence of one period: odds of 55 to 1 */
 #define TOTAL_LIMIT 8.0	 /* three periods with the contrary result outweigh it */
 #define HALF_LIFE_MS 60000.0
-#define SHARE_START 0.15
+#define SHARE_START 0.5 /* the slower class may be the rare or the frequent one */
 #define SHARE_MIN 0.02
-#define SHARE_MAX 0.75
-#define SHARE_PRIOR_SERVERS 10 /* weight of SHARE_START */
-#define GAP_START 0.7	       /* log 2 */
-#define GAP_MIN 0.45	       /* log 1.57: smaller differences are hidden by the spread */
-#define GAP_MAX 1.6	       /* log 5 */
-#define GAP_PRIOR 5	       /* weight of GAP_START in samples */
+#define SHARE_MAX 0.98
+#define SHARE_PRIOR_SERVERS 2 /* weight of SHARE_START */
+#define EFFECT_ROUNDS 4
+#define EFFECT_PRIOR 0.5 /* weight of an effect of 0 in samples */
+#define EFFECT_EVIDENCE_LIMIT 3.0
+#define GAP_START 0.7 /* log 2 */
+#define GAP_MIN 0.45  /* log 1.57: smaller differences are hidden by the spread */
+#define GAP_MAX 1.6   /* log 5 */
+#define GAP_PRIOR 5   /* weight of GAP_START in samples */
 #define SPREAD_START 0.3
 #define SPREAD_MIN 0.15
 #define SPREAD_MAX 0.45
@@ -39,9 +42,16 @@
 #define TAIL_SHARE_MAX 0.3 /* of gangs */
 #define TAIL_MEAN 0.8	   /* outliers are mostly slow: 7 times is 1.95 */
 #define TAIL_SPREAD 1.2
-#define SCORE_KNOWN 10.0 /* odds of 20,000 to 1; it stays below 6 in pools of one speed */
-#define SHARE_ROUNDS 4
-#define QUEUE_SHARE_MIN 0.002 /* the estimation does not leave 0 or 1 again */
+#define DEVIATION_LIMIT 1.2 /* of one sample: bounds what a tail adds, and exceeds the gap */
+/*
+ * Bounds, with hysteresis. In pools of one speed the score stayed below 7, and below 10 where 4 %
+ * of the servers were slow for 4 s at a time. With speeds of 0.55 and 1.2 the difference was 0.04
+ * to 0.13 where one server in four had the rarer one, and 0.01 to 0.12 where one in ten had.
+ */
+#define SCORE_KNOWN 12.0
+#define SCORE_LOST 6.0
+#define DIFFERENCE_KNOWN 0.02
+#define DIFFERENCE_LOST 0.005
 
 void speed_fit_init(struct speed *s)
 {
@@ -61,19 +71,18 @@
 	return exp(-x * x / (2 * variance)) / sqrt(2 * G_PI * variance);
 }
 
-/* expected excess of the slowest of @n tasks over the mean, in standard deviations */
-static double expected_maximum(unsigned int n)
+double speed_excess(unsigned int tasks)
 {
-	double p = (n - 0.375) / (n + 0.25);
+	double p = (tasks - 0.375) / (tasks + 0.25);
 
 	/* Blom's approximation with Tukey's of the quantile */
-	return n < 2 ? 0 : 4.91 * (pow(p, 0.14) - pow(1 - p, 0.14));
+	return tasks < 2 ? 0 : 4.91 * (pow(p, 0.14) - pow(1 - p, 0.14));
 }
 
 /* slowness without the offsets of the queue and of the job */
 static double raw_residual(const struct speed *s, const struct speed_point *p)
 {
-	return p->slowness - p->job->queue->offset - s->spread * expected_maximum(p->tasks);
+	return p->slowness - p->job->queue->offset - s->spread * p->excess;
 }
 
 double speed_residual(const struct speed *s, const struct speed_point *p)
@@ -87,7 +96,6 @@
 struct likelihood {
 	double slow;
 	double fast;
-	double z; /* residual if none were slow */
 	double inlier;
 };
 
@@ -108,7 +116,6 @@
 
 	return (struct likelihood){.slow = slow + tail,
 				   .fast = fast + tail,
-				   .z = z,
 				   .inlier =
 					   1 - tail / (tail + chance * slow + (1 - chance) * fast)};
 }
@@ -137,23 +144,25 @@
 	e->sum += message;
 }
 
-static double chance_by(const struct speed *s, const struct speed_evidence *e)
+static double chance_by(const struct speed *s, double total)
 {
-	double total = e->total + clamp(e->sum, PERIOD_LIMIT);
-
 	return 1 / (1 + exp(-clamp(total, TOTAL_LIMIT)) * (1 - s->share) / s->share);
 }
 
+static double total_of(const struct speed_evidence *e)
+{
+	return e->total + clamp(e->sum, PERIOD_LIMIT);
+}
+
 /* probability that no server of the sample is slow */
-static double all_fast(const struct speed *s, const struct speed_point *p, bool before)
+static double all_fast(const struct speed *s, const struct speed_point *p)
 {
 	double product = 1;
 
 	for (unsigned int i = 0; i < p->members; i++) {
 		const struct speed_slot *slot = member_slot(s, &p->member[i]);
-		double chance = !slot ? s->share : before ? slot->chance_before : slot->chance;
 
-		product *= 1 - chance;
+		product *= 1 - (slot ? slot->chance : s->share);
 	}
 	return product;
 }
@@ -161,12 +170,11 @@
 static void send_messages(struct speed *s, struct speed_point *p, int64_t now)
 {
 	struct likelihood l = likelihood(s, p);
-	double fast = all_fast(s, p, false);
+	double fast = all_fast(s, p);
 	double weight = age_weight(now - p->at);
 
 	p->slow = (1 - fast) * l.slow / ((1 - fast) * l.slow + fast * l.fast);
 	p->inlier = l.inlier;
-	p->odds = l.slow / l.fast;
 	for (unsigned int i = 0; i < p->members; i++) {
 		struct speed_slot *slot = member_slot(s, &p->member[i]);
 		double others;
@@ -177,36 +185,34 @@
 		p->member[i].message =
 			(float)(weight * log(l.slow / (l.slow * (1 - others) + l.fast * others)));
 		slot->samples++;
-		add_evidence(&slot->now, p->at, p->member[i].message);
-		if (p->at < now - PERIOD_MS)
-			add_evidence(&slot->before, p->at, p->member[i].message);
+		add_evidence(&slot->evidence, p->at, p->member[i].message);
 	}
 }
 
-static void estimate_slots(struct speed *s, int64_t now)
+static void reset_evidence(struct speed *s)
 {
-	for (unsigned int i = 1; i < s->slots; i++) {
-		struct speed_slot *slot = &s->slot[i];
+	for (unsigned int i = 1; i < s->slots; i++)
+		s->slot[i].evidence = (struct speed_evidence){.total = s->slot[i].folded};
+}
 
-		slot->samples = 0;
-		slot->now = (struct speed_evidence){.total = slot->folded};
-		slot->before = (struct speed_evidence){.total = slot->folded};
-	}
+static void estimate_slots(struct speed *s, int64_t now)
+{
+	reset_evidence(s);
+	for (unsigned int i = 1; i < s->slots; i++)
+		s->slot[i].samples = 0;
 	for (uint64_t n = s->first; n < s->next; n++)
 		send_messages(s, speed_point(s, n), now);
 	for (unsigned int i = 1; i < s->slots; i++) {
 		struct speed_slot *slot = &s->slot[i];
 
-		slot->chance = chance_by(s, &slot->now);
-		slot->chance_before = chance_by(s, &slot->before);
+		slot->chance = chance_by(s, total_of(&slot->evidence));
 	}
 }
 
 /* ---- maximization ---- */
 
-static void estimate_jobs(struct speed *s)
+static void reset_jobs(struct speed *s)
 {
-	double shrink = s->spread * s->spread / (s->job_spread * s->job_spread);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -217,6 +223,15 @@
 		job->weight = 0;
 		job->sum = 0;
 	}
+}
+
+static void estimate_jobs(struct speed *s)
+{
+	double shrink = s->spread * s->spread / (s->job_spread * s->job_spread);
+	GHashTableIter iter;
+	gpointer value;
+
+	reset_jobs(s);
 	for (uint64_t n = s->first; n < s->next; n++) {
 		const struct speed_point *p = speed_point(s, n);
 
@@ -304,68 +319,196 @@
 	s->share = CLAMP(sum / weight, SHARE_MIN, SHARE_MAX);
 }
 
-/* ---- whether the servers differ ---- */
+/* ---- start values ---- */
 
-/*
- * Each sample was predicted with what earlier periods told of its servers. That is compared with
- * the best prediction that does not know the servers: the share of samples with a slow server
- * that fits all samples of the queue and size best. Where the servers have one speed, the former
- * is not better on average, whatever the distribution of run times is. It must not depend on the
- * sample, so it is kept from before the sample is known.
- */
-double speed_predict(const struct speed *s, const struct speed_point *p)
+static void reset_sums(struct speed *s)
 {
-	return 1 - all_fast(s, p, true);
+	for (unsigned int i = 1; i < s->slots; i++) {
+		s->slot[i].weight = 0;
+		s->slot[i].sum = 0;
+		s->slot[i].squares = 0;
+	}
 }
 
-static unsigned int size_of(const struct speed_point *p)
+static void reset_effects(struct speed *s)
 {
-	unsigned int size = 0;
+	for (unsigned int i = 1; i < s->slots; i++)
+		s->slot[i].effect = 0;
+}
 
-	while (size < SPEED_SIZES - 1 && p->members > 1U << size)
-		size++;
-	return size;
+/* the server of a task that is no gang member */
+static struct speed_slot *single_slot(const struct speed *s, const struct speed_point *p)
+{
+	return p->tasks == 1 ? member_slot(s, &p->member[0]) : NULL;
 }
 
-static void estimate_queue_shares(struct speed *s)
+/* slowness of the single tasks of each job, without the effects of their servers */
+static void sum_jobs(struct speed *s)
 {
-	for (unsigned int i = 0; i < SPEED_QUEUES_MAX; i++) {
-		struct speed_queue *q = &s->queue[i];
-
-		for (unsigned int k = 0; q->jobs && k < SPEED_SIZES; k++) {
-			/* starts at the middle, so that any share is reached within some rounds */
-			q->share[k] = q->counted[k] > 0 ? q->slow[k] / q->counted[k] : 0.5;
-			q->share[k] = CLAMP(q->share[k], QUEUE_SHARE_MIN, 1 - QUEUE_SHARE_MIN);
-			q->counted[k] = 0;
-			q->slow[k] = 0;
+	reset_jobs(s);
+	for (uint64_t n = s->first; n < s->next; n++) {
+		const struct speed_point *p = speed_point(s, n);
+		const struct speed_slot *slot = single_slot(s, p);
+
+		if (!slot)
+			continue;
+		p->job->weight++;
+		p->job->sum += p->slowness - slot->effect;
+	}
+}
+
+/* of a single task from the mean of its job */
+static double deviation_of(const struct speed_point *p)
+{
+	return clamp(p->slowness - p->job->sum / p->job->weight, DEVIATION_LIMIT);
+}
+
+/* alternates between the mean of each job and the effect of each server on its tasks */
+static void estimate_effects(struct speed *s)
+{
+	reset_effects(s);
+	for (int round = 0; round < EFFECT_ROUNDS; round++) {
+		sum_jobs(s);
+		reset_sums(s);
+		for (uint64_t n = s->first; n < s->next; n++) {
+			const struct speed_point *p = speed_point(s, n);
+			struct speed_slot *slot = single_slot(s, p);
+			double weight;
+
+			if (!slot)
+				continue;
+			/* the only sample of a job tells nothing of its server */
+			weight = 1 - 1 / p->job->weight;
+			slot->weight += weight;
+			slot->sum += weight * deviation_of(p);
 		}
+		for (unsigned int i = 1; i < s->slots; i++)
+			s->slot[i].effect = s->slot[i].sum / (s->slot[i].weight + EFFECT_PRIOR);
+	}
+}
+
+static gint compare_effects(gconstpointer a, gconstpointer b)
+{
+	const struct speed_slot *x = *(const struct speed_slot *const *)a;
+	const struct speed_slot *y = *(const struct speed_slot *const *)b;
+
+	return (x->effect > y->effect) - (x->effect < y->effect);
+}
+
+/* splits the servers in two where the sum of squares between the parts is largest */
+static double split_effects(struct speed *s, const GPtrArray *sorted)
+{
+	double weight = 0;
+	double sum = 0;
+	double below = 0;
+	double below_sum = 0;
+	double best = 0;
+	double middle = 0;
+
+	for (guint i = 0; i < sorted->len; i++) {
+		const struct speed_slot *slot = g_ptr_array_index(sorted, i);
+
+		weight += slot->weight;
+		sum += slot->weight * slot->effect;
+	}
+	for (guint i = 0; i + 1 < sorted->len; i++) {
+		const struct speed_slot *slot = g_ptr_array_index(sorted, i);
+		double faster;
+		double slower;
+		double between;
+
+		below += slot->weight;
+		below_sum += slot->weight * slot->effect;
+		faster = below_sum / below;
+		slower = (sum - below_sum) / (weight - below);
+		between = below * (weight - below) * (slower - faster) * (slower - faster);
+		if (between <= best)
+			continue;
+		best = between;
+		middle = (faster + slower) / 2;
+		s->gap = CLAMP(slower - faster, GAP_MIN, GAP_MAX);
+		s->share = CLAMP(1 - (i + 1.0) / sorted->len, SHARE_MIN, SHARE_MAX);
+	}
+	return middle;
+}
+
+/*
+ * The estimation ends in the nearest optimum. If it began with a small share of slow servers, it
+ * would take the slowest ones of a frequent slower class for the whole class.
+ */
+static void start(struct speed *s)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	double middle;
+
+	estimate_effects(s);
+	for (unsigned int i = 1; i < s->slots; i++)
+		if (s->slot[i].is_used && s->slot[i].weight > 0)
+			g_ptr_array_add(sorted, &s->slot[i]);
+	g_ptr_array_sort(sorted, compare_effects);
+	middle = split_effects(s, sorted);
+	g_ptr_array_free(sorted, TRUE);
+	for (unsigned int i = 1; i < s->slots; i++) {
+		struct speed_slot *slot = &s->slot[i];
+		double evidence =
+			slot->weight * s->gap * (slot->effect - middle) / (s->spread * s->spread);
+
+		slot->chance = slot->weight > 0
+				       ? 1 / (1 + exp(-clamp(evidence, EFFECT_EVIDENCE_LIMIT)))
+				       : s->share;
 	}
 	for (uint64_t n = s->first; n < s->next; n++) {
-		const struct speed_point *p = speed_point(s, n);
-		unsigned int size = size_of(p);
-		double share = p->job->queue->share[size];
+		struct speed_point *p = speed_point(s, n);
 
-		p->job->queue->counted[size]++;
-		p->job->queue->slow[size] += share * p->odds / (share * p->odds + 1 - share);
+		p->slow = 1 - all_fast(s, p);
+		p->inlier = 1;
 	}
+	estimate_jobs(s);
+	estimate_queues(s);
 }
 
-static void score(struct speed *s)
+/* ---- whether the servers differ ---- */
+
+/*
+ * Estimates the variance between servers as the mean product of the deviations of two tasks on the
+ * same server. Its expectation is not above 0 where the servers have one speed, whatever the
+ * distribution of run times is. The score is that mean in standard deviations that it would have
+ * then. A deviation is taken from the mean of the job, so a wrong declared run time does not
+ * count.
+ */
+static void compare_servers(struct speed *s)
 {
-	s->score = 0;
-	for (int round = 0; round < SHARE_ROUNDS; round++)
-		estimate_queue_shares(s);
+	double products = 0;
+	double pairs = 0;
+	double tasks = 0;
+	double variance = 0;
+
+	reset_effects(s);
+	sum_jobs(s);
+	reset_sums(s);
 	for (uint64_t n = s->first; n < s->next; n++) {
 		const struct speed_point *p = speed_point(s, n);
-		double share = p->job->queue->share[size_of(p)];
+		struct speed_slot *slot = single_slot(s, p);
+		double deviation;
 
-		s->score += log((p->predicted * p->odds + 1 - p->predicted) /
-				(share * p->odds + 1 - share));
+		if (!slot || p->job->weight < 2)
+			continue;
+		deviation = deviation_of(p);
+		slot->weight++;
+		slot->sum += deviation;
+		slot->squares += deviation * deviation;
 	}
-	if (s->score >= SCORE_KNOWN)
-		s->is_known = true;
-	else if (s->score <= 0)
-		s->is_known = false;
+	for (unsigned int i = 1; i < s->slots; i++) {
+		const struct speed_slot *slot = &s->slot[i];
+
+		products += slot->sum * slot->sum - slot->squares;
+		pairs += slot->weight * (slot->weight - 1);
+		tasks += slot->weight;
+		variance += slot->squares;
+	}
+	variance /= MAX(tasks, 1);
+	s->difference = pairs > 0 ? products / pairs : 0;
+	s->score = variance > 0 && pairs > 0 ? products / (variance * sqrt(2 * pairs)) : 0;
 }
 
 void speed_fit(struct speed *s, int64_t now)
@@ -374,6 +517,9 @@
 
 	for (unsigned int i = 1; i < s->slots; i++)
 		s->slot[i].folded *= decay;
+	compare_servers(s);
+	if (!s->is_known)
+		start(s);
 	for (int sweep = 0; sweep < SWEEPS; sweep++) {
 		estimate_jobs(s);
 		estimate_slots(s, now);
@@ -382,5 +528,8 @@
 		estimate_share(s);
 	}
 	estimate_jobs(s);
-	score(s);
+	if (s->score >= SCORE_KNOWN && s->difference >= DIFFERENCE_KNOWN)
+		s->is_known = true;
+	else if (s->score <= SCORE_LOST || s->difference <= DIFFERENCE_LOST)
+		s->is_known = false;
 }
--- a/lib/speed/speed_fit.h
+++ b/lib/speed/speed_fit.h
@@ -11,14 +11,10 @@
 
 #include "speed.h"
 
-#define SPEED_SIZES 6 /* by number of servers: 1, 2, 3 and 4, 5 to 8, 9 to 16, more */
-
 /**
  * struct speed_queue - tasks of one queue
  * @offset: typical slowness on a server of the faster class
  * @weight, @sum: sums of the fit
- * @share: by number of servers, share of the samples with a slow server
- * @counted, @slow: sums of the estimation of @share
  * @jobs: struct speed_job that refer to it
  */
 struct speed_queue {
@@ -26,9 +22,6 @@
 	double offset;
 	double weight;
 	double sum;
-	double share[SPEED_SIZES];
-	double counted[SPEED_SIZES];
-	double slow[SPEED_SIZES];
 	unsigned int jobs;
 };
 
@@ -66,10 +59,9 @@
  * @slowness: log(run time / declared run time)
  * @tasks: number of tasks that it stands for
  * @member: distinct servers
+ * @excess: expected excess of the slowest task over the mean, in standard deviations
  * @slow: probability that one of its servers is of the slower class
  * @inlier: probability that it is no outlier
- * @predicted: probability that one of its servers is slow, by what was known when it was noted
- * @odds: likelihood if one of its servers is slow, divided by that if none is
  */
 struct speed_point {
 	struct speed_job *job;
@@ -78,10 +70,9 @@
 	unsigned int tasks;
 	struct speed_member *member;
 	unsigned int members;
+	double excess;
 	double slow;
 	double inlier;
-	double predicted;
-	double odds;
 };
 
 /**
@@ -102,22 +93,24 @@
  * @is_used: the slot stands for an incarnation
  * @seen: number of the latest fit in which the fleet held it
  * @folded: evidence of samples that are not kept any more
- * @now: evidence of all samples kept
- * @before: that of samples so old that the task at hand ran later
+ * @evidence: of the samples kept, up to the one at hand
  * @chance: probability of the slower class
- * @chance_before: the same by @before
  * @samples: number of samples
+ * @effect: typical slowness of its samples within their jobs
+ * @weight, @sum, @squares: sums of estimations
  */
 struct speed_slot {
 	uint16_t serial;
 	bool is_used;
 	uint32_t seen;
 	double folded;
-	struct speed_evidence now;
-	struct speed_evidence before;
+	struct speed_evidence evidence;
 	double chance;
-	double chance_before;
 	unsigned int samples;
+	double effect;
+	double weight;
+	double sum;
+	double squares;
 };
 
 /**
@@ -137,8 +130,9 @@
  * @gap: log of the ratio of the two speeds
  * @spread: standard deviation of the slowness of tasks of one job
  * @job_spread: standard deviation of the offsets of the jobs of a queue
- * @score: gain in log likelihood of the samples by the knowledge of their servers
- * @is_known: @score has become so high that chance does not explain it
+ * @difference: variance of the slowness between servers
+ * @score: @difference in standard deviations of its estimate
+ * @is_known: @score has become so high that neither chance nor short disturbances explain it
  */
 struct speed {
 	const struct fleet *fleet;
@@ -159,6 +153,7 @@
 	double gap;
 	double spread;
 	double job_spread;
+	double difference;
 	double score;
 	bool is_known;
 };
@@ -172,8 +167,8 @@
 void speed_fit_init(struct speed *s);
 /** speed_fit() - estimate all parameters and the class probabilities of all slots */
 void speed_fit(struct speed *s, int64_t now);
-/** speed_predict() - probability that a server of the new sample @p is slow */
-double speed_predict(const struct speed *s, const struct speed_point *p);
+/** speed_excess() - excess of the slowest of @tasks over the mean, in standard deviations */
+double speed_excess(unsigned int tasks);
 /** speed_residual() - slowness of @p beyond what queue, job and the speed of its servers explain */
 double speed_residual(const struct speed *s, const struct speed_point *p);
 
--- a/tests/replay.h
+++ b/tests/replay.h
@@ -36,6 +36,13 @@
 	{"singles", 20, 60, 8800, 1, false},
 };
 
+/* of a large pool; a third of the jobs are single tasks */
+static const struct replay_kind replay_large_kinds[REPLAY_KINDS] = {
+	{"urgent", 2, 8, 2300, 8, true},
+	{"gangs", 4, 30, 8100, 8, true},
+	{"singles", 20, 200, 8800, 1, false},
+};
+
 /* a group that has been started, and how it proceeds */
 struct replay_group {
 	struct work_group *g;
@@ -50,7 +57,10 @@
  * struct replay - the pool
  * @declared_error: declared run times are wrong by up to this share of the real ones
  * @tails: share of tasks that take 7 times as long
+ * @kinds: of the jobs that come
  * @backlog: groups that wait at any time
+ * @busy: with no backlog, jobs come at the rate that keeps this share of the accelerators busy
+ * @offered: accelerator-ms at speed 1.0 that may still come
  * @shares: of the jobs of each kind
  * @slow: factor of the speed of all servers of a kind, by the index in @of_server
  * @of_server: speed of each server
@@ -68,7 +78,10 @@
 	int64_t now;
 	double declared_error;
 	double tails;
+	const struct replay_kind *kinds;
 	unsigned int backlog;
+	double busy;
+	double offered;
 	double shares[REPLAY_KINDS];
 	double *of_server;
 	int64_t *listed_at;
@@ -115,6 +128,7 @@
 	r->now = 100000;
 	r->declared_error = 0.5;
 	r->tails = 0.03;
+	r->kinds = replay_kinds;
 	r->backlog = 6;
 	r->shares[0] = 0.5;
 	r->shares[1] = 0.25;
@@ -138,14 +152,14 @@
 static inline void replay_add_job(struct replay *r)
 {
 	double draw = replay_random(r);
-	const struct replay_kind *k = &replay_kinds[draw < r->shares[0]			 ? 0
-						    : draw < r->shares[0] + r->shares[1] ? 1
-											 : 2];
+	const struct replay_kind *k = &r->kinds[draw < r->shares[0]		     ? 0
+						: draw < r->shares[0] + r->shares[1] ? 1
+										     : 2];
 	unsigned int tasks =
 		(unsigned int)g_rand_int_range(r->rng, (int)k->tasks_min, (int)k->tasks_max + 1);
 	int64_t accelerators = k->accelerators_max > 1 ? 1 << g_rand_int_range(r->rng, 0, 4) : 1;
 	struct replay_group *rg = talloc_zero(r, struct replay_group);
-	struct work_job *job = sample_job(rg, ++r->jobs, k - replay_kinds, tasks, accelerators);
+	struct work_job *job = sample_job(rg, ++r->jobs, k - r->kinds, tasks, accelerators);
 	double error = 1 + r->declared_error * (2 * replay_random(r) - 1);
 
 	job->queue = talloc_strdup(job, k->queue);
@@ -167,12 +181,27 @@
 			rg->work_ms[i] *= 7;
 	}
 	g_ptr_array_add(r->groups, rg);
+	r->offered -= (double)(tasks * accelerators * k->mean_ms);
+}
+
+/* 8 accelerators a server */
+static inline void replay_add_due(struct replay *r)
+{
+	int64_t used = 0;
+
+	for (guint i = 0; i < r->fleet->all->len; i++) {
+		r->offered += r->busy * 8 * REPLAY_STEP_MS * r->of_server[i];
+		used += sample_server(r->fleet, i)->used.accelerators;
+	}
+	while (r->offered > 0 && (double)used < r->busy * 8 * r->fleet->all->len)
+		replay_add_job(r);
+	r->offered = MIN(r->offered, 0);
 }
 
 static inline void replay_place(struct replay *r, struct replay_group *rg)
 {
 	struct plan_clock at = {r->now, r->now};
-	struct fleet_server *out[64];
+	struct fleet_server *out[256];
 	bool has_slow = false;
 	bool has_fast = false;
 	double fastest = 0;
@@ -252,7 +281,7 @@
 		replay_list(r, sv);
 	}
 	r->work_done += (double)(end - first) * slowest * (double)g->step->need.accelerators;
-	if (rg->kind == &replay_kinds[0]) {
+	if (rg->kind == &r->kinds[0]) {
 		r->urgent++;
 		r->urgent_late += (double)(r->now - rg->arrived) > 1.5 * slowest + 250;
 	}
@@ -289,12 +318,14 @@
 	}
 	for (; waiting < r->backlog; waiting++)
 		replay_add_job(r);
+	if (!r->backlog)
+		replay_add_due(r);
 	plan_start_round(r->scratch, r->fleet, r->now);
 	for (unsigned int kind = 0; kind < REPLAY_KINDS; kind++) {
 		for (guint i = 0; i < r->groups->len; i++) {
 			struct replay_group *rg = g_ptr_array_index(r->groups, i);
 
-			if (rg->kind == &replay_kinds[kind])
+			if (rg->kind == &r->kinds[kind])
 				replay_place(r, rg);
 		}
 	}
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -121,6 +121,87 @@
 }
 END_TEST
 
+/* ---- a large pool ---- */
+
+#define LARGE_SERVERS 350
+#define LARGE_SEEDS 6
+#define LARGE_KNOWN_MS 10000
+#define LARGE_MARKED_MS 15000
+#define LARGE_END_MS 40000
+
+static struct replay *large_new(unsigned int seed, double slow_share, double slow, double fast)
+{
+	struct replay *r = replay_new(seed, LARGE_SERVERS, slow_share, slow, fast);
+
+	r->kinds = replay_large_kinds;
+	r->backlog = 0;
+	r->busy = 0.9;
+	for (unsigned int i = 0; i < REPLAY_KINDS; i++)
+		r->shares[i] = 1.0 / REPLAY_KINDS;
+	return r;
+}
+
+/*
+ * Guards against an estimate that takes the slowest servers of a frequent slower class for the
+ * whole class, and against one that is given up after it was made. Both classes count alike, so
+ * the share of slow servers is 0.75 in one run and 0.25 in the other.
+ */
+START_TEST(either_rare_class_is_found_within_seconds)
+{
+	double slow_share = _i ? 0.25 : 0.75;
+	enum fleet_speed_class slow_class = _i ? FLEET_SPEED_SLOW : FLEET_SPEED_TYPICAL;
+	unsigned int sampled = 0;
+	unsigned int marked = 0;
+	unsigned int marked_sampled = 0;
+	unsigned int rare = 0;
+	unsigned int wrong = 0;
+
+	for (unsigned int seed = 0; seed < LARGE_SEEDS; seed++) {
+		struct replay *r = large_new(seed, slow_share, 0.55, 1.2);
+
+		for (int ms = 0; ms < LARGE_END_MS; ms += REPLAY_STEP_MS) {
+			replay_step(r);
+			if (ms >= LARGE_KNOWN_MS)
+				ck_assert(speed_is_known(r->speed));
+			for (guint i = 0; ms == LARGE_MARKED_MS && i < LARGE_SERVERS; i++) {
+				const struct fleet_server *sv = sample_server(r->fleet, i);
+				enum fleet_speed_class c = sv->speed_class;
+
+				sampled += sv->speed_samples >= 4;
+				if (c == FLEET_SPEED_UNKNOWN)
+					continue;
+				marked++;
+				marked_sampled += sv->speed_samples >= 4;
+				rare += c != FLEET_SPEED_TYPICAL;
+				wrong += (c == slow_class) != (r->of_server[i] < 1);
+			}
+		}
+		replay_free(r);
+	}
+	/* about half of the servers have fewer than 4 samples 15 s after the first start */
+	ck_assert_uint_gt(marked * 100, LARGE_SEEDS * LARGE_SERVERS * 45);
+	ck_assert_uint_gt(marked_sampled * 100, sampled * 80);
+	ck_assert_uint_gt(rare * 20, LARGE_SEEDS * LARGE_SERVERS);
+	ck_assert_uint_lt(wrong * 50, marked);
+}
+END_TEST
+
+/* Guards against chance in more samples, and against slowness for seconds on more servers. */
+START_TEST(a_large_pool_of_one_speed_stays_unknown)
+{
+	struct replay *r = large_new((unsigned int)_i, 0, 1, 1);
+
+	r->declared_error = _i % 2 ? 0.9 : 0.5;
+	for (int ms = 0; ms < 60000; ms += REPLAY_STEP_MS) {
+		for (unsigned int i = 0; _i >= 4 && ms % 4000 == 0 && i < LARGE_SERVERS; i++)
+			r->of_server[i] = replay_random(r) < 0.04 ? 0.4 : 1;
+		replay_step(r);
+		check_nothing_is_known(r);
+	}
+	replay_free(r);
+}
+END_TEST
+
 /* ---- single samples ---- */
 
 #define KNOWN_SERVERS 24 /* every fourth is slow */
@@ -490,6 +571,8 @@
 	tcase_add_loop_test(t, servers_that_are_slow_for_seconds_stay_unknown, 0, 4);
 	tcase_add_loop_test(t, slow_servers_are_found_within_half_a_minute, 0, 6);
 	tcase_add_test(t, where_most_are_slow_the_others_are_fast);
+	tcase_add_loop_test(t, either_rare_class_is_found_within_seconds, 0, 2);
+	tcase_add_loop_test(t, a_large_pool_of_one_speed_stays_unknown, 0, 8);
 	tcase_add_test(t, a_known_slow_member_explains_a_slow_gang);
 	tcase_add_test(t, the_member_that_no_fast_gang_clears_is_slow);
 	tcase_add_test(t, a_tail_does_not_make_a_server_slow);
