--- a/lib/speed/speed.h
+++ b/lib/speed/speed.h
@@ -11,9 +11,9 @@
  * end. speed_update() fits two speeds to all samples: that of most servers, which is 1.0, and
  * another. For each server it computes the probability of each speed.
  *
- * No server is classified until samples have been predicted better with the servers' estimates
- * than without, by a margin that chance does not reach. So where all servers have one speed,
- * @speed of struct fleet_server and @run_ratio of struct work_job stay 1.0.
+ * No server is classified until the tasks of each server agree with each other, compared with
+ * their jobs, by a margin that chance and short disturbances do not reach. So where all servers
+ * have one speed, @speed of struct fleet_server and @run_ratio of struct work_job stay 1.0.
  *
  * The module does no I/O and reads no clock; times are monotonic, in ms. Its memory is bounded.
  */
