--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1574,7 +1574,7 @@
 
 async def jobs_fail_by_their_own_fault(site):
     """Servers on which tasks of different jobs had failed got nothing for 8 s to 60 s, though the jobs were at fault."""
-    for i in range(90):
+    for i in range(60):
         job = site.add_job()
         job.count, job.steps, job.gpu, job.is_cancelled, job.route = 2, 1, 1, False, "batch"
         job.spec = {"ms": 300, "gang": 0, "fail": ATTEMPTS if i < 50 else 0}
